Serve a request through gateway, agent and engine

Cause: the project had no code. The thin path runs as separate processes: callers' API, version and server choice, data link, admission, engine call, and an answer whose length is checked at the end.

Ruled out: PAIR sockets between gateway and agent (one peer for each listener; the polyamorous mode drops messages when a peer is slow), and REQ for data (sends again on its own).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup lint test demo bench soak format settings-page
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 chivejunction fakes bench tests
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m bench.demo
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, demo and experiments."""
--- /dev/null
+++ b/chivejunction/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and the tasks that act on state over the transports."""
--- /dev/null
+++ b/chivejunction/coordination/peers.py
@@ -0,0 +1,266 @@
+"""Tasks that keep the data links between gateways and agents alive."""
+
+from collections.abc import Callable
+import time
+
+import anyio
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction.protocol import codecs
+from chivejunction.protocol import messages
+from chivejunction.state import servers
+from chivejunction.transport import links
+
+HEARTBEAT_SECONDS = 1.0
+# A link without a message for this long is dead, whatever TCP says.
+SILENCE_SECONDS = 2.5
+REDIAL_SECONDS = 0.2
+
+FrameHandler = Callable[[messages.Frame], None]
+
+
+class AgentPeer:
+    """A gateway's link to one agent, redialled after silence.
+
+    Args:
+        gateway: Name of the gateway.
+        incarnation: Incarnation of the gateway.
+        reply_address: Address on which the gateway receives.
+        server: Entry of the server table, kept up to date.
+        address: Data address of the agent.
+        codec: Codec of the batches.
+        get_revision: Returns the applied configuration revision.
+        on_welcome: Called when a link has come up.
+        on_heartbeat: Called with each heartbeat.
+    """
+
+    def __init__(
+        self,
+        gateway: str,
+        incarnation: str,
+        reply_address: str,
+        server: servers.Server,
+        address: str,
+        codec: codecs.Codec,
+        get_revision: Callable[[], int],
+        on_welcome: Callable[['AgentPeer', messages.Welcome], None],
+        on_heartbeat: Callable[['AgentPeer', messages.Heartbeat], None],
+    ):
+        self.server = server
+        self.address = address
+        self.revision = 0
+        self._gateway = gateway
+        self._incarnation = incarnation
+        self._reply_address = reply_address
+        self._codec = codec
+        self._get_revision = get_revision
+        self._on_welcome = on_welcome
+        self._on_heartbeat = on_heartbeat
+        # Epochs of a restarted gateway must lie above its earlier ones.
+        self._epoch = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._sender: links.Sender | None = None
+        self._heard_deadline = 0.0
+        self._handlers: dict[str, FrameHandler] = {}
+        self._link_changed = anyio.Event()
+
+    @property
+    def name(self) -> str:
+        """Name of the agent's host."""
+        return self.server.host
+
+    @property
+    def connected(self) -> bool:
+        """Whether the link works."""
+        return self.server.connected
+
+    def send(self, frame: messages.Frame) -> None:
+        """Queues a frame for the agent.
+
+        Raises:
+            LinkClosed: There is no working link.
+        """
+        if self._sender is None or not self.connected:
+            raise errors.LinkClosed(f'no link to {self.name}')
+        self._sender.send(frame)
+
+    def add_handler(self, attempt: str, handler: FrameHandler) -> None:
+        """Passes the frames of an attempt to a handler."""
+        self._handlers[attempt] = handler
+        self.server.sent = len(self._handlers)
+
+    def remove_handler(self, attempt: str) -> None:
+        """Stops passing the frames of an attempt."""
+        self._handlers.pop(attempt, None)
+        self.server.sent = len(self._handlers)
+
+    async def wait_link_change(self) -> None:
+        """Waits until the link comes up or goes down."""
+        await self._link_changed.wait()
+
+    def receive(
+        self, epoch: int, sequence: int, frames: list[messages.Frame]
+    ) -> None:
+        """Handles a batch of the agent; drops it if its epoch is over."""
+        if epoch != self._epoch or self._sender is None:
+            return
+        if sequence != self._sequence + 1:
+            logs.LOG.warning(
+                'batch %d from %s follows %d; closing the link',
+                sequence,
+                self.name,
+                self._sequence,
+            )
+            self._heard_deadline = 0.0
+            return
+        self._sequence = sequence
+        self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
+        for frame in frames:
+            self._handle(frame)
+
+    def _handle(self, frame: messages.Frame) -> None:
+        if isinstance(frame, messages.Heartbeat):
+            self.revision = frame.revision
+            self.server.apply_load(frame.load)
+            self._on_heartbeat(self, frame)
+        elif isinstance(frame, messages.Welcome):
+            self._accept_welcome(frame)
+        else:
+            handler = self._handlers.get(frame.attempt)
+            if handler is not None:
+                handler(frame)
+
+    def _accept_welcome(self, frame: messages.Welcome) -> None:
+        self.server.incarnation = frame.incarnation
+        self.server.versions = frozenset(frame.info.get('versions', ()))
+        self._on_welcome(self, frame)
+        self._set_connected(True)
+
+    def _set_connected(self, connected: bool) -> None:
+        if self.server.connected != connected:
+            self.server.connected = connected
+            changed, self._link_changed = self._link_changed, anyio.Event()
+            changed.set()
+
+    async def run(self) -> None:
+        """Keeps a link open until cancelled."""
+        while True:
+            try:
+                await self._run_link()
+            finally:
+                self._set_connected(False)
+                if self._sender is not None:
+                    self._sender.close()
+                    self._sender = None
+            await anyio.sleep(clock.jitter(REDIAL_SECONDS))
+
+    async def _run_link(self) -> None:
+        self._epoch += 1
+        self._sequence = 0
+        self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
+        sender = links.Sender(
+            self.address, self._gateway, self._epoch, self._codec
+        )
+        self._sender = sender
+        sender.send(
+            messages.Hello(
+                self._gateway,
+                self._incarnation,
+                self._epoch,
+                self._reply_address,
+            )
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(sender.run)
+            next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
+            while not (
+                clock.has_passed(self._heard_deadline) or sender.closed
+            ):
+                await anyio.sleep(0.1)
+                if clock.has_passed(next_heartbeat) and not sender.closed:
+                    next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
+                    sender.send(messages.Heartbeat(self._get_revision(), {}))
+            logs.LOG.info('link to %s is silent or closed', self.name)
+            group.cancel_scope.cancel()
+
+
+class GatewayPeer:
+    """An agent's side of the link to one gateway.
+
+    Args:
+        agent: Name of the agent's host.
+        incarnation: Incarnation of the agent.
+        hello: Message that opened the link.
+        codec: Codec of the batches.
+    """
+
+    def __init__(
+        self,
+        agent: str,
+        incarnation: str,
+        hello: messages.Hello,
+        codec: codecs.Codec,
+    ):
+        self.gateway = hello.gateway
+        self.incarnation = hello.incarnation
+        self.epoch = hello.epoch
+        self.revision = 0
+        self._sequence = 0
+        self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
+        self._agent = agent
+        self._agent_incarnation = incarnation
+        self._sender = links.Sender(
+            hello.reply_address, agent, hello.epoch, codec
+        )
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link is over."""
+        return self._sender.closed
+
+    def send(self, frame: messages.Frame) -> None:
+        """Queues a frame for the gateway; dropped if the link is over."""
+        if not self._sender.closed:
+            self._sender.send(frame)
+
+    def accept(self, sequence: int) -> bool:
+        """Records a batch; returns False after a gap."""
+        if sequence != self._sequence + 1:
+            self.close()
+            return False
+        self._sequence = sequence
+        self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
+        return True
+
+    def close(self) -> None:
+        """Closes the link."""
+        self._sender.close()
+
+    async def run(
+        self,
+        get_info: Callable[[], dict],
+        get_heartbeat: Callable[[], messages.Heartbeat],
+    ) -> None:
+        """Keeps the link open until it falls silent or is replaced.
+
+        Args:
+            get_info: Returns the description of the server.
+            get_heartbeat: Returns the heartbeat to send.
+        """
+        self.send(
+            messages.Welcome(
+                self._agent, self._agent_incarnation, self.epoch, get_info()
+            )
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._sender.run)
+            next_heartbeat = clock.now()
+            while not (clock.has_passed(self._heard_deadline) or self.closed):
+                if clock.has_passed(next_heartbeat):
+                    next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
+                    self.send(get_heartbeat())
+                await anyio.sleep(0.1)
+            self.close()
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/chivejunction/gateway.py
@@ -0,0 +1,215 @@
+"""chivejunction-gateway: serves callers and operators on an entry host."""
+
+import signal
+from typing import Literal
+import uuid
+
+import anyio
+import pydantic
+from starlette import responses
+from starlette import routing as web_routing
+
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction import settings
+from chivejunction.coordination import callers
+from chivejunction.coordination import configuration
+from chivejunction.coordination import dispatch
+from chivejunction.coordination import membership
+from chivejunction.coordination import operators
+from chivejunction.coordination import peers
+from chivejunction.coordination import routing
+from chivejunction.coordination import selection
+from chivejunction.coordination import spread
+from chivejunction.protocol import codecs
+from chivejunction.state import servers
+from chivejunction.state import views
+from chivejunction.transport import exchanges
+from chivejunction.transport import http_client
+from chivejunction.transport import http_server
+from chivejunction.transport import links
+from chivejunction.transport import store_client
+
+HELP = """Serves callers and operators on an entry host.
+
+Example:
+    chivejunction-gateway --host entry-1 --failure-domain bkk-a
+    --listen-port 8000 --admin-port 8001 --data-port 8002
+    --control-port 8003 --store-url http://127.0.0.1:2379
+    --hosts-url http://127.0.0.1:2400 --operator-token secret
+"""
+
+
+class GatewaySettings(settings.Settings):
+    """Settings of chivejunction-gateway."""
+
+    host: str = pydantic.Field(description='Name of this host.')
+    failure_domain: str = pydantic.Field(
+        description='Failure domain of this host.'
+    )
+    address: str = pydantic.Field(
+        '127.0.0.1', description='IP address to listen on.'
+    )
+    listen_port: settings.Port = pydantic.Field(
+        description="TCP port of the callers' API."
+    )
+    admin_port: settings.Port = pydantic.Field(
+        description="TCP port of the operators' API, metrics and health."
+    )
+    data_port: settings.Port = pydantic.Field(
+        description='TCP port on which agents send answers.'
+    )
+    control_port: settings.Port = pydantic.Field(
+        description='TCP port of the control exchange.'
+    )
+    store_url: str = pydantic.Field(
+        description="URL of the platform's key-value store."
+    )
+    hosts_url: str = pydantic.Field(
+        description="URL of the platform's host list."
+    )
+    operator_token: str = pydantic.Field(
+        description='Credential of the operators.', min_length=6
+    )
+    codec: Literal['msgpack', 'cbor'] = pydantic.Field(
+        'msgpack', description='Codec between gateways and agents.'
+    )
+    log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
+        'info', description='Least severe level that is logged.'
+    )
+
+
+class Gateway:
+    """Wires the parts of a gateway.
+
+    Args:
+        config: Validated settings.
+    """
+
+    def __init__(self, config: GatewaySettings):
+        self.config = config
+        self.incarnation = uuid.uuid4().hex
+        self.codec = codecs.CODECS.get(config.codec)
+        self.view = views.ConfigView()
+        self.table = servers.ServerTable()
+        self.client = http_client.Client()
+        self.source = configuration.Configuration(
+            store_client.StoreClient(config.store_url, self.client)
+        )
+        self.membership = membership.Membership(
+            self.table, self.client, config.hosts_url, self._make_peer
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            selection.Selector(self.table, self.view, config.failure_domain),
+            self.membership.peers,
+            self.view,
+        )
+        self.callers = callers.CallersApp(
+            self.view, routing.Router(self.view), self.dispatcher
+        )
+        self.operators = operators.OperatorsApi(
+            self.view, self.source, config.operator_token
+        )
+        self.stop = anyio.Event()
+
+    def _make_peer(
+        self, server: servers.Server, address: str
+    ) -> peers.AgentPeer:
+        return peers.AgentPeer(
+            gateway=self.config.host,
+            incarnation=self.incarnation,
+            reply_address=f'tcp://{self.config.address}:'
+            f'{self.config.data_port}',
+            server=server,
+            address=address,
+            codec=self.codec,
+            get_revision=lambda: self.view.revision,
+            on_welcome=lambda peer, frame: None,
+            on_heartbeat=lambda peer, frame: None,
+        )
+
+    async def _check_health(self, request):
+        ready = self.view.revision > 0 and not self.callers.leaving
+        return responses.JSONResponse(
+            {
+                'host': self.config.host,
+                'ready': ready,
+                'leaving': self.callers.leaving,
+                'revision': self.view.revision,
+                'servers': sum(s.connected for s in self.table),
+            },
+            200 if ready else 503,
+        )
+
+    async def _receive(self) -> None:
+        receiver = links.Receiver(
+            f'tcp://{self.config.address}:{self.config.data_port}',
+            self.codec,
+            lambda exc: logs.LOG.warning('batch dropped: %s', exc),
+        )
+        async for sender, epoch, sequence, frames in receiver.batches():
+            peer = self.membership.peers.get(sender)
+            if peer is not None:
+                peer.receive(epoch, sequence, frames)
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                logs.LOG.info('leaving')
+                self.callers.leaving = True
+                self.stop.set()
+                return
+
+    async def run(self) -> None:
+        """Serves until a signal comes and all requests have ended."""
+        config = self.config
+        control = exchanges.ExchangeServer(
+            f'tcp://{config.address}:{config.control_port}',
+            lambda message: spread.answer_exchange(self.view, message),
+            self.codec,
+        )
+        admin = operators.make_app(
+            [
+                web_routing.Route('/healthz', self._check_health),
+                *self.operators.routes(),
+            ]
+        )
+        listen = http_server.bind_socket(config.address, config.listen_port)
+        admin_socket = http_server.bind_socket(
+            config.address, config.admin_port
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._wait_for_signal)
+            group.start_soon(self._receive)
+            group.start_soon(control.run)
+            group.start_soon(self.membership.run)
+            group.start_soon(spread.poll_store, self.view, self.source)
+            group.start_soon(
+                http_server.serve, admin, admin_socket, anyio.Event(), 1
+            )
+            await http_server.serve(self.callers, listen, self.stop)
+            group.cancel_scope.cancel()
+
+
+def run(config: GatewaySettings) -> None:
+    """Runs a gateway with validated settings."""
+    logs.configure_logs(config.host, config.log_level)
+
+    async def start() -> None:
+        await Gateway(config).run()
+
+    try:
+        anyio.run(start, backend_options={'use_uvloop': True})
+    except OSError as exc:
+        raise SystemExit(f'{errors.TransportError.__name__}: {exc}') from exc
+
+
+def main() -> None:
+    """Runs the program."""
+    settings.run_program(GatewaySettings, run, HELP)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/chivejunction/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, verdicts, codecs and validated models."""
--- /dev/null
+++ b/chivejunction/protocol/resources.py
@@ -0,0 +1,230 @@
+"""Validated models of the resources that operators declare."""
+
+import enum
+import hashlib
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+from chivejunction import errors
+
+MAX_DOCUMENT_BYTES = 1_000_000
+MAX_CHANGE_IDS = 200
+
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r'^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$', max_length=63
+    ),
+]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+
+KINDS: dict[str, type['Resource']] = {}
+
+
+def register_kind(cls):
+    """Registers a resource class under its lower-case name."""
+    KINDS[cls.__name__.lower()] = cls
+    return cls
+
+
+def hash_key(key: str) -> str:
+    """Returns the form in which credentials are stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Resource(pydantic.BaseModel):
+    """Base of all resources; unknown fields are refused."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    name: Name
+
+
+@register_kind
+class Organisation(Resource):
+    """An organisation and what it may use.
+
+    ``models`` and ``versions`` list what it may use; a model allows all its
+    versions except those in ``denied_versions``. ``weight`` is its share
+    under contention; higher ``priority`` runs first.
+    """
+
+    key_hashes: list[str] = []
+    models: list[Name] = []
+    versions: list[Name] = []
+    denied_versions: list[Name] = []
+    services: list[Name] = []
+    weight: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    priority: Annotated[int, pydantic.Field(ge=0, le=9)] = 4
+    quality_target: Share = 0.8
+
+
+@register_kind
+class Model(Resource):
+    """A model that callers name; its versions do the work."""
+
+    description: str = ''
+
+
+class VersionState(enum.StrEnum):
+    """Whether a version takes work."""
+
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+    WITHDRAWN = 'withdrawn'
+
+
+@register_kind
+class ModelVersion(Resource):
+    """A version of a model, served by a pool.
+
+    Costs are in cost units for 1,000 tokens. ``quality`` is the operators'
+    prior estimate for each request class (0 to 1). ``drain_deadline`` is in
+    seconds since the epoch; a draining version keeps its sessions until then.
+    """
+
+    model: Name
+    pool: Name
+    input_cost: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    output_cost: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    quality: dict[str, Share] = {}
+    state: VersionState = VersionState.ACTIVE
+    drain_deadline: float | None = None
+
+
+@register_kind
+class Service(Resource):
+    """A plain service behind a pool.
+
+    ``not_repeatable`` lists the methods whose calls run at most once.
+    """
+
+    pool: Name
+    not_repeatable: list[str] = ['POST', 'PUT', 'PATCH', 'DELETE']
+
+
+@register_kind
+class Pool(Resource):
+    """A group of like backend servers.
+
+    ``warm_window`` and ``cold_window`` are concurrent requests for a warm
+    and a just started backend server. ``fencing`` says whether the engines
+    check the fencing number of orders.
+    """
+
+    kind: Literal['engine', 'service'] = 'engine'
+    cold_window: Annotated[int, pydantic.Field(ge=1)] = 2
+    warm_window: Annotated[int, pydantic.Field(ge=1)] = 16
+    queue_length: Annotated[int, pydantic.Field(ge=0)] = 64
+    fencing: bool = True
+    load_permits: Annotated[int, pydantic.Field(ge=1)] = 2
+
+
+@register_kind
+class Cascade(Resource):
+    """Versions or models that suffice for request classes, cheapest first.
+
+    An empty ``organisations`` means all organisations.
+    """
+
+    request_classes: list[str]
+    organisations: list[Name] = []
+    steps: Annotated[list[Name], pydantic.Field(min_length=1)]
+    quality_target: Share | None = None
+
+
+class RolloutState(enum.StrEnum):
+    """Progress of a roll-out."""
+
+    RUNNING = 'running'
+    PAUSED = 'paused'
+    HALTED = 'halted'
+    COMPLETE = 'complete'
+
+
+@register_kind
+class Rollout(Resource):
+    """Moves the sessions of a model from one version to another.
+
+    ``share`` is the part of sessions on ``to_version``; it moves through
+    ``stages`` upwards or to zero. ``stage_seconds`` is the shortest time at
+    one stage. ``max_*`` fields are how much worse than ``from_version`` the
+    new version may be.
+    """
+
+    model: Name
+    from_version: Name
+    to_version: Name
+    stages: list[Share] = [0.01, 0.05, 0.25, 1.0]
+    stage_seconds: Annotated[float, pydantic.Field(gt=0)] = 300.0
+    share: Share = 0.0
+    state: RolloutState = RolloutState.RUNNING
+    reason: str = ''
+    max_quality_drop: Share = 0.05
+    max_error_increase: Share = 0.02
+    max_latency_ratio: Annotated[float, pydantic.Field(ge=1)] = 1.5
+
+    @pydantic.model_validator(mode='after')
+    def check_stages(self):
+        """Refuses stages that are empty or do not rise."""
+        if not self.stages or sorted(set(self.stages)) != self.stages:
+            raise ValueError('stages must rise and not be empty')
+        return self
+
+
+@register_kind
+class FailureDomain(Resource):
+    """A failure domain in a region; closed ones get no new work."""
+
+    region: Name
+    state: Literal['open', 'closed'] = 'open'
+
+
+@register_kind
+class Limit(Resource):
+    """Rate limits of an organisation over the whole deployment."""
+
+    organisation: Name
+    requests_per_second: Annotated[float, pydantic.Field(gt=0)] | None = None
+    tokens_per_second: Annotated[float, pydantic.Field(gt=0)] | None = None
+    burst_seconds: Annotated[float, pydantic.Field(gt=0)] = 2.0
+
+
+class Document(pydantic.BaseModel):
+    """The whole configuration under one revision.
+
+    ``resources`` maps kind to name to resource; ``changed`` maps
+    ``kind/name`` to the revision of its last change; ``changes`` lists the
+    ids of the latest changes, newest last.
+    """
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    revision: int = 0
+    resources: dict[str, dict[str, dict]] = {}
+    changed: dict[str, int] = {}
+    changes: list[str] = []
+
+
+def parse_resource(kind: str, value: dict) -> Resource:
+    """Returns the validated resource of a kind.
+
+    Raises:
+        RefusalError: The kind is unknown or the value is not valid.
+    """
+    cls = KINDS.get(kind)
+    if cls is None:
+        known = ', '.join(sorted(KINDS))
+        raise errors.RefusalError(
+            'unknown_kind', f'unknown kind {kind!r}; known: {known}'
+        )
+    try:
+        return cls.model_validate(value)
+    except pydantic.ValidationError as exc:
+        problems = '; '.join(
+            f'{".".join(map(str, e["loc"])) or kind}: {e["msg"]}'
+            for e in exc.errors()
+        )
+        raise errors.RefusalError('invalid_resource', problems) from exc
--- /dev/null
+++ b/chivejunction/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes and tables that one process owns."""
--- /dev/null
+++ b/chivejunction/state/calls.py
@@ -0,0 +1,44 @@
+"""A caller's request inside the gateway."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        id: Id of the request, billed once.
+        organisation: Name of the organisation.
+        method: HTTP method for the backend server.
+        path: Path for the backend server.
+        headers: Headers for the backend server.
+        body: Request body.
+        deadline: Monotonic deadline in seconds.
+        idempotent: Whether the request may run more than once.
+        session: Session id, empty without a session.
+        model: Model named by the caller, empty for a plain service.
+        service: Plain service, empty for a model.
+        request_class: Class of the request, for example ``faq``.
+        quality_target: Quality to reach, 0 to 1.
+        stream: Whether the caller reads an event stream.
+        priority: Priority from 0 to 9, higher first.
+        affinity: Key of the prompt prefix for cache affinity.
+    """
+
+    id: str
+    organisation: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+    idempotent: bool = True
+    session: str = ''
+    model: str = ''
+    service: str = ''
+    request_class: str = ''
+    quality_target: float = 0.0
+    stream: bool = False
+    priority: int = 4
+    affinity: str = ''
--- /dev/null
+++ b/chivejunction/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bindings to uvicorn, httpcore and pynng."""
--- /dev/null
+++ b/chivejunction/transport/http_client.py
@@ -0,0 +1,137 @@
+"""HTTP calls by httpcore with deadlines."""
+
+import contextlib
+import json
+from typing import Any
+
+import anyio
+import httpcore
+
+from chivejunction import clock
+from chivejunction import errors
+
+# Idle connections are dropped early: a connection that something on the path
+# has forgotten looks open until it is used.
+IDLE_SECONDS = 5.0
+CONNECT_SECONDS = 2.0
+
+# Errors that come before the first byte of a request is sent.
+UNSENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+
+
+class Client:
+    """Pool of HTTP connections.
+
+    Args:
+        max_connections: Limit for all hosts together.
+    """
+
+    def __init__(self, max_connections: int = 1000):
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=64,
+            keepalive_expiry=IDLE_SECONDS,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        deadline: float,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+        read_seconds: float | None = None,
+    ):
+        """Opens a request and yields the httpcore response.
+
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            deadline: Monotonic time by which the head must have come.
+            headers: Request headers.
+            body: Request body.
+            read_seconds: Longest silence while reading; None for the time
+                left until the deadline.
+
+        Raises:
+            TransportError: The connection failed or timed out.
+        """
+        left = clock.remaining(deadline)
+        timeouts = {
+            'connect': min(CONNECT_SECONDS, left),
+            'read': left if read_seconds is None else read_seconds,
+            'write': left,
+            'pool': left,
+        }
+        try:
+            async with self._pool.stream(
+                method,
+                url,
+                headers=list((headers or {}).items()),
+                content=body,
+                extensions={'timeout': timeouts},
+            ) as response:
+                yield response
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as exc:
+            raise errors.TransportError(
+                f'{method} {url}: {exc!r}',
+                connected=not isinstance(exc, UNSENT_ERRORS),
+            ) from exc
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        deadline: float,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Makes a request; returns status, headers and body.
+
+        Raises:
+            TransportError: The call failed or the deadline passed.
+        """
+        try:
+            with anyio.fail_after(clock.remaining(deadline)):
+                async with self.stream(
+                    method, url, deadline, headers, body
+                ) as response:
+                    content = await response.aread()
+        except TimeoutError as exc:
+            raise errors.TransportError(f'{method} {url} timed out') from exc
+        names = {
+            k.decode('latin-1').lower(): v.decode('latin-1')
+            for k, v in response.headers
+        }
+        return response.status, names, content
+
+    async def call_json(
+        self, method: str, url: str, deadline: float, value: Any = None
+    ) -> tuple[int, Any]:
+        """Makes a JSON request; returns status and the decoded body.
+
+        Raises:
+            TransportError: The call failed or the body is not JSON.
+        """
+        body = b'' if value is None else json.dumps(value).encode()
+        headers = {'content-type': 'application/json'} if body else {}
+        status, _, content = await self.call(
+            method, url, deadline, headers, body
+        )
+        try:
+            return status, json.loads(content) if content else None
+        except ValueError as exc:
+            raise errors.TransportError(f'{url}: body is not JSON') from exc
--- /dev/null
+++ b/chivejunction/transport/links.py
@@ -0,0 +1,160 @@
+"""Data links: a pair of pynng PUSH/PULL sockets for each two peers.
+
+Every process listens on one PULL socket and dials one PUSH socket for each
+peer. NNG sends nothing twice on PUSH, and a peer that does not read blocks
+only its own sender.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import anyio
+import pynng
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction.protocol import codecs
+from chivejunction.protocol import messages
+
+GATHER_SECONDS = 0.005
+QUEUE_MESSAGES = 256
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+RECEIVE_BURST = 64
+SEND_TIMEOUT_MS = 3000
+
+
+class Sender:
+    """Sends frames to one peer over one PUSH socket.
+
+    Frames are gathered for up to 5 ms and sent as one message. The first
+    frame after an idle time is sent at once.
+
+    Args:
+        address: Address of the peer's PULL socket, ``tcp://ip:port``.
+        name: Name of this process, the sender of each batch.
+        epoch: Number of the link, raised for each new one.
+        codec: Codec of the batches.
+    """
+
+    def __init__(
+        self, address: str, name: str, epoch: int, codec: codecs.Codec
+    ):
+        self.address = address
+        self.name = name
+        self.epoch = epoch
+        self._codec = codec
+        self._frames: list[list] = []
+        self._wake = anyio.Event()
+        self._sequence = 0
+        self._closed = False
+        self._socket = pynng.Push0(
+            send_buffer_size=QUEUE_MESSAGES, send_timeout=SEND_TIMEOUT_MS
+        )
+        self._socket.dial(address, block=False)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link no longer takes frames."""
+        return self._closed
+
+    def send(self, frame: messages.Frame) -> None:
+        """Queues a frame.
+
+        Raises:
+            LinkClosed: The link is closed.
+        """
+        if self._closed:
+            raise errors.LinkClosed(f'link to {self.address} is closed')
+        self._frames.append(frame.pack())
+        self._wake.set()
+
+    def close(self) -> None:
+        """Closes the socket; queued frames are dropped."""
+        if not self._closed:
+            self._closed = True
+            self._wake.set()
+            self._socket.close()
+
+    async def run(self) -> None:
+        """Sends batches until the link is closed."""
+        next_send = clock.now()
+        while not self._closed:
+            await self._wake.wait()
+            delay = next_send - clock.now()
+            if delay > 0:
+                await anyio.sleep(delay)
+            next_send = clock.now() + GATHER_SECONDS
+            frames, self._frames = self._frames, []
+            self._wake = anyio.Event()
+            if frames and not self._closed:
+                await self._send_batch(frames)
+
+    async def _send_batch(self, frames: list[list]) -> None:
+        self._sequence += 1
+        batch = [self.name, self.epoch, self._sequence, frames]
+        data = self._codec.encode(batch)
+        try:
+            try:
+                self._socket.send(data, block=False)
+            except pynng.TryAgain:
+                await self._socket.asend(data)
+        except pynng.NNGException:
+            self.close()
+
+
+class Receiver:
+    """Receives batches of all peers on one PULL socket.
+
+    Args:
+        address: Address to listen on, ``tcp://ip:port``.
+        codec: Codec of the batches.
+        on_error: Called with each ProtocolError; the batch is dropped.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        codec: codecs.Codec,
+        on_error: Callable[[errors.ProtocolError], None],
+    ):
+        self._codec = codec
+        self._on_error = on_error
+        self._socket = pynng.Pull0(
+            recv_buffer_size=QUEUE_MESSAGES, recv_max_size=MAX_MESSAGE_BYTES
+        )
+        self._socket.listen(address)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+    async def batches(
+        self,
+    ) -> AsyncIterator[tuple[str, int, int, list[messages.Frame]]]:
+        """Yields sender, epoch, sequence and frames of each batch."""
+        # Waiting on the descriptor and reading without blocking costs a
+        # third of the processor time of arecv() for each message.
+        descriptor = self._socket.recv_fd
+        while True:
+            await anyio.wait_readable(descriptor)
+            for _ in range(RECEIVE_BURST):
+                try:
+                    data = self._socket.recv(block=False)
+                except pynng.TryAgain:
+                    break
+                batch = self._decode(data)
+                if batch is not None:
+                    yield batch
+
+    def _decode(self, data: bytes):
+        try:
+            value = self._codec.decode(data)
+            sender, epoch, sequence, frames = value
+            unpacked = [messages.unpack_frame(f) for f in frames]
+        except errors.ProtocolError as exc:
+            self._on_error(exc)
+            return None
+        except (TypeError, ValueError) as exc:
+            self._on_error(errors.ProtocolError(f'malformed batch: {exc}'))
+            return None
+        return sender, epoch, sequence, unpacked
--- /dev/null
+++ b/chivejunction/transport/store_client.py
@@ -0,0 +1,228 @@
+"""Client of the platform's key-value store (etcd v3 JSON gateway)."""
+
+import base64
+from collections.abc import AsyncIterator
+import dataclasses
+import json
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction.transport import http_client
+
+CALL_SECONDS = 2.0
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A key with its value, modification revision and lease id."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int
+
+
+def _parse_entry(item: dict) -> Entry:
+    return Entry(
+        key=_decode(item['key']).decode(),
+        value=_decode(item.get('value', '')),
+        revision=int(item['mod_revision']),
+        lease=int(item.get('lease', 0)),
+    )
+
+
+def range_end(prefix: str) -> bytes:
+    """Returns the end of the key range that a prefix covers."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+class StoreClient:
+    """Calls the key-value store.
+
+    A read that fails raises StoreError. A write whose answer was lost raises
+    StoreResultUnknown: only a read can tell whether it took effect.
+
+    Args:
+        url: Base URL, ``http://ip:port``.
+        client: HTTP client to use.
+    """
+
+    def __init__(self, url: str, client: http_client.Client):
+        self._url = url.rstrip('/')
+        self._client = client
+
+    async def get(self, key: str) -> Entry | None:
+        """Returns the entry of a key, or None."""
+        answer = await self._post('kv/range', {'key': _encode(key)})
+        found = answer.get('kvs', [])
+        return _parse_entry(found[0]) if found else None
+
+    async def list_prefix(self, prefix: str) -> list[Entry]:
+        """Returns all entries whose keys start with a prefix."""
+        answer = await self._post(
+            'kv/range',
+            {'key': _encode(prefix), 'range_end': _encode(range_end(prefix))},
+        )
+        return [_parse_entry(item) for item in answer.get('kvs', [])]
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, lease: int = 0
+    ) -> int:
+        """Writes a key if its modification revision is the expected one.
+
+        Args:
+            key: Key to write.
+            value: New value.
+            expected: Expected modification revision; 0 for a new key.
+            lease: Lease that removes the key when it expires, or 0.
+
+        Returns:
+            The new modification revision.
+
+        Raises:
+            StoreConflict: The key has another modification revision.
+            StoreResultUnknown: The answer was lost.
+        """
+        put = {'key': _encode(key), 'value': _encode(value)}
+        if lease:
+            put['lease'] = str(lease)
+        answer = await self._post(
+            'kv/txn',
+            {
+                'compare': [self._compare(key, expected)],
+                'success': [{'request_put': put}],
+            },
+            is_write=True,
+        )
+        if not answer.get('succeeded'):
+            raise errors.StoreConflict(f'{key} is not at {expected}')
+        return int(answer['header']['revision'])
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Deletes a key if it has the expected modification revision.
+
+        Raises:
+            StoreConflict: The key has another modification revision.
+            StoreResultUnknown: The answer was lost.
+        """
+        answer = await self._post(
+            'kv/txn',
+            {
+                'compare': [self._compare(key, expected)],
+                'success': [{'request_delete_range': {'key': _encode(key)}}],
+            },
+            is_write=True,
+        )
+        if not answer.get('succeeded'):
+            raise errors.StoreConflict(f'{key} is not at {expected}')
+
+    async def grant_lease(self, seconds: int) -> int:
+        """Returns the id of a new lease."""
+        answer = await self._post(
+            'lease/grant', {'TTL': str(seconds)}, is_write=True
+        )
+        return int(answer['ID'])
+
+    async def keep_alive(self, lease: int) -> int:
+        """Renews a lease; returns the seconds left, 0 if it has expired."""
+        answer = await self._post(
+            'lease/keepalive', {'ID': str(lease)}, is_write=True
+        )
+        return int(answer.get('result', {}).get('TTL', 0))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        await self._post('lease/revoke', {'ID': str(lease)}, is_write=True)
+
+    async def watch(
+        self, key: str, start_revision: int, seconds: float
+    ) -> AsyncIterator[Entry]:
+        """Yields the new entries of a key as they are written.
+
+        Args:
+            key: Key to watch.
+            start_revision: First store revision of interest.
+            seconds: Longest silence before the watch is given up.
+
+        Raises:
+            StoreError: The watch ended or fell silent.
+        """
+        request = {
+            'create_request': {
+                'key': _encode(key),
+                'start_revision': str(start_revision),
+            }
+        }
+        try:
+            async with self._client.stream(
+                'POST',
+                f'{self._url}/v3/watch',
+                clock.make_deadline(CALL_SECONDS),
+                {'content-type': 'application/json'},
+                json.dumps(request).encode(),
+                read_seconds=seconds,
+            ) as response:
+                self._check_status(response.status, 'watch')
+                pending = b''
+                async for chunk in response.aiter_stream():
+                    *lines, pending = (pending + chunk).split(b'\n')
+                    for line in filter(None, lines):
+                        for entry in self._parse_events(line):
+                            yield entry
+        except errors.StoreError:
+            raise
+        except (errors.TransportError, ValueError, KeyError) as exc:
+            raise errors.StoreError(f'watch of {key}: {exc}') from exc
+        raise errors.StoreError(f'watch of {key} ended')
+
+    @staticmethod
+    def _parse_events(line: bytes) -> list[Entry]:
+        events = json.loads(line)['result'].get('events', [])
+        return [
+            _parse_entry(event['kv'])
+            for event in events
+            if event.get('type', 'PUT') == 'PUT'
+        ]
+
+    @staticmethod
+    def _compare(key: str, expected: int) -> dict:
+        return {
+            'key': _encode(key),
+            'target': 'MOD',
+            'result': 'EQUAL',
+            'mod_revision': str(expected),
+        }
+
+    @staticmethod
+    def _check_status(status: int, path: str) -> None:
+        if status >= 400:
+            raise errors.StoreError(f'store answered {status} to {path}')
+
+    async def _post(
+        self, path: str, value: dict, is_write: bool = False
+    ) -> dict:
+        lost = errors.StoreResultUnknown if is_write else errors.StoreError
+        try:
+            status, answer = await self._client.call_json(
+                'POST',
+                f'{self._url}/v3/{path}',
+                clock.make_deadline(CALL_SECONDS),
+                value,
+            )
+        except errors.TransportError as exc:
+            raise lost(f'{path}: {exc}') from exc
+        if status >= 500 and is_write:
+            raise lost(f'store answered {status} to {path}')
+        self._check_status(status, path)
+        return answer or {}
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, one process each."""
--- /dev/null
+++ b/fakes/hosts.py
@@ -0,0 +1,66 @@
+"""The platform's lagging list of hosts."""
+
+import time
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from fakes import programs
+
+
+class HostList:
+    """List of hosts that shows changes after a lag.
+
+    ``PUT /v1/hosts/{host}`` and ``DELETE /v1/hosts/{host}`` change it.
+
+    Args:
+        lag: Seconds until a change is visible.
+    """
+
+    def __init__(self, lag: float = 0.0):
+        self._lag = lag
+        self._changes: list[tuple[float, str, dict | None]] = []
+        self._visible: dict[str, dict] = {}
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes."""
+        return [
+            routing.Route('/v1/hosts', self._list, methods=['GET']),
+            routing.Route('/v1/hosts/{host}', self._put, methods=['PUT']),
+            routing.Route(
+                '/v1/hosts/{host}', self._delete, methods=['DELETE']
+            ),
+        ]
+
+    def _schedule(self, host: str, value: dict | None) -> None:
+        self._changes.append((time.monotonic() + self._lag, host, value))
+
+    async def _list(self, request: requests.Request):
+        now = time.monotonic()
+        while self._changes and self._changes[0][0] <= now:
+            _, host, value = self._changes.pop(0)
+            if value is None:
+                self._visible.pop(host, None)
+            else:
+                self._visible[host] = value
+        return responses.JSONResponse({'hosts': list(self._visible.values())})
+
+    async def _put(self, request: requests.Request):
+        host = request.path_params['host']
+        self._schedule(host, {'host': host, **await request.json()})
+        return responses.JSONResponse({})
+
+    async def _delete(self, request: requests.Request):
+        self._schedule(request.path_params['host'], None)
+        return responses.JSONResponse({})
+
+
+def make_app(lag: float = 0.0) -> applications.Starlette:
+    """Returns the host list as an application."""
+    return applications.Starlette(routes=HostList(lag).routes())
+
+
+if __name__ == '__main__':
+    programs.run_fire(make_app)
--- /dev/null
+++ b/fakes/store.py
@@ -0,0 +1,270 @@
+"""Key-value store with the etcd v3 JSON gateway protocol."""
+
+import base64
+import dataclasses
+import json
+import time
+
+import anyio
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from fakes import programs
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@dataclasses.dataclass
+class StoredValue:
+    """A value with its modification revision and lease."""
+
+    value: bytes
+    mod_revision: int
+    create_revision: int
+    version: int
+    lease: int = 0
+
+
+class Store:
+    """Key-value store.
+
+    Faults (``POST /faults``): ``down`` answers 503 to everything,
+    ``lose_answers`` is the share of writes that take effect but whose answer
+    is lost, ``delay`` slows each call by seconds.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.values: dict[bytes, StoredValue] = {}
+        self.leases: dict[int, tuple[float, int]] = {}
+        self.calls: dict[str, int] = {}
+        self.faults = {'down': False, 'lose_answers': 0.0, 'delay': 0.0}
+        self.changed = anyio.Event()
+        self.history: list[dict] = []
+
+    def describe(self, key: bytes) -> dict:
+        """Returns an entry as the protocol shows it."""
+        found = self.values[key]
+        return {
+            'key': base64.b64encode(key).decode(),
+            'value': base64.b64encode(found.value).decode(),
+            'mod_revision': str(found.mod_revision),
+            'create_revision': str(found.create_revision),
+            'version': str(found.version),
+            'lease': str(found.lease),
+        }
+
+    def header(self) -> dict:
+        """Returns the header of an answer."""
+        return {'revision': str(self.revision)}
+
+    def put(self, key: bytes, value: bytes, lease: int) -> None:
+        """Writes a value."""
+        old = self.values.get(key)
+        self.values[key] = StoredValue(
+            value,
+            self.revision,
+            old.create_revision if old else self.revision,
+            old.version + 1 if old else 1,
+            lease,
+        )
+        self.record('PUT', self.describe(key))
+
+    def remove(self, key: bytes) -> None:
+        """Deletes a key if it exists."""
+        if self.values.pop(key, None) is not None:
+            self.record(
+                'DELETE',
+                {
+                    'key': base64.b64encode(key).decode(),
+                    'mod_revision': str(self.revision),
+                },
+            )
+
+    def record(self, kind: str, entry: dict) -> None:
+        """Adds an event to the history and wakes the watches."""
+        self.history.append({'type': kind, 'kv': entry})
+        del self.history[:-10_000]
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
+
+    def expire_leases(self) -> None:
+        """Removes the keys of leases that have run out."""
+        now = time.monotonic()
+        for lease, (deadline, _) in list(self.leases.items()):
+            if deadline <= now:
+                self.drop_lease(lease)
+
+    def drop_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        self.leases.pop(lease, None)
+        keys = [k for k, v in self.values.items() if v.lease == lease]
+        if keys:
+            self.revision += 1
+        for key in keys:
+            self.remove(key)
+
+
+class StoreApi:
+    """HTTP interface of the store."""
+
+    def __init__(self):
+        self.store = Store()
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes."""
+        table = {
+            'kv/range': self._range,
+            'kv/txn': self._txn,
+            'lease/grant': self._grant,
+            'lease/keepalive': self._keep_alive,
+            'lease/revoke': self._revoke,
+        }
+        found = [
+            routing.Route(
+                f'/v3/{path}', self._wrap(path, handler), methods=['POST']
+            )
+            for path, handler in table.items()
+        ]
+        return [
+            *found,
+            routing.Route('/v3/watch', self._watch, methods=['POST']),
+            routing.Route('/faults', self._set_faults, methods=['POST']),
+            routing.Route('/counts', self._counts, methods=['GET']),
+        ]
+
+    def _wrap(self, path, handler):
+        async def serve(request: requests.Request):
+            store = self.store
+            store.calls[path] = store.calls.get(path, 0) + 1
+            if store.faults['delay']:
+                await anyio.sleep(store.faults['delay'])
+            if store.faults['down']:
+                return responses.JSONResponse({'error': 'down'}, 503)
+            store.expire_leases()
+            answer = handler(json.loads(await request.body()))
+            if path != 'kv/range' and self._loses_answer():
+                return responses.JSONResponse({'error': 'lost'}, 504)
+            return responses.JSONResponse(answer)
+
+        return serve
+
+    def _loses_answer(self) -> bool:
+        faults = self.store.faults
+        faults['count'] = faults.get('count', 0.0) + faults['lose_answers']
+        if faults['count'] >= 1:
+            faults['count'] -= 1
+            return True
+        return False
+
+    async def _set_faults(self, request: requests.Request):
+        self.store.faults.update(await request.json())
+        return responses.JSONResponse(self.store.faults)
+
+    async def _counts(self, request: requests.Request):
+        return responses.JSONResponse(self.store.calls)
+
+    def _range(self, body: dict) -> dict:
+        store = self.store
+        key = base64.b64decode(body['key'])
+        if 'range_end' in body:
+            end = base64.b64decode(body['range_end'])
+            keys = sorted(k for k in store.values if key <= k < end)
+        else:
+            keys = [key] if key in store.values else []
+        return {
+            'header': store.header(),
+            'kvs': [store.describe(k) for k in keys],
+            'count': str(len(keys)),
+        }
+
+    def _txn(self, body: dict) -> dict:
+        store = self.store
+        succeeded = all(self._holds(c) for c in body.get('compare', []))
+        operations = body.get('success' if succeeded else 'failure', [])
+        if operations:
+            store.revision += 1
+        for operation in operations:
+            if 'request_put' in operation:
+                put = operation['request_put']
+                value = base64.b64decode(put.get('value', ''))
+                if len(value) > MAX_VALUE_BYTES:
+                    raise ValueError('value is too large')
+                store.put(
+                    base64.b64decode(put['key']),
+                    value,
+                    int(put.get('lease', 0)),
+                )
+            elif 'request_delete_range' in operation:
+                store.remove(
+                    base64.b64decode(operation['request_delete_range']['key'])
+                )
+        return {'header': store.header(), 'succeeded': succeeded}
+
+    def _holds(self, compare: dict) -> bool:
+        found = self.store.values.get(base64.b64decode(compare['key']))
+        revision = found.mod_revision if found else 0
+        return revision == int(compare['mod_revision'])
+
+    def _grant(self, body: dict) -> dict:
+        lease = time.time_ns()
+        seconds = int(body['TTL'])
+        self.store.leases[lease] = (time.monotonic() + seconds, seconds)
+        return {
+            'header': self.store.header(),
+            'ID': str(lease),
+            'TTL': str(seconds),
+        }
+
+    def _keep_alive(self, body: dict) -> dict:
+        lease = int(body['ID'])
+        if lease not in self.store.leases:
+            return {'result': {'ID': str(lease), 'TTL': '0'}}
+        seconds = self.store.leases[lease][1]
+        self.store.leases[lease] = (time.monotonic() + seconds, seconds)
+        return {'result': {'ID': str(lease), 'TTL': str(seconds)}}
+
+    def _revoke(self, body: dict) -> dict:
+        self.store.drop_lease(int(body['ID']))
+        return {'header': self.store.header()}
+
+    async def _watch(self, request: requests.Request):
+        store = self.store
+        store.calls['watch'] = store.calls.get('watch', 0) + 1
+        if store.faults['down']:
+            return responses.JSONResponse({'error': 'down'}, 503)
+        create = (await request.json())['create_request']
+        key = create['key']
+        start = int(create.get('start_revision', 0))
+
+        async def stream():
+            seen = start - 1
+            yield json.dumps({'result': {'created': True}}) + '\n'
+            while not store.faults['down']:
+                changed = store.changed
+                events = [
+                    e
+                    for e in store.history
+                    if e['kv']['key'] == key
+                    and int(e['kv']['mod_revision']) > seen
+                ]
+                if events:
+                    seen = int(events[-1]['kv']['mod_revision'])
+                    yield json.dumps({'result': {'events': events}}) + '\n'
+                with anyio.move_on_after(1):
+                    await changed.wait()
+
+        return responses.StreamingResponse(
+            stream(), media_type='application/json'
+        )
+
+
+def make_app() -> applications.Starlette:
+    """Returns the store as an application."""
+    return applications.Starlette(routes=StoreApi().routes())
+
+
+if __name__ == '__main__':
+    programs.run_fire(make_app)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chivejunction."""
