Add exactly-once billing with handover of a gone gateway's records

Cause: nothing was billed. Agents number usage records for each gateway incarnation and keep them until a saved watermark covers them; a gateway writes cumulative totals by CAS; the records of a gone gateway are saved one by one with create-if-absent after its document is marked.

Ruled out: billing from End frames (an attempt given up by the gateway leaves a gap in the numbers), and sealing the whole document of a gateway that one agent cannot hear (other agents still can).

--- /dev/null
+++ b/chivejunction/coordination/billing.py
@@ -0,0 +1,368 @@
+"""Exactly-once billing over gateways, agents and the store."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+
+import anyio
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction.protocol import messages
+from chivejunction.state import ledger
+from chivejunction.state import views
+from chivejunction.transport import store_client
+
+GATEWAY_PREFIX = 'usage/gateway/'
+HANDOVER_PREFIX = 'usage/handover/'
+FLUSH_SECONDS = 2.0
+SEND_SECONDS = 0.2
+# A gateway that an agent has not heard for this long counts as gone. It must
+# exceed the restart of a link, so that a short cut moves no records.
+GONE_SECONDS = 15.0
+HANDOVER_BATCH = 200
+
+Send = Callable[[messages.Frame], None]
+
+
+def document_key(gateway: str, incarnation: str) -> str:
+    """Returns the store key of a gateway's usage document."""
+    return f'{GATEWAY_PREFIX}{gateway}/{incarnation}'
+
+
+def encode_document(
+    totals: dict[str, dict[str, ledger.Total]],
+    watermarks: dict[str, int],
+    handed_over: set[str],
+    contested: dict[str, list[str]],
+    flush: int,
+) -> bytes:
+    """Returns a usage document as JSON."""
+    return json.dumps(
+        {
+            'flush': flush,
+            'totals': {
+                organisation: {
+                    target: dataclasses.asdict(total)
+                    for target, total in targets.items()
+                }
+                for organisation, targets in totals.items()
+            },
+            'watermarks': watermarks,
+            'handed_over': sorted(handed_over),
+            'contested': contested,
+        }
+    ).encode()
+
+
+def price_record(view: views.ConfigView, record: ledger.UsageRecord) -> float:
+    """Returns the cost of a record in cost units."""
+    version = view.versions.get(record.target)
+    if version is None:
+        return 0.0
+    return (
+        record.prompt_tokens * version.input_cost
+        + record.completion_tokens * version.output_cost
+    ) / 1000
+
+
+class GatewayBilling:
+    """Bills the records that agents send and saves them.
+
+    Args:
+        gateway: Name of the gateway.
+        incarnation: Incarnation of the gateway.
+        store: Client of the store.
+        view: Configuration of the gateway.
+    """
+
+    def __init__(
+        self,
+        gateway: str,
+        incarnation: str,
+        store: store_client.StoreClient,
+        view: views.ConfigView,
+    ):
+        self.ledger = ledger.GatewayLedger()
+        self._key = document_key(gateway, incarnation)
+        self._store = store
+        self._view = view
+        self._revision = 0
+        self._flush = 0
+        self._senders: dict[str, Send] = {}
+
+    def receive(self, frame: messages.Usage, send: Send) -> None:
+        """Handles a usage record of an agent.
+
+        Args:
+            frame: The record.
+            send: Sends a frame to this agent.
+
+        Raises:
+            ProtocolError: The record is malformed or a number is missing.
+        """
+        record = ledger.UsageRecord.unpack(frame.record)
+        self._senders[frame.stream] = send
+        self.ledger.add(
+            frame.stream,
+            frame.number,
+            record,
+            price_record(self._view, record),
+        )
+        saved = self.ledger.saved_watermarks.get(frame.stream, 0)
+        if frame.number <= saved:
+            # The agent sends it again: the earlier Saved was lost.
+            send(messages.Saved(frame.stream, saved))
+
+    async def run(self) -> None:
+        """Saves new records until cancelled."""
+        while True:
+            await anyio.sleep(clock.jitter(FLUSH_SECONDS))
+            try:
+                await self.flush()
+            except errors.StoreError as exc:
+                logs.LOG.warning('usage is not saved: %s', exc)
+
+    async def flush(self) -> None:
+        """Writes all pending records to the store and tells the agents.
+
+        Raises:
+            StoreError: The records are not known to be saved; they stay
+                pending.
+        """
+        book = self.ledger
+        if book.watermarks == book.saved_watermarks and not book.pending:
+            return
+        self._flush += 1
+        totals, count = book.totals(), len(book.pending)
+        watermarks = dict(book.watermarks)
+        data = encode_document(
+            totals,
+            watermarks,
+            book.handed_over,
+            book.contested_billed(),
+            self._flush,
+        )
+        try:
+            self._revision = await self._store.swap(
+                self._key, data, self._revision
+            )
+        except (errors.StoreConflict, errors.StoreResultUnknown):
+            if not await self._reconcile(totals, watermarks, count):
+                return
+        else:
+            book.confirm_saved(totals, watermarks, count)
+        self._announce(watermarks)
+
+    async def _reconcile(self, totals, watermarks, count: int) -> bool:
+        """Finds out by reading whether a write took effect."""
+        entry = await self._store.get(self._key)
+        if entry is None:
+            self._revision = 0
+            return False
+        self._revision = entry.revision
+        value = json.loads(entry.value)
+        saved = value['flush'] == self._flush
+        if saved:
+            self.ledger.confirm_saved(totals, watermarks, count)
+        marked = set(value['handed_over']) - self.ledger.handed_over
+        if marked:
+            dropped = self.ledger.drop_handed_over(marked)
+            logs.LOG.warning(
+                'streams %s were handed over; %d records dropped',
+                sorted(marked),
+                dropped,
+            )
+        return saved
+
+    def _announce(self, watermarks: dict[str, int]) -> None:
+        for stream, number in watermarks.items():
+            send = self._senders.get(stream)
+            if send is None:
+                continue
+            try:
+                send(messages.Saved(stream, number))
+            except errors.LinkClosed:
+                del self._senders[stream]
+
+    async def take_over(self, frame: messages.Handover) -> int:
+        """Saves the records of a gateway that has gone.
+
+        Returns:
+            The highest number that is in the store.
+
+        Raises:
+            StoreError: Not all records are saved; the agent asks again.
+            ProtocolError: A record is malformed.
+        """
+        watermark, contested = await self._mark_stream(frame)
+        last = watermark
+        for number, packed in frame.records:
+            record = ledger.UsageRecord.unpack(packed)
+            billed = contested.get(record.request, [])
+            if number > watermark and record.target not in billed:
+                await self._save_record(record, 0 if billed else 1)
+            last = max(last, number)
+        return last
+
+    async def _mark_stream(
+        self, frame: messages.Handover
+    ) -> tuple[int, dict[str, list[str]]]:
+        key = document_key(frame.gateway, frame.incarnation)
+        while True:
+            entry = await self._store.get(key)
+            if entry is None:
+                value, revision = (
+                    json.loads(encode_document({}, {}, set(), {}, 0)),
+                    0,
+                )
+            else:
+                value, revision = json.loads(entry.value), entry.revision
+            if frame.stream not in value['handed_over']:
+                value['handed_over'].append(frame.stream)
+                try:
+                    await self._store.swap(
+                        key, json.dumps(value).encode(), revision
+                    )
+                except (errors.StoreConflict, errors.StoreResultUnknown):
+                    continue
+            return (
+                value['watermarks'].get(frame.stream, 0),
+                value['contested'],
+            )
+
+    async def _save_record(
+        self, record: ledger.UsageRecord, requests: int
+    ) -> None:
+        key = f'{HANDOVER_PREFIX}{record.request}.{record.target}'
+        value = {
+            **dataclasses.asdict(record),
+            'cost': price_record(self._view, record),
+            'requests': requests,
+        }
+        try:
+            await self._store.swap(key, json.dumps(value).encode(), 0)
+        except errors.StoreConflict:
+            # Saved before: an earlier answer was lost, or another agent
+            # held a record of the same request.
+            return
+
+
+class AgentBilling:
+    """Keeps the records of an agent until the store has them.
+
+    Args:
+        incarnation: Incarnation of the agent.
+    """
+
+    def __init__(self, incarnation: str):
+        self.ledger = ledger.AgentLedger(incarnation)
+        self._gone: dict[tuple[str, str], float] = {}
+
+    def open_link(self, gateway: str, incarnation: str) -> None:
+        """Sends unsaved records again over a new link to a gateway."""
+        stream = self.ledger.stream_of(gateway, incarnation)
+        stream.sent = stream.first - 1
+
+    def handle(self, frame: messages.Saved | messages.HandedOver) -> None:
+        """Drops records that the store has."""
+        if isinstance(frame, messages.HandedOver):
+            self.ledger.close(frame.stream, frame.number)
+            return
+        stream = self.ledger.find(frame.stream)
+        if stream is not None:
+            stream.forget(frame.number)
+
+    async def run(
+        self, get_links: Callable[[], dict[tuple[str, str], Send]]
+    ) -> None:
+        """Sends records until cancelled.
+
+        Args:
+            get_links: Returns the working links by gateway and incarnation.
+        """
+        next_handover = clock.now()
+        while True:
+            links = get_links()
+            self.send_records(links)
+            if clock.has_passed(next_handover):
+                next_handover = clock.make_deadline(1.0)
+                self.hand_over(links, clock.now())
+            await anyio.sleep(SEND_SECONDS)
+
+    def send_records(self, links: dict[tuple[str, str], Send]) -> None:
+        """Sends each gateway the records it has not been sent."""
+        for stream in self.ledger:
+            send = links.get((stream.gateway, stream.incarnation))
+            if send is None:
+                continue
+            for number, record in stream.unsent():
+                send(messages.Usage(stream.name, number, record.pack()))
+                stream.sent = number
+
+    def hand_over(
+        self, links: dict[tuple[str, str], Send], now: float
+    ) -> None:
+        """Offers the records of gone gateways to one that is alive.
+
+        Args:
+            links: Working links by gateway and incarnation.
+            now: Monotonic time.
+        """
+        for stream in self.ledger:
+            owner = (stream.gateway, stream.incarnation)
+            if owner in links:
+                self._gone.pop(owner, None)
+                continue
+            since = self._gone.setdefault(owner, now)
+            if now - since < GONE_SECONDS:
+                continue
+            if not stream.records:
+                self.ledger.drop_empty(*owner)
+                del self._gone[owner]
+            elif links:
+                send = links[min(links)]
+                records = [
+                    [stream.first + i, record.pack()]
+                    for i, record in enumerate(stream.records)
+                ]
+                send(
+                    messages.Handover(
+                        *owner, stream.name, records[:HANDOVER_BATCH]
+                    )
+                )
+
+
+async def read_usage(
+    store: store_client.StoreClient,
+) -> dict[str, dict[str, ledger.Total]]:
+    """Returns all saved usage by organisation and target.
+
+    Raises:
+        StoreError: The store cannot be read.
+    """
+    merged: dict[str, dict[str, ledger.Total]] = {}
+    for entry in await store.list_prefix(GATEWAY_PREFIX):
+        for organisation, targets in json.loads(entry.value)['totals'].items():
+            for target, total in targets.items():
+                merged.setdefault(organisation, {}).setdefault(
+                    target, ledger.Total()
+                ).add(ledger.Total(**total))
+    counted = set()
+    for entry in await store.list_prefix(HANDOVER_PREFIX):
+        value = json.loads(entry.value)
+        # The steps of a cascade are separate records of one request.
+        first = value['request'] not in counted
+        counted.add(value['request'])
+        merged.setdefault(value['organisation'], {}).setdefault(
+            value['target'], ledger.Total()
+        ).add(
+            ledger.Total(
+                value['requests'] if first else 0,
+                value['prompt_tokens'],
+                value['completion_tokens'],
+                value['cost'],
+            )
+        )
+    return merged
--- a/chivejunction/protocol/messages.py
+++ b/chivejunction/protocol/messages.py
@@ -218,7 +218,45 @@
 
 @register_frame(14)
 @dataclasses.dataclass(slots=True)
+class Usage(Frame):
+    """One usage record of an agent, sent in the order of its numbers.
+
+    ``stream`` names the agent's numbering, ``record`` is the packed record,
+    see state.ledger.
+    """
+
+    stream: str
+    number: int
+    record: list
+
+
+@register_frame(15)
+@dataclasses.dataclass(slots=True)
 class Saved(Frame):
-    """Tells an agent that usage records up to a watermark are saved."""
+    """Tells an agent that its records up to a number are in the store."""
+
+    stream: str
+    number: int
+
+
+@register_frame(16)
+@dataclasses.dataclass(slots=True)
+class Handover(Frame):
+    """Asks a gateway to save the records of a gateway that has gone.
+
+    ``records`` holds pairs of a number and a packed record.
+    """
+
+    gateway: str
+    incarnation: str
+    stream: str
+    records: list
+
+
+@register_frame(17)
+@dataclasses.dataclass(slots=True)
+class HandedOver(Frame):
+    """Answers Handover: records up to a number are in the store."""
 
-    watermark: int
+    stream: str
+    number: int
--- /dev/null
+++ b/tests/test_billing.py
@@ -0,0 +1,235 @@
+"""Exactly-once billing with lost answers and handover."""
+
+import functools
+
+import anyio
+import pytest
+
+from chivejunction import errors
+from chivejunction.coordination import billing
+from chivejunction.protocol import messages
+from chivejunction.state import ledger
+from chivejunction.state import views
+from chivejunction.transport import store_client
+
+
+class MemoryStore:
+    """Store in memory with switches for lost answers and outages."""
+
+    def __init__(self):
+        self.values: dict[str, store_client.Entry] = {}
+        self.revision = 0
+        self.lose_answers = 0
+        self.down = False
+
+    async def get(self, key):
+        if self.down:
+            raise errors.StoreError('down')
+        return self.values.get(key)
+
+    async def list_prefix(self, prefix):
+        return [v for k, v in self.values.items() if k.startswith(prefix)]
+
+    async def swap(self, key, value, expected, lease=0):
+        if self.down:
+            raise errors.StoreResultUnknown('down')
+        found = self.values.get(key)
+        if (found.revision if found else 0) != expected:
+            raise errors.StoreConflict(key)
+        self.revision += 1
+        self.values[key] = store_client.Entry(key, value, self.revision, 0)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.StoreResultUnknown('answer lost')
+        return self.revision
+
+
+def run_async(test):
+    """Runs an asynchronous test to its end."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        return anyio.run(functools.partial(test, *args, **kwargs))
+
+    return run
+
+
+def make_record(number: int, target: str = 'small-1') -> ledger.UsageRecord:
+    return ledger.UsageRecord(f'r{number}', 'temple', target, 10, 20)
+
+
+def make_billing(store, name='gw-1', incarnation='a'):
+    return billing.GatewayBilling(name, incarnation, store, views.ConfigView())
+
+
+def deliver(agent, gateway, incarnation, book):
+    """Carries records and answers between an agent and a gateway."""
+
+    def send(frame):
+        book.receive(frame, agent.handle)
+
+    agent.send_records({(gateway, incarnation): send})
+
+
+async def count_requests(store) -> int:
+    """Returns the billed requests; each must have its 20 tokens once."""
+    usage = await billing.read_usage(store)
+    totals = [t for o in usage.values() for t in o.values()]
+    requests = sum(t.requests for t in totals)
+    assert sum(t.completion_tokens for t in totals) == 20 * requests
+    return requests
+
+
+class TestGatewayLedger:
+    """Guards against records that are billed twice or skipped."""
+
+    def test_second_record_of_a_request_is_dropped(self):
+        book = ledger.GatewayLedger()
+        assert book.add('s1', 1, make_record(1), 1.0)
+        assert not book.add('s2', 1, make_record(1), 1.0)
+        assert book.totals()['temple']['small-1'].requests == 1
+
+    def test_cascade_step_adds_cost_to_the_same_bill(self):
+        book = ledger.GatewayLedger()
+        book.add('s1', 1, make_record(1), 1.0)
+        book.add('s1', 2, make_record(1, 'large-1'), 9.0)
+        totals = book.totals()['temple']
+        assert [totals[t].requests for t in ('small-1', 'large-1')] == [1, 0]
+        assert sum(t.cost for t in totals.values()) == 10.0
+
+    def test_repeated_number_is_ignored(self):
+        book = ledger.GatewayLedger()
+        book.add('s1', 1, make_record(1), 1.0)
+        assert not book.add('s1', 1, make_record(1), 1.0)
+
+    def test_gap_is_refused(self):
+        book = ledger.GatewayLedger()
+        with pytest.raises(errors.ProtocolError):
+            book.add('s1', 2, make_record(1), 1.0)
+
+    def test_malformed_record_is_refused(self):
+        with pytest.raises(errors.ProtocolError):
+            ledger.UsageRecord.unpack(['r', 'temple', 'small-1', -1, 2])
+
+
+class TestFlush:
+    """Guards against usage lost or doubled around a write."""
+
+    @run_async
+    async def test_lost_answer_bills_once(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        book = make_billing(store)
+        agent.ledger.append('gw-1', 'a', make_record(1))
+        deliver(agent, 'gw-1', 'a', book)
+        store.lose_answers = 1
+        await book.flush()
+        agent.ledger.append('gw-1', 'a', make_record(2))
+        deliver(agent, 'gw-1', 'a', book)
+        await book.flush()
+        assert await count_requests(store) == 2
+        assert agent.ledger.count() == 0
+
+    @run_async
+    async def test_outage_keeps_records_at_both_ends(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        book = make_billing(store)
+        agent.ledger.append('gw-1', 'a', make_record(1))
+        deliver(agent, 'gw-1', 'a', book)
+        store.down = True
+        with pytest.raises(errors.StoreError):
+            await book.flush()
+        assert agent.ledger.count() == 1
+        store.down = False
+        await book.flush()
+        assert await count_requests(store) == 1
+
+
+class TestHandover:
+    """Guards against usage lost or doubled when a gateway goes."""
+
+    async def hand_over(self, agent, successor):
+        """Offers the records of gone gateways to a successor."""
+        frames = []
+        links = {('gw-2', 'b'): frames.append}
+        agent.hand_over(links, 0.0)
+        agent.hand_over(links, billing.GONE_SECONDS + 1)
+        for frame in frames:
+            number = await successor.take_over(frame)
+            agent.handle(messages.HandedOver(frame.stream, number))
+
+    @run_async
+    async def test_death_after_the_write_bills_once(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        book = make_billing(store)
+        for number in (1, 2):
+            agent.ledger.append('gw-1', 'a', make_record(number))
+        # The answers to the agent are lost with the gateway.
+        agent.send_records(
+            {('gw-1', 'a'): lambda f: book.receive(f, lambda s: None)}
+        )
+        await book.flush()
+        agent.ledger.append('gw-1', 'a', make_record(3))
+        await self.hand_over(agent, make_billing(store, 'gw-2', 'b'))
+        assert await count_requests(store) == 3
+        assert agent.ledger.count() == 0
+
+    @run_async
+    async def test_partitioned_gateway_drops_what_was_handed_over(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        book = make_billing(store)
+        agent.ledger.append('gw-1', 'a', make_record(1))
+        agent.send_records(
+            {('gw-1', 'a'): lambda f: book.receive(f, lambda s: None)}
+        )
+        await self.hand_over(agent, make_billing(store, 'gw-2', 'b'))
+        await book.flush()
+        await book.flush()
+        assert await count_requests(store) == 1
+
+    @run_async
+    async def test_repeated_handover_bills_once(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        agent.ledger.append('gw-1', 'a', make_record(1))
+        stream = agent.ledger.stream_of('gw-1', 'a')
+        frame = messages.Handover(
+            'gw-1', 'a', stream.name, [[1, make_record(1).pack()]]
+        )
+        for name in ('gw-2', 'gw-3'):
+            store.lose_answers = 1
+            successor = make_billing(store, name, 'b')
+            try:
+                await successor.take_over(frame)
+            except errors.StoreError:
+                await successor.take_over(frame)
+        assert await count_requests(store) == 1
+
+    @run_async
+    async def test_retried_request_billed_by_the_dead_gateway_is_skipped(
+        self,
+    ):
+        store = MemoryStore()
+        book = make_billing(store)
+        book.ledger.mark_contested('r1')
+        book.receive(
+            messages.Usage('s1', 1, make_record(1).pack()), lambda s: None
+        )
+        await book.flush()
+        frame = messages.Handover(
+            'gw-1', 'a', 's2', [[1, make_record(1).pack()]]
+        )
+        await make_billing(store, 'gw-2', 'b').take_over(frame)
+        assert await count_requests(store) == 1
+
+    @run_async
+    async def test_returning_gateway_starts_a_new_stream(self):
+        store, agent = MemoryStore(), billing.AgentBilling('x')
+        book = make_billing(store)
+        agent.ledger.append('gw-1', 'a', make_record(1))
+        deliver(agent, 'gw-1', 'a', book)
+        await self.hand_over(agent, make_billing(store, 'gw-2', 'b'))
+        agent.open_link('gw-1', 'a')
+        agent.ledger.append('gw-1', 'a', make_record(2))
+        deliver(agent, 'gw-1', 'a', book)
+        await book.flush()
+        await book.flush()
+        assert await count_requests(store) == 2
