Add placement, fenced orders, load permits and the weight store fake

Cause: engines held whatever they were started with. Each agent now derives what its engine should hold from configuration and members by rendezvous rank, and orders only its own engine, so no election is needed.

A leased lock key and a fencing number that only rises keep a replaced agent out.

Ruled out: keeping the fencing number in the leased key, since it would start again at 1 after the lease.

Shown failing first by breaking the code: without the lease check, the local deadline taken after the call, the permit, the busy check, the read after a lost answer, or the refusal while the lock is held, a test fails. Taking over an earlier number of the same owner is not covered by a failing test: without it the number rises once more, which is harmless.

--- a/chivejunction/errors.py
+++ b/chivejunction/errors.py
@@ -54,6 +54,14 @@
     """A write was sent and its answer was lost; it may have taken effect."""
 
 
+class LeaseExpired(Error):
+    """A lease has ended or does not last long enough."""
+
+
+class OrderError(Error):
+    """An engine refused an order or did not carry it out in time."""
+
+
 class ProtocolError(Error):
     """A peer sent a message that does not follow the protocol."""
 
--- a/chivejunction/protocol/resources.py
+++ b/chivejunction/protocol/resources.py
@@ -83,6 +83,7 @@
     Costs are in cost units for 1,000 tokens. ``quality`` is the operators'
     prior estimate for each request class (0 to 1). ``drain_deadline`` is in
     seconds since the epoch; a draining version keeps its sessions until then.
+    ``replicas`` is the number of servers that hold it, all by default.
     """
 
     model: Name
@@ -92,6 +93,7 @@
     quality: dict[str, Share] = {}
     state: VersionState = VersionState.ACTIVE
     drain_deadline: float | None = None
+    replicas: Annotated[int, pydantic.Field(ge=1)] | None = None
 
 
 @register_kind
@@ -111,7 +113,8 @@
 
     ``warm_window`` and ``cold_window`` are concurrent requests for a warm
     and a just started backend server. ``fencing`` says whether the engines
-    check the fencing number of orders.
+    check the fencing number of orders. ``load_permits`` engines may load
+    weights at the same time; ``versions_per_server`` fit in one engine.
     """
 
     kind: Literal['engine', 'service'] = 'engine'
@@ -120,6 +123,7 @@
     queue_length: Annotated[int, pydantic.Field(ge=0)] = 64
     fencing: bool = True
     load_permits: Annotated[int, pydantic.Field(ge=1)] = 2
+    versions_per_server: Annotated[int, pydantic.Field(ge=1)] = 8
 
 
 @register_kind
--- /dev/null
+++ b/fakes/weights.py
@@ -0,0 +1,63 @@
+"""Weight store with a rate limit."""
+
+import time
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from fakes import programs
+
+
+class WeightStore:
+    """Serves version weights at a limited rate.
+
+    ``GET /v1/weights/{version}`` answers 429 above the rate.
+
+    Args:
+        per_second: Downloads a second; the burst is one second's worth.
+    """
+
+    def __init__(self, per_second: float = 2.0):
+        self._per_second = per_second
+        self._tokens = max(1.0, per_second)
+        self._refilled = time.monotonic()
+        self.counts = {'served': 0, 'refused': 0}
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes."""
+        return [
+            routing.Route(
+                '/v1/weights/{version}', self._serve, methods=['GET']
+            ),
+            routing.Route('/counts', self._counts, methods=['GET']),
+        ]
+
+    async def _counts(self, request: requests.Request):
+        return responses.JSONResponse(self.counts)
+
+    async def _serve(self, request: requests.Request):
+        now = time.monotonic()
+        self._tokens = min(
+            max(1.0, self._per_second),
+            self._tokens + (now - self._refilled) * self._per_second,
+        )
+        self._refilled = now
+        if self._tokens < 1:
+            self.counts['refused'] += 1
+            return responses.JSONResponse({'error': 'rate limit'}, 429)
+        self._tokens -= 1
+        self.counts['served'] += 1
+        return responses.JSONResponse(
+            {'version': request.path_params['version'], 'bytes': 1}
+        )
+
+
+def make_app(per_second: float = 2.0) -> applications.Starlette:
+    """Returns the weight store as an application."""
+    return applications.Starlette(routes=WeightStore(per_second).routes())
+
+
+if __name__ == '__main__':
+    programs.run_fire(make_app)
--- /dev/null
+++ b/tests/stores.py
@@ -0,0 +1,83 @@
+"""In-memory store for tests of coordination."""
+
+import functools
+
+import anyio
+
+from chivejunction import errors
+from chivejunction.transport import store_client
+
+
+class MemoryStore:
+    """Store in memory with switches for lost answers, delays and outages.
+
+    ``lose_answers`` is the number of writes whose answer is lost next;
+    ``delay`` slows each call by seconds.
+    """
+
+    def __init__(self):
+        self.values: dict[str, store_client.Entry] = {}
+        self.leases: set[int] = set()
+        self.revision = 0
+        self.lose_answers = 0
+        self.down = False
+        self.delay = 0.0
+
+    async def _begin(self, error):
+        if self.delay:
+            await anyio.sleep(self.delay)
+        if self.down:
+            raise error('down')
+
+    def _lose_answer(self):
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.StoreResultUnknown('answer lost')
+
+    async def get(self, key):
+        await self._begin(errors.StoreError)
+        return self.values.get(key)
+
+    async def list_prefix(self, prefix):
+        await self._begin(errors.StoreError)
+        return [v for k, v in self.values.items() if k.startswith(prefix)]
+
+    async def swap(self, key, value, expected, lease=0):
+        await self._begin(errors.StoreResultUnknown)
+        found = self.values.get(key)
+        if (found.revision if found else 0) != expected:
+            raise errors.StoreConflict(key)
+        self.revision += 1
+        self.values[key] = store_client.Entry(key, value, self.revision, lease)
+        self._lose_answer()
+        return self.revision
+
+    async def grant_lease(self, seconds):
+        await self._begin(errors.StoreResultUnknown)
+        self.revision += 1
+        self.leases.add(self.revision)
+        return self.revision
+
+    async def keep_alive(self, lease):
+        await self._begin(errors.StoreResultUnknown)
+        return 1 if lease in self.leases else 0
+
+    async def revoke_lease(self, lease):
+        await self._begin(errors.StoreResultUnknown)
+        self.expire(lease)
+
+    def expire(self, lease):
+        """Ends a lease and removes its keys."""
+        self.leases.discard(lease)
+        for key in [k for k, v in self.values.items() if v.lease == lease]:
+            del self.values[key]
+
+
+def run_async(test):
+    """Runs an asynchronous test to its end."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        return anyio.run(functools.partial(test, *args, **kwargs))
+
+    return run
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -1,8 +1,5 @@
 """Exactly-once billing with lost answers and handover."""
 
-import functools
-
-import anyio
 import pytest
 
 from chivejunction import errors
@@ -10,48 +7,7 @@
 from chivejunction.protocol import messages
 from chivejunction.state import ledger
 from chivejunction.state import views
-from chivejunction.transport import store_client
-
-
-class MemoryStore:
-    """Store in memory with switches for lost answers and outages."""
-
-    def __init__(self):
-        self.values: dict[str, store_client.Entry] = {}
-        self.revision = 0
-        self.lose_answers = 0
-        self.down = False
-
-    async def get(self, key):
-        if self.down:
-            raise errors.StoreError('down')
-        return self.values.get(key)
-
-    async def list_prefix(self, prefix):
-        return [v for k, v in self.values.items() if k.startswith(prefix)]
-
-    async def swap(self, key, value, expected, lease=0):
-        if self.down:
-            raise errors.StoreResultUnknown('down')
-        found = self.values.get(key)
-        if (found.revision if found else 0) != expected:
-            raise errors.StoreConflict(key)
-        self.revision += 1
-        self.values[key] = store_client.Entry(key, value, self.revision, 0)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise errors.StoreResultUnknown('answer lost')
-        return self.revision
-
-
-def run_async(test):
-    """Runs an asynchronous test to its end."""
-
-    @functools.wraps(test)
-    def run(*args, **kwargs):
-        return anyio.run(functools.partial(test, *args, **kwargs))
-
-    return run
+from tests import stores
 
 
 def make_record(number: int, target: str = 'small-1') -> ledger.UsageRecord:
@@ -115,9 +71,9 @@
 class TestFlush:
     """Guards against usage lost or doubled around a write."""
 
-    @run_async
+    @stores.run_async
     async def test_lost_answer_bills_once(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
@@ -129,9 +85,9 @@
         assert await count_requests(store) == 2
         assert agent.ledger.count() == 0
 
-    @run_async
+    @stores.run_async
     async def test_outage_keeps_records_at_both_ends(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
@@ -157,9 +113,9 @@
             number = await successor.take_over(frame)
             agent.handle(messages.HandedOver(frame.stream, number))
 
-    @run_async
+    @stores.run_async
     async def test_death_after_the_write_bills_once(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         book = make_billing(store)
         for number in (1, 2):
             agent.ledger.append('gw-1', 'a', make_record(number))
@@ -173,9 +129,9 @@
         assert await count_requests(store) == 3
         assert agent.ledger.count() == 0
 
-    @run_async
+    @stores.run_async
     async def test_partitioned_gateway_drops_what_was_handed_over(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         agent.send_records(
@@ -186,9 +142,9 @@
         await book.flush()
         assert await count_requests(store) == 1
 
-    @run_async
+    @stores.run_async
     async def test_repeated_handover_bills_once(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         agent.ledger.append('gw-1', 'a', make_record(1))
         stream = agent.ledger.stream_of('gw-1', 'a')
         frame = messages.Handover(
@@ -203,11 +159,11 @@
                 await successor.take_over(frame)
         assert await count_requests(store) == 1
 
-    @run_async
+    @stores.run_async
     async def test_retried_request_billed_by_the_dead_gateway_is_skipped(
         self,
     ):
-        store = MemoryStore()
+        store = stores.MemoryStore()
         book = make_billing(store)
         book.ledger.mark_contested('r1')
         book.receive(
@@ -220,9 +176,9 @@
         await make_billing(store, 'gw-2', 'b').take_over(frame)
         assert await count_requests(store) == 1
 
-    @run_async
+    @stores.run_async
     async def test_returning_gateway_starts_a_new_stream(self):
-        store, agent = MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,282 @@
+"""Orders to engines: fencing, leases, permits, placement."""
+
+import anyio
+import pytest
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction import rendezvous
+from chivejunction.coordination import leases
+from chivejunction.coordination import orders
+from chivejunction.coordination import placement
+from chivejunction.protocol import resources
+from chivejunction.state import views
+from tests import stores
+
+
+class FakeEngine:
+    """Engine in memory; ``checks_fencing`` refuses old numbers."""
+
+    def __init__(self, checks_fencing=True):
+        self.checks_fencing = checks_fencing
+        self.versions = []
+        self.orders = []
+        self.highest = 0
+
+    async def read_versions(self):
+        return list(self.versions)
+
+    async def send(self, order, version, lock):
+        lock.lease.check(orders.ORDER_SECONDS)
+        if self.checks_fencing and lock.number < self.highest:
+            raise errors.OrderError('old fencing number')
+        self.highest = max(self.highest, lock.number)
+        self.orders.append((order, version, lock.number))
+        if order == 'load':
+            self.versions.append(version)
+        else:
+            self.versions.remove(version)
+
+
+def make_orderer(store, engine, wanted, owner='a', busy=()):
+    return orders.Orderer(
+        store,
+        engine,
+        'lm-1',
+        'lm-pool',
+        owner,
+        lambda: wanted,
+        lambda: 1,
+        lambda version: version in busy,
+    )
+
+
+class TestOrderer:
+    """Guards against engines that hold the wrong versions."""
+
+    @stores.run_async
+    async def test_loads_and_unloads_to_the_wanted_versions(self):
+        store, engine = stores.MemoryStore(), FakeEngine()
+        engine.versions = ['old-1']
+        await make_orderer(store, engine, ['new-1']).reconcile()
+        assert engine.versions == ['new-1']
+        assert [o[0] for o in engine.orders] == ['unload', 'load']
+
+    @stores.run_async
+    async def test_version_with_running_work_is_not_unloaded(self):
+        store, engine = stores.MemoryStore(), FakeEngine()
+        engine.versions = ['old-1']
+        await make_orderer(store, engine, [], busy=['old-1']).reconcile()
+        assert engine.versions == ['old-1']
+
+    @stores.run_async
+    async def test_no_order_while_the_store_is_down(self):
+        store, engine = stores.MemoryStore(), FakeEngine()
+        store.down = True
+        with pytest.raises(errors.StoreError):
+            await make_orderer(store, engine, ['new-1']).reconcile()
+        assert engine.orders == []
+
+    @stores.run_async
+    async def test_no_load_without_a_permit(self):
+        store, engine = stores.MemoryStore(), FakeEngine()
+        permit = orders.LoadPermit(store, 'lm-pool', 1, 'b')
+        assert await permit.acquire()
+        await make_orderer(store, engine, ['new-1']).reconcile()
+        assert engine.versions == []
+        await permit.lease.release()
+        await make_orderer(store, engine, ['new-1']).reconcile()
+        assert engine.versions == ['new-1']
+
+
+class TestFencing:
+    """Guards against orders of an agent that has been replaced."""
+
+    @stores.run_async
+    async def test_number_rises_with_each_holder(self):
+        store = stores.MemoryStore()
+        numbers = []
+        for owner in ('a', 'b', 'c'):
+            lock = orders.FencedLock(store, 'lm-1', owner)
+            assert await lock.acquire()
+            numbers.append(lock.number)
+            await lock.lease.release()
+        assert numbers == [1, 2, 3]
+
+    @stores.run_async
+    async def test_lost_answers_give_distinct_numbers(self):
+        store = stores.MemoryStore()
+        numbers = []
+        for owner in ('a', 'b'):
+            lock = orders.FencedLock(store, 'lm-1', owner)
+            store.lose_answers = 2
+            assert await lock.acquire()
+            numbers.append(lock.number)
+            await lock.lease.release()
+        assert numbers == sorted(set(numbers))
+
+    @stores.run_async
+    async def test_second_agent_waits_for_the_lease(self):
+        store = stores.MemoryStore()
+        first = orders.FencedLock(store, 'lm-1', 'a')
+        second = orders.FencedLock(store, 'lm-1', 'b')
+        assert await first.acquire()
+        assert not await second.acquire()
+        store.expire(first.lease.id)
+        assert await second.acquire()
+
+    @stores.run_async
+    async def test_paused_holder_sends_no_order(self, monkeypatch):
+        store = stores.MemoryStore()
+        engine = FakeEngine(checks_fencing=False)
+        lock = orders.FencedLock(store, 'lm-1', 'a')
+        assert await lock.acquire()
+        later = clock.now() + orders.LEASE_SECONDS
+        monkeypatch.setattr(clock.time, 'monotonic', lambda: later)
+        with pytest.raises(errors.LeaseExpired):
+            await engine.send('load', 'new-1', lock)
+        assert engine.orders == []
+
+    @stores.run_async
+    async def test_former_holder_is_refused_by_a_checking_engine(self):
+        store, engine = stores.MemoryStore(), FakeEngine()
+        first = orders.FencedLock(store, 'lm-1', 'a')
+        await first.acquire()
+        store.expire(first.lease.id)
+        second = orders.FencedLock(store, 'lm-1', 'b')
+        await second.acquire()
+        await engine.send('load', 'new-1', second)
+        with pytest.raises(errors.OrderError):
+            await engine.send('load', 'old-1', first)
+
+
+class RecordingClient:
+    """HTTP client that records calls and answers 200."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def call_json(self, method, url, deadline, value=None):
+        self.calls.append((method, url, value))
+        return 200, {}
+
+
+class TestEngineOrders:
+    """Guards against orders sent outside of a lease or without a number."""
+
+    @stores.run_async
+    async def test_order_carries_the_fencing_number(self):
+        client = RecordingClient()
+        lock = orders.FencedLock(stores.MemoryStore(), 'lm-1', 'a')
+        await lock.acquire()
+        engine = orders.EngineOrders(client, 'http://127.0.0.1:1')
+        await engine.send('load', 'new-1', lock)
+        assert client.calls[0][2]['fencing'] == 1
+
+    @stores.run_async
+    async def test_nothing_is_sent_close_to_the_end_of_the_lease(
+        self, monkeypatch
+    ):
+        client = RecordingClient()
+        lock = orders.FencedLock(stores.MemoryStore(), 'lm-1', 'a')
+        await lock.acquire()
+        engine = orders.EngineOrders(client, 'http://127.0.0.1:1')
+        margin = orders.ORDER_SECONDS - 0.5
+        late = clock.now() + lock.lease.remaining() - margin
+        monkeypatch.setattr(clock.time, 'monotonic', lambda: late)
+        with pytest.raises(errors.LeaseExpired):
+            await engine.send('load', 'new-1', lock)
+        assert client.calls == []
+
+
+class TestLease:
+    """Guards against a lease that looks longer than it is."""
+
+    @stores.run_async
+    async def test_deadline_counts_from_before_the_call(self):
+        store = stores.MemoryStore()
+        store.delay = 0.3
+        lease = leases.Lease(store, 10)
+        await lease.acquire()
+        assert lease.remaining() <= 9.7
+
+    @stores.run_async
+    async def test_lease_unknown_to_the_store_is_given_up(self):
+        store = stores.MemoryStore()
+        lease = leases.Lease(store, 10)
+        await lease.acquire()
+        store.expire(lease.id)
+        with pytest.raises(errors.LeaseExpired):
+            await lease.renew()
+        assert lease.remaining() == 0
+
+    @stores.run_async
+    async def test_keep_renews_in_time(self):
+        store = stores.MemoryStore()
+        lease = leases.Lease(store, 1)
+        await lease.acquire()
+        with anyio.move_on_after(1.5):
+            await lease.keep()
+        assert lease.remaining() > 0
+
+
+def make_view(**versions) -> views.ConfigView:
+    view = views.ConfigView()
+    view.apply(
+        resources.Document(
+            revision=1,
+            resources={
+                'pool': {
+                    'lm-pool': {'name': 'lm-pool', 'versions_per_server': 2}
+                },
+                'modelversion': {
+                    name: {
+                        'name': name,
+                        'model': 'm',
+                        'pool': 'lm-pool',
+                        **fields,
+                    }
+                    for name, fields in versions.items()
+                },
+            },
+        )
+    )
+    return view
+
+
+class TestPlacement:
+    """Guards against placements that differ or move without need."""
+
+    def test_replicas_are_held_by_as_many_hosts(self):
+        view = make_view(v1={'replicas': 3})
+        hosts = [f'h{i}' for i in range(9)]
+        held = [
+            h
+            for h in hosts
+            if placement.choose_versions(view, 'lm-pool', h, hosts)
+        ]
+        assert len(held) == 3
+
+    def test_lost_host_moves_only_its_own_replica(self):
+        view = make_view(v1={'replicas': 3})
+        hosts = [f'h{i}' for i in range(9)]
+        before = set(rendezvous.rank_hosts('v1', hosts)[:3])
+        lost = sorted(before)[0]
+        rest = [h for h in hosts if h != lost]
+        after = {
+            h
+            for h in rest
+            if placement.choose_versions(view, 'lm-pool', h, rest)
+        }
+        assert before - {lost} <= after
+        assert len(after) == 3
+
+    def test_withdrawn_version_is_not_held(self):
+        view = make_view(v1={'state': 'withdrawn'}, v2={})
+        assert placement.choose_versions(view, 'lm-pool', 'h', ['h']) == ['v2']
+
+    def test_scarce_versions_take_the_slots_first(self):
+        view = make_view(v1={}, v2={}, v3={'replicas': 1})
+        chosen = placement.choose_versions(view, 'lm-pool', 'h', ['h'])
+        assert len(chosen) == 2
+        assert 'v3' in chosen
