Send a usage record before the end of its attempt

Cause: records were sent every 0.2 s, so an agent that died between the end of an answer and the next round lost the record of an answered request.

Ruled out: usage in the End frame, which the gateway may never read when it gave the attempt up. The link keeps order, so a record queued first arrives first.

The two new tests fail without the immediate send and without the reset at a new link.

--- a/chivejunction/coordination/billing.py
+++ b/chivejunction/coordination/billing.py
@@ -17,7 +17,7 @@
 GATEWAY_PREFIX = 'usage/gateway/'
 HANDOVER_PREFIX = 'usage/handover/'
 FLUSH_SECONDS = 2.0
-SEND_SECONDS = 0.2
+HANDOVER_SECONDS = 1.0
 # A gateway that an agent has not heard for this long counts as gone. It must
 # exceed the restart of a link, so that a short cut moves no records.
 GONE_SECONDS = 15.0
@@ -254,16 +254,23 @@
 
     Args:
         incarnation: Incarnation of the agent.
+        get_links: Returns the working links by gateway and incarnation.
     """
 
-    def __init__(self, incarnation: str):
+    def __init__(
+        self,
+        incarnation: str,
+        get_links: Callable[[], dict[tuple[str, str], Send]],
+    ):
         self.ledger = ledger.AgentLedger(incarnation)
+        self._get_links = get_links
         self._gone: dict[tuple[str, str], float] = {}
 
     def open_link(self, gateway: str, incarnation: str) -> None:
         """Sends unsaved records again over a new link to a gateway."""
         stream = self.ledger.stream_of(gateway, incarnation)
         stream.sent = stream.first - 1
+        self.send_records(self._get_links())
 
     def handle(self, frame: messages.Saved | messages.HandedOver) -> None:
         """Drops records that the store has."""
@@ -274,22 +281,28 @@
         if stream is not None:
             stream.forget(frame.number)
 
-    async def run(
-        self, get_links: Callable[[], dict[tuple[str, str], Send]]
+    def add_record(
+        self,
+        gateway: str,
+        incarnation: str,
+        record: ledger.UsageRecord,
     ) -> None:
-        """Sends records until cancelled.
+        """Keeps a record and sends it at once if the link works.
 
-        Args:
-            get_links: Returns the working links by gateway and incarnation.
+        The record must be queued before the end of its attempt: a gateway
+        that has a whole answer then has the record too, even if the agent
+        dies.
         """
-        next_handover = clock.now()
+        self.ledger.append(gateway, incarnation, record)
+        self.send_records(self._get_links())
+
+    async def run(self) -> None:
+        """Sends and hands over records until cancelled."""
         while True:
-            links = get_links()
+            links = self._get_links()
             self.send_records(links)
-            if clock.has_passed(next_handover):
-                next_handover = clock.make_deadline(1.0)
-                self.hand_over(links, clock.now())
-            await anyio.sleep(SEND_SECONDS)
+            self.hand_over(links, clock.now())
+            await anyio.sleep(HANDOVER_SECONDS)
 
     def send_records(self, links: dict[tuple[str, str], Send]) -> None:
         """Sends each gateway the records it has not been sent."""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -36,6 +36,29 @@
     return requests
 
 
+class TestAgentBilling:
+    """Guards against a whole answer without its usage record."""
+
+    def test_record_is_sent_before_the_end_of_the_attempt(self):
+        frames = []
+        agent = billing.AgentBilling(
+            'x', lambda: {('gw-1', 'a'): frames.append}
+        )
+        agent.add_record('gw-1', 'a', make_record(1))
+        assert [f.number for f in frames] == [1]
+
+    def test_unsaved_records_are_sent_again_over_a_new_link(self):
+        frames = []
+        agent = billing.AgentBilling(
+            'x', lambda: {('gw-1', 'a'): frames.append}
+        )
+        for number in (1, 2):
+            agent.add_record('gw-1', 'a', make_record(number))
+        agent.handle(messages.Saved(frames[0].stream, 1))
+        agent.open_link('gw-1', 'a')
+        assert [f.number for f in frames] == [1, 2, 2]
+
+
 class TestGatewayLedger:
     """Guards against records that are billed twice or skipped."""
 
@@ -73,7 +96,7 @@
 
     @stores.run_async
     async def test_lost_answer_bills_once(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
@@ -87,7 +110,7 @@
 
     @stores.run_async
     async def test_outage_keeps_records_at_both_ends(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
@@ -115,7 +138,7 @@
 
     @stores.run_async
     async def test_death_after_the_write_bills_once(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         book = make_billing(store)
         for number in (1, 2):
             agent.ledger.append('gw-1', 'a', make_record(number))
@@ -131,7 +154,7 @@
 
     @stores.run_async
     async def test_partitioned_gateway_drops_what_was_handed_over(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         agent.send_records(
@@ -144,7 +167,7 @@
 
     @stores.run_async
     async def test_repeated_handover_bills_once(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         agent.ledger.append('gw-1', 'a', make_record(1))
         stream = agent.ledger.stream_of('gw-1', 'a')
         frame = messages.Handover(
@@ -178,7 +201,7 @@
 
     @stores.run_async
     async def test_returning_gateway_starts_a_new_stream(self):
-        store, agent = stores.MemoryStore(), billing.AgentBilling('x')
+        store, agent = stores.MemoryStore(), billing.AgentBilling('x', dict)
         book = make_billing(store)
         agent.ledger.append('gw-1', 'a', make_record(1))
         deliver(agent, 'gw-1', 'a', book)
