--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,285 @@
+"""The deployments of the first users, scaled to one machine."""
+
+import dataclasses
+
+from bench import fleet
+from chivejunction.protocol import resources
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionSpec:
+    """A model version with its costs and its true quality by class.
+
+    Attributes:
+        name: Name of the version.
+        model: Name of its model.
+        output_cost: Cost units for 1,000 generated tokens.
+        quality: True quality for each request class, known to the rating
+            service only.
+        prior: What the operators declare as quality.
+        active: Whether it takes work from the start.
+    """
+
+    name: str
+    model: str
+    output_cost: float
+    quality: dict[str, float]
+    prior: dict[str, float]
+    active: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """A user's places, pools, versions and organisations.
+
+    Attributes:
+        name: Short name, the prefix of its processes.
+        domains: Failure domain to region.
+        engine_pool: Pool of the model engines.
+        engines: Number of engines.
+        service: Name of the plain service and of its pool.
+        services: Number of servers of the plain service.
+        organisations: Organisation to its weight.
+        versions: Model versions.
+    """
+
+    name: str
+    domains: dict[str, str]
+    engine_pool: str
+    engines: int
+    service: str
+    services: int
+    organisations: dict[str, float]
+    versions: tuple[VersionSpec, ...]
+
+    def key_of(self, organisation: str) -> str:
+        """Returns the credential of an organisation."""
+        return f'{organisation}-key'
+
+    def gateways(self) -> list[str]:
+        """Returns the member names of the gateways."""
+        return [f'{self.name}-gw-{domain}' for domain in self.domains]
+
+    def agents(self) -> list[str]:
+        """Returns the member names of all agents."""
+        return [
+            *(f'{self.name}-lm-{i}' for i in range(self.engines)),
+            *(f'{self.name}-desk-{i}' for i in range(self.services)),
+        ]
+
+    def place_of(self, index: int) -> tuple[str, str]:
+        """Returns failure domain and region of the index-th server."""
+        domains = list(self.domains.items())
+        return domains[index % len(domains)]
+
+    def domain_of(self, agent: str) -> str:
+        """Returns the failure domain of an agent."""
+        return self.place_of(int(agent.rsplit('-', 1)[1]))[0]
+
+
+def _make_versions(prefix: str) -> tuple[VersionSpec, ...]:
+    return (
+        VersionSpec(
+            f'{prefix}-small-1',
+            f'{prefix}-small',
+            1.0,
+            {'faq': 0.92, 'advice': 0.60, 'contract': 0.45},
+            {'faq': 0.88, 'advice': 0.60, 'contract': 0.50},
+        ),
+        VersionSpec(
+            f'{prefix}-small-2',
+            f'{prefix}-small',
+            1.0,
+            {'faq': 0.94, 'advice': 0.66, 'contract': 0.50},
+            {'faq': 0.88, 'advice': 0.62, 'contract': 0.50},
+        ),
+        VersionSpec(
+            f'{prefix}-medium-1',
+            f'{prefix}-medium',
+            4.0,
+            {'faq': 0.95, 'advice': 0.88, 'contract': 0.70},
+            {'faq': 0.93, 'advice': 0.85, 'contract': 0.70},
+        ),
+        VersionSpec(
+            f'{prefix}-large-1',
+            f'{prefix}-large',
+            15.0,
+            {'faq': 0.97, 'advice': 0.95, 'contract': 0.93},
+            {'faq': 0.96, 'advice': 0.94, 'contract': 0.92},
+        ),
+    )
+
+
+SIAMSOUND = Deployment(
+    name='siam',
+    domains={'bkk-a': 'bkk', 'cnx-a': 'cnx', 'hkt-a': 'hkt'},
+    engine_pool='lm-pool',
+    engines=9,
+    service='hire-desk',
+    services=3,
+    organisations={
+        'counter': 4.0,
+        'district-office': 2.0,
+        'campaign': 2.0,
+        'temple': 1.0,
+        'festival': 1.0,
+        'school': 1.0,
+    },
+    versions=_make_versions('siam'),
+)
+
+RAAMWERK = Deployment(
+    name='raam',
+    domains={'gent-a': 'gent', 'namur-a': 'namur', 'brussel-a': 'brussel'},
+    engine_pool='imkeradvies-llm',
+    engines=9,
+    service='bestel-app',
+    services=3,
+    organisations={
+        'member-a': 3.0,
+        'member-b': 3.0,
+        'member-c': 3.0,
+        'shop': 1.0,
+        'beekeeper': 1.0,
+    },
+    versions=_make_versions('raam'),
+)
+
+DEPLOYMENTS = {d.name: d for d in (SIAMSOUND, RAAMWERK)}
+REQUEST_CLASSES = ('faq', 'advice', 'contract')
+
+
+def scale(deployment: Deployment, engines: int, services: int) -> Deployment:
+    """Returns a deployment with fewer servers."""
+    return dataclasses.replace(deployment, engines=engines, services=services)
+
+
+def list_resources(deployment: Deployment) -> list[dict]:
+    """Returns the resources of a deployment, each with its kind."""
+    models = sorted({v.model for v in deployment.versions})
+    return [
+        *(
+            {'kind': 'failuredomain', 'name': name, 'region': region}
+            for name, region in deployment.domains.items()
+        ),
+        {'kind': 'pool', 'name': deployment.engine_pool},
+        # A pool has a field named kind, which goes into `resource`.
+        {
+            'kind': 'pool',
+            'name': deployment.service,
+            'resource': {'kind': 'service'},
+        },
+        *({'kind': 'model', 'name': name} for name in models),
+        *(
+            {
+                'kind': 'modelversion',
+                'name': v.name,
+                'model': v.model,
+                'pool': deployment.engine_pool,
+                'output_cost': v.output_cost,
+                'input_cost': v.output_cost / 4,
+                'quality': v.prior,
+            }
+            for v in deployment.versions
+            if v.active
+        ),
+        {
+            'kind': 'service',
+            'name': deployment.service,
+            'pool': deployment.service,
+        },
+        {
+            'kind': 'cascade',
+            'name': f'{deployment.name}-all',
+            'request_classes': list(REQUEST_CLASSES),
+            'steps': models,
+        },
+        *(
+            {
+                'kind': 'organisation',
+                'name': name,
+                'key_hashes': [resources.hash_key(deployment.key_of(name))],
+                'models': models,
+                'services': [deployment.service],
+                'weight': weight,
+            }
+            for name, weight in deployment.organisations.items()
+        ),
+    ]
+
+
+def declare(
+    started: fleet.Fleet, deployment: Deployment, gateway: str
+) -> None:
+    """Declares the resources of a deployment through one gateway."""
+    for item in list_resources(deployment):
+        value = {k: v for k, v in item.items() if k != 'kind'}
+        value.update(value.pop('resource', {}))
+        started.put(gateway, item['kind'], value.pop('name'), **value)
+
+
+def start(
+    started: fleet.Fleet,
+    deployment: Deployment,
+    engine_options: dict | None = None,
+    gateway_options: dict | None = None,
+    agent_options: dict | None = None,
+) -> None:
+    """Starts gateways, fakes and agents and declares the resources.
+
+    The platform of the fleet must run. Returns when every gateway has a link
+    to every agent and every agent has a configuration.
+    """
+    for domain, region in deployment.domains.items():
+        started.start_gateway(
+            f'{deployment.name}-gw-{domain}',
+            domain,
+            region,
+            **(gateway_options or {}),
+        )
+    versions = ','.join(v.name for v in deployment.versions)
+    for i, name in enumerate(deployment.agents()):
+        is_engine = i < deployment.engines
+        index = int(name.rsplit('-', 1)[1])
+        domain, region = deployment.place_of(index)
+        if is_engine:
+            started.start_fake(
+                f'{name}-server', 'engine', **(engine_options or {})
+            )
+        else:
+            started.start_fake(f'{name}-server', 'service')
+        started.start_agent(
+            name,
+            domain,
+            region,
+            deployment.engine_pool if is_engine else deployment.service,
+            f'{name}-server',
+            'engine' if is_engine else 'service',
+            **({'versions': versions} if is_engine else {}),
+            **(agent_options or {}),
+        )
+    for name in deployment.gateways():
+        started.wait_for_port(name)
+    declare(started, deployment, deployment.gateways()[0])
+    wait_ready(started, deployment)
+
+
+def wait_ready(
+    started: fleet.Fleet, deployment: Deployment, seconds: float = 60
+) -> None:
+    """Waits until all links are up and all agents are configured."""
+    count = len(deployment.agents())
+    started.wait_until(
+        lambda: (
+            all(
+                started.read_health(g).get('servers') == count
+                for g in deployment.gateways()
+            )
+            and all(
+                started.read_health(a).get('ready')
+                for a in deployment.agents()
+            )
+        ),
+        f'{deployment.name} is ready',
+        seconds,
+    )
