--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,15 +13,15 @@
 import urllib.error
 import urllib.request
 
+from bench import ports
+
 OPERATOR_TOKEN = 'operator-token'
 STOP_SECONDS = 70
 
 
 def find_port() -> int:
-    """Returns a TCP port on loopback that is free at present."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Returns a TCP port on loopback that no other run uses."""
+    return ports.ALLOCATOR.find_port()
 
 
 def call_json(
@@ -146,20 +146,20 @@
         self, name: str, failure_domain: str, region: str, **flags
     ) -> Member:
         """Starts a gateway and enters it in the host list."""
-        ports = {
+        numbers = {
             key: find_port() for key in ('listen', 'admin', 'data', 'control')
         }
         member = self.start(
             name,
             'chivejunction.gateway',
-            ports,
+            numbers,
             host=name,
             failure_domain=failure_domain,
             store_url=self.members['store'].url(),
             hosts_url=self.members['hosts'].url(),
             operator_token=OPERATOR_TOKEN,
             log_level=self.log_level,
-            **{f'{key}_port': port for key, port in ports.items()},
+            **{f'{key}_port': port for key, port in numbers.items()},
             **flags,
         )
         self.list_host(
@@ -168,8 +168,8 @@
                 'role': 'gateway',
                 'failure_domain': failure_domain,
                 'region': region,
-                'control_address': f'tcp://127.0.0.1:{ports["control"]}',
-                'data_address': f'tcp://127.0.0.1:{ports["data"]}',
+                'control_address': f'tcp://127.0.0.1:{numbers["control"]}',
+                'data_address': f'tcp://127.0.0.1:{numbers["data"]}',
             },
         )
         return member
@@ -198,11 +198,11 @@
                 proxy in between.
             **flags: Further settings.
         """
-        ports = {key: find_port() for key in ('admin', 'data')}
+        numbers = {key: find_port() for key in ('admin', 'data')}
         member = self.start(
             name,
             'chivejunction.agent',
-            ports,
+            numbers,
             host=name,
             failure_domain=failure_domain,
             pool=pool,
@@ -210,7 +210,7 @@
             server_url=self.members[server].url(),
             hosts_url=self.members['hosts'].url(),
             log_level=self.log_level,
-            **{f'{key}_port': port for key, port in ports.items()},
+            **{f'{key}_port': port for key, port in numbers.items()},
             **flags,
         )
         self.list_host(
@@ -221,7 +221,7 @@
                 'region': region,
                 'pool': pool,
                 'data_address': data_address
-                or f'tcp://127.0.0.1:{ports["data"]}',
+                or f'tcp://127.0.0.1:{numbers["data"]}',
             },
         )
         return member
@@ -265,11 +265,23 @@
             return {}
 
     def wait_until(self, check, what: str, seconds: float = 20) -> None:
-        """Waits until a check returns something true."""
+        """Waits until a check returns something true.
+
+        Raises:
+            TimeoutError: It did not in time; the message names the members
+                that have ended.
+        """
         deadline = time.monotonic() + seconds
         while not check():
             if time.monotonic() > deadline:
-                raise TimeoutError(f'not reached in {seconds} s: {what}')
+                ended = [
+                    str(member.log)
+                    for member in self.members.values()
+                    if member.process.poll() is not None
+                ]
+                raise TimeoutError(
+                    f'not reached in {seconds} s: {what}; ended: {ended}'
+                )
             time.sleep(0.05)
 
     def signal(self, name: str, number: signal.Signals) -> None:
