--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,8 @@
 test: lint
 	$(BIN)/python -m pytest
 
+bench: setup
+	$(BIN)/python -m bench.report
+
 demo: setup
 	$(BIN)/python -m bench.demo
