Resolve, retry and hedge attempts at the gateway

Cause: a lost Start waited until the deadline, a silent link was noticed in one direction only, each frame cost a task group, retries had no budget, a refusal carried the verdict of the last attempt alone, Cancel was sent for calls that may not be repeated, and gathered Starts could exceed the receiver's message limit. A message of no bytes ended the receiver with a RuntimeError from pynng.

Ruled out: dropping a whole batch for one malformed frame. Its link would be redialled each time the frame is repeated, which harms all streams.

--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -1,7 +1,7 @@
-"""Attempts at the gateway: send, wait, resolve, re-attach, retry."""
+"""Attempts at the gateway: send, wait, resolve, re-attach, retry, hedge."""
 
-import collections
 from collections.abc import AsyncIterator
+import math
 import uuid
 
 import anyio
@@ -9,125 +9,98 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import attempt_streams
+from chivejunction.coordination import idempotency
 from chivejunction.coordination import peers
 from chivejunction.coordination import selection
 from chivejunction.protocol import messages
 from chivejunction.protocol import verdicts
+from chivejunction.state import budgets
 from chivejunction.state import calls
+from chivejunction.state import servers
 from chivejunction.state import views
 
-# Bytes after which the gateway tells the agent how far it has relayed.
-CREDIT_STEP_BYTES = 128 * 1024
-RESOLVE_SECONDS = 6.0
 MAX_ATTEMPTS = 4
-Event = messages.Head | messages.Data | messages.End
+# An idempotent call without a byte passed on need not wait for the verdict.
+IMPATIENCE_SECONDS = 0.7
+# An agent that is behind pulls the configuration within this time.
+STALE_SECONDS = 3.0
+STALE_DELAY_SECONDS = 0.1
+# Refusals that any other server would repeat.
+FINAL_CODES = frozenset(
+    {
+        'deadline',
+        'duplicate',
+        'internal',
+        'key_reused',
+        'store_unavailable',
+        'version_not_allowed',
+        'version_withdrawn',
+    }
+)
+Event = attempt_streams.Event
 
 
-class AttemptStream:
-    """Frames of one attempt as the gateway receives them.
+class Trial:
+    """All attempts of one call.
 
     Args:
-        peer: Link to the agent.
-        attempt_id: Id of the attempt.
+        call: The call.
+        pool: Pool to run on.
+        version: Model version to run, empty for a plain service.
     """
 
-    def __init__(self, peer: peers.AgentPeer, attempt_id: str):
-        self.peer = peer
-        self.id = attempt_id
-        self.incarnation = peer.server.incarnation
-        self.offset = 0
-        self.head_seen = False
-        self._credited = 0
-        self._frames: collections.deque = collections.deque()
-        self._wake = anyio.Event()
-        peer.add_handler(attempt_id, self._receive)
+    def __init__(self, call: calls.Call, pool: str, version: str):
+        self.call = call
+        self.pool = pool
+        self.version = version
+        self.streams: list[attempt_streams.AttemptStream] = []
+        self.excluded: set[str] = set()
+        self.key_revision = 0
 
-    def close(self) -> None:
-        """Stops receiving."""
-        self.peer.remove_handler(self.id)
-
-    def _receive(self, frame: messages.Frame) -> None:
-        self._frames.append(frame)
-        self._wake.set()
+    @property
+    def kind(self) -> tuple:
+        """Requests of one kind have like times to first token."""
+        return (self.pool, self.version, self.call.stream)
 
-    async def next_frame(self) -> messages.Frame | None:
-        """Returns the next frame, or None when the link is down."""
-        while not self._frames:
-            if not self.peer.connected:
-                return None
-            self._wake = anyio.Event()
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._watch_link, group.cancel_scope)
-                await self._wake.wait()
-                group.cancel_scope.cancel()
-        return self._frames.popleft()
-
-    async def _watch_link(self, scope: anyio.CancelScope) -> None:
-        await self.peer.wait_link_change()
-        scope.cancel()
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """Strictest verdict over all attempts."""
+        return max(
+            (s.verdict for s in self.streams),
+            default=verdicts.Verdict.NOT_RUN,
+        )
 
-    def accept_data(self, frame: messages.Data) -> bytes:
-        """Returns the new bytes of a frame, empty for a repeated one.
+    def add(self, stream: attempt_streams.AttemptStream) -> None:
+        """Adds an attempt that is about to be sent.
 
         Raises:
-            ProtocolError: Bytes are missing before the frame.
+            InvariantViolation: A call that may not be repeated has another
+                attempt that may have run.
         """
-        if frame.offset > self.offset:
-            raise errors.ProtocolError(
-                f'{self.id}: {frame.offset} follows {self.offset}'
+        if not self.call.idempotent and self.verdict.value:
+            raise errors.InvariantViolation(
+                'at_most_once', f'second attempt of {self.call.id}'
             )
-        payload = frame.payload[self.offset - frame.offset :]
-        self.offset += len(payload)
-        if self.offset - self._credited >= CREDIT_STEP_BYTES:
-            self._credited = self.offset
-            self.peer.send(messages.Credit(self.id, self.offset))
-        return payload
+        self.streams.append(stream)
 
-    async def resolve(self, deadline: float) -> bool:
-        """Asks over a new link what became of the attempt.
-
-        Args:
-            deadline: Monotonic time until which an answer is useful.
-
-        Returns:
-            Whether frames of the answer follow.
-
-        Raises:
-            RefusalError: With verdict NOT_RUN when the attempt has not run
-                and never will, MAY_HAVE_RUN when nobody knows.
-        """
-        until = min(deadline, clock.make_deadline(RESOLVE_SECONDS))
-        with anyio.move_on_after(clock.remaining(until)):
-            while True:
-                while not self.peer.connected:
-                    await self.peer.wait_link_change()
-                self._frames.clear()
-                self.peer.send(
-                    messages.Resolve(self.id, self.incarnation, self.offset)
-                )
-                frame = await self.next_frame()
-                while frame is not None and not isinstance(
-                    frame, messages.Resolved
-                ):
-                    frame = await self.next_frame()
-                if frame is not None:
-                    return self._judge(frame)
-        raise errors.RefusalError(
-            'server_failed',
-            f'{self.peer.name} does not answer',
-            verdicts.Verdict.MAY_HAVE_RUN,
+    def make_refusal(
+        self, refusal: errors.RefusalError
+    ) -> errors.RefusalError:
+        """Returns a refusal with the strictest verdict of all attempts."""
+        verdict = max(refusal.verdict, self.verdict)
+        if not verdict.value and any(s.offset for s in self.streams):
+            raise errors.InvariantViolation(
+                'true_not_run', f'{self.call.id} has received bytes'
+            )
+        return errors.RefusalError(
+            refusal.code, refusal.detail, verdict, refusal.retry_after
         )
 
-    def _judge(self, frame: messages.Resolved) -> bool:
-        if frame.state in ('refused', 'blocked'):
-            raise errors.RefusalError('no_server', 'the attempt has not run')
-        if frame.state == 'unknown' or frame.offset < self.offset:
-            raise errors.RefusalError(
-                'server_failed',
-                f'{self.peer.name} has restarted',
-                verdicts.Verdict.MAY_HAVE_RUN,
-            )
-        return True
+    def close(self) -> None:
+        """Stops receiving; cancels attempts that may be repeated."""
+        for stream in self.streams:
+            stream.close(cancel=self.call.idempotent)
 
 
 class Dispatcher:
@@ -137,6 +110,7 @@
         selector: Chooses servers.
         agent_peers: Links by host.
         view: Configuration of the gateway.
+        keys: Claims idempotency keys; None refuses keyed calls.
     """
 
     def __init__(
@@ -144,10 +118,14 @@
         selector: selection.Selector,
         agent_peers: dict[str, peers.AgentPeer],
         view: views.ConfigView,
+        keys: idempotency.KeyStore | None = None,
     ):
         self._selector = selector
         self._peers = agent_peers
         self._view = view
+        self._keys = keys
+        self.budget = budgets.RetryBudget()
+        self.first_tokens = budgets.FirstTokenTimes()
 
     async def run(
         self, call: calls.Call, pool: str, version: str = ''
@@ -163,131 +141,224 @@
             RefusalError: The call failed; the verdict says whether it may
                 have run. After data was yielded the answer is incomplete.
         """
-        excluded: set[str] = set()
-        refusal = None
-        for _ in range(MAX_ATTEMPTS):
-            server = self._selector.choose(
-                pool,
-                version,
-                call.session or call.affinity,
-                frozenset(excluded),
+        trial = Trial(call, pool, version)
+        try:
+            stream, events = await self._open(trial)
+            # Bytes have been passed on: only this attempt can end them.
+            stream.patience = attempt_streams.PATIENCE_SECONDS
+            passed = 0
+            while True:
+                for event in events:
+                    if isinstance(event, messages.Data):
+                        passed += len(event.payload)
+                    elif isinstance(event, messages.End):
+                        self._check_whole(stream, event, passed)
+                    yield event
+                if stream.ended:
+                    break
+                events = [await stream.next_event(call.deadline)]
+            self.budget.add_success()
+        except errors.RefusalError as exc:
+            raise trial.make_refusal(exc) from exc
+        finally:
+            trial.close()
+
+    @staticmethod
+    def _check_whole(stream, end: messages.End, passed: int) -> None:
+        if passed != end.length or end.attempt != stream.id:
+            raise errors.InvariantViolation(
+                'whole_answer',
+                f'{stream.id} ends at {end.length} after {passed} bytes',
             )
-            if server is None or clock.has_passed(call.deadline):
+
+    async def _open(self, trial: Trial):
+        """Returns the attempt that answers and its first events."""
+        refusal = None
+        for number in range(MAX_ATTEMPTS):
+            server = self._choose(trial)
+            if server is None or (number and not self.budget.take()):
                 break
-            excluded.add(server.host)
+            try:
+                return await self._race(trial, server)
+            except errors.RefusalError as exc:
+                refusal = exc
+                if exc.code in FINAL_CODES or not (
+                    trial.verdict.allows_retry(trial.call.idempotent)
+                ):
+                    raise
+        if clock.has_passed(trial.call.deadline):
+            raise errors.RefusalError('deadline', 'the deadline has passed')
+        raise refusal or errors.RefusalError(
+            'no_server', f'no server of {trial.pool} takes the request'
+        )
+
+    def _choose(self, trial: Trial) -> servers.Server | None:
+        call = trial.call
+        if clock.has_passed(call.deadline):
+            return None
+        server = self._selector.choose(
+            trial.pool,
+            trial.version,
+            call.session or call.affinity,
+            frozenset(trial.excluded),
+        )
+        if server is not None:
+            trial.excluded.add(server.host)
             logs.log_decision(
                 'server',
                 request=call.id,
                 organisation=call.organisation,
-                pool=pool,
-                version=version,
+                pool=trial.pool,
+                version=trial.version,
                 choice=server.host,
                 revision=self._view.revision,
             )
-            started = False
+        return server
+
+    async def _race(self, trial: Trial, server: servers.Server):
+        """Runs an attempt up to its first bytes, hedged when it is late."""
+        delay = math.inf
+        if trial.call.idempotent:
+            delay = self.first_tokens.hedge_delay(trial.kind)
+        winners: list = []
+        failures: list[errors.Error] = []
+        running = 0
+
+        async def follow(chosen: servers.Server, scope) -> None:
+            nonlocal running
+            running += 1
             try:
-                async for event in self._run_attempt(
-                    call, pool, version, self._peers[server.host]
-                ):
-                    started = True
-                    yield event
-                return
-            except errors.RefusalError as exc:
-                refusal = exc
-                if started or not exc.verdict.allows_retry(call.idempotent):
-                    raise
-        if clock.has_passed(call.deadline):
-            raise errors.RefusalError('deadline', 'the deadline has passed')
-        raise refusal or errors.RefusalError(
-            'no_server', f'no server of {pool} takes the request'
-        )
+                winners.append(await self._follow(trial, chosen))
+                scope.cancel()
+            except errors.Error as exc:
+                failures.append(exc)
+                running -= 1
+                # A hedge may still answer; without one the race is lost.
+                if not running:
+                    scope.cancel()
 
-    async def _run_attempt(
-        self,
-        call: calls.Call,
-        pool: str,
-        version: str,
-        peer: peers.AgentPeer,
-    ) -> AsyncIterator[Event]:
-        stream = AttemptStream(peer, uuid.uuid4().hex)
-        ended = False
-        try:
-            self._send_start(call, pool, version, stream)
-            while not ended:
-                frame = await self._next_frame(stream, call)
-                if isinstance(frame, messages.Refused):
-                    ended = True
-                    raise errors.RefusalError(
-                        frame.error,
-                        frame.detail,
-                        retry_after=frame.retry_after_ms / 1000 or None,
-                    )
-                if isinstance(frame, messages.End):
-                    ended = True
-                    self._check_end(stream, frame)
-                    yield frame
-                elif isinstance(frame, messages.Head):
-                    if not stream.head_seen:
-                        stream.head_seen = True
-                        yield frame
-                elif isinstance(frame, messages.Data):
-                    payload = stream.accept_data(frame)
-                    if payload:
-                        yield messages.Data(
-                            stream.id,
-                            stream.offset - len(payload),
-                            payload,
-                        )
-        finally:
-            stream.close()
-            if not ended and peer.connected:
-                peer.send(messages.Cancel(stream.id))
+        async with anyio.create_task_group() as group:
+            group.start_soon(follow, server, group.cancel_scope)
+            if delay < clock.remaining(trial.call.deadline):
+                await anyio.sleep(delay)
+                hedge = self._choose_hedge(trial)
+                if hedge is not None:
+                    await follow(hedge, group.cancel_scope)
+        if not winners:
+            raise failures[-1]
+        self._settle(trial, winners[0][0])
+        return winners[0]
 
-    def _send_start(self, call, pool, version, stream) -> None:
-        try:
-            stream.peer.send(
-                messages.Start(
-                    attempt=stream.id,
-                    request=call.id,
-                    organisation=call.organisation,
-                    target=pool,
-                    version=version,
-                    session=call.session,
-                    idempotent=call.idempotent,
-                    budget_ms=int(1000 * clock.remaining(call.deadline)),
-                    revision=self._view.revision,
-                    priority=call.priority,
-                    method=call.method,
-                    path=call.path,
-                    headers=call.headers,
-                    body=call.body,
+    def _choose_hedge(self, trial: Trial) -> servers.Server | None:
+        if self.budget.tokens < 1:
+            return None
+        server = self._choose(trial)
+        if server is not None:
+            self.budget.take()
+        return server
+
+    def _settle(self, trial: Trial, winner) -> None:
+        """Cancels the losers of a race and records their times."""
+        for stream in trial.streams:
+            if stream is winner or not stream.ended:
+                self.first_tokens.record(
+                    trial.kind, clock.now() - stream.started
                 )
-            )
-        except errors.LinkClosed as exc:
-            raise errors.RefusalError('no_server', str(exc)) from exc
+            if stream is not winner:
+                stream.close(cancel=trial.call.idempotent)
 
-    async def _next_frame(
-        self, stream: AttemptStream, call: calls.Call
-    ) -> messages.Frame:
+    async def _follow(self, trial: Trial, server: servers.Server):
+        """Runs an attempt on a server, again while its view is stale."""
+        until = min(trial.call.deadline, clock.make_deadline(STALE_SECONDS))
         while True:
             try:
-                with anyio.fail_after(clock.remaining(call.deadline)):
-                    frame = await stream.next_frame()
-            except TimeoutError as exc:
-                raise errors.RefusalError(
-                    'deadline',
-                    'no whole answer before the deadline',
-                    verdicts.Verdict.MAY_HAVE_RUN,
-                ) from exc
-            if frame is not None:
-                return frame
-            await stream.resolve(call.deadline)
+                stream = await self._send(trial, server)
+                return stream, await stream.read_first(trial.call.deadline)
+            except errors.RefusalError as exc:
+                if exc.code != 'stale_config' or clock.has_passed(until):
+                    raise
+            await anyio.sleep(clock.jitter(STALE_DELAY_SECONDS))
 
-    @staticmethod
-    def _check_end(stream: AttemptStream, frame: messages.End) -> None:
-        if frame.error or frame.length != stream.offset:
-            raise errors.RefusalError(
-                'server_failed',
-                frame.error or 'the answer is incomplete',
-                verdicts.Verdict(frame.verdict),
+    async def _send(self, trial: Trial, server: servers.Server):
+        call = trial.call
+        peer = self._peers.get(server.host)
+        if peer is None:
+            raise errors.RefusalError('no_server', f'{server.host} has gone')
+        attempt = uuid.uuid4().hex
+        incarnation = server.incarnation
+        if call.key:
+            stream = await self._claim(trial, attempt, peer, incarnation)
+            if stream is not None:
+                return stream
+        stream = attempt_streams.AttemptStream(peer, attempt, incarnation)
+        if call.idempotent:
+            stream.patience = IMPATIENCE_SECONDS
+        trial.add(stream)
+        stream.start(self._make_start(trial, attempt))
+        return stream
+
+    async def _claim(self, trial: Trial, attempt, peer, incarnation):
+        """Claims the key; returns the attempt of an earlier call if any.
+
+        Raises:
+            RefusalError: The key cannot be claimed or the earlier attempt
+                can no longer be reached.
+        """
+        if self._keys is None:
+            raise errors.RefusalError('store_unavailable', 'no store is set')
+        own = self._keys.make_record(
+            trial.call, attempt, peer.name, incarnation
+        )
+        while True:
+            held, revision = await self._keys.claim(
+                trial.call, own, trial.key_revision
             )
+            if held == own:
+                trial.key_revision = revision
+                return None
+            stream = await self._attach(trial, held)
+            if stream is not None:
+                return stream
+            trial.key_revision = revision
+
+    async def _attach(self, trial: Trial, held: idempotency.Record):
+        """Returns the stream of a record, None if it never runs."""
+        peer = self._peers.get(held.agent)
+        gone = errors.RefusalError(
+            'duplicate',
+            'an earlier call with this key may have run',
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
+        if peer is None:
+            raise gone
+        stream = attempt_streams.AttemptStream(
+            peer, held.attempt, held.incarnation
+        )
+        try:
+            await stream.resolve(trial.call.deadline)
+        except errors.RefusalError as exc:
+            stream.close(cancel=False)
+            if exc.verdict is verdicts.Verdict.NOT_RUN and held.is_recent:
+                return None
+            raise gone from exc
+        trial.add(stream)
+        return stream
+
+    def _make_start(self, trial: Trial, attempt: str) -> messages.Start:
+        call = trial.call
+        return messages.Start(
+            attempt=attempt,
+            request=call.id,
+            organisation=call.organisation,
+            target=trial.pool,
+            version=trial.version,
+            session=call.session,
+            idempotent=call.idempotent,
+            budget_ms=int(1000 * clock.remaining(call.deadline)),
+            revision=self._view.revision,
+            priority=call.priority,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+        )
--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -1,6 +1,8 @@
 """Tasks that keep the data links between gateways and agents alive."""
 
+import collections
 from collections.abc import Callable
+import math
 import time
 
 import anyio
@@ -18,7 +20,8 @@
 SILENCE_SECONDS = 2.5
 REDIAL_SECONDS = 0.2
 
-FrameHandler = Callable[[messages.Frame], None]
+# Called with each frame of an attempt, and with None when the link changes.
+FrameHandler = Callable[[messages.Frame | None], None]
 
 
 class AgentPeer:
@@ -63,8 +66,11 @@
         self._sequence = 0
         self._sender: links.Sender | None = None
         self._heard_deadline = 0.0
-        self._handlers: dict[str, FrameHandler] = {}
-        self._link_changed = anyio.Event()
+        self._handlers: dict[str, list[FrameHandler]] = {}
+        self._lost_frames = False
+        # Sequences of own heartbeats with the deadline for their receipt:
+        # a link may fall silent in this direction only.
+        self._unconfirmed: collections.deque = collections.deque()
 
     @property
     def name(self) -> str:
@@ -74,7 +80,16 @@
     @property
     def connected(self) -> bool:
         """Whether the link works."""
-        return self.server.connected
+        return (
+            self.server.connected
+            and self._sender is not None
+            and not self._sender.closed
+        )
+
+    @property
+    def epoch(self) -> int:
+        """Number of the present link."""
+        return self._epoch
 
     def send(self, frame: messages.Frame) -> None:
         """Queues a frame for the agent.
@@ -82,23 +97,27 @@
         Raises:
             LinkClosed: There is no working link.
         """
-        if self._sender is None or not self.connected:
+        if not self.connected:
             raise errors.LinkClosed(f'no link to {self.name}')
         self._sender.send(frame)
 
     def add_handler(self, attempt: str, handler: FrameHandler) -> None:
-        """Passes the frames of an attempt to a handler."""
-        self._handlers[attempt] = handler
-        self.server.sent = len(self._handlers)
+        """Passes the frames of an attempt to a handler.
 
-    def remove_handler(self, attempt: str) -> None:
-        """Stops passing the frames of an attempt."""
-        self._handlers.pop(attempt, None)
+        Several callers may follow one attempt: a repeated call with the
+        same idempotency key attaches to the first one's attempt.
+        """
+        self._handlers.setdefault(attempt, []).append(handler)
         self.server.sent = len(self._handlers)
 
-    async def wait_link_change(self) -> None:
-        """Waits until the link comes up or goes down."""
-        await self._link_changed.wait()
+    def remove_handler(self, attempt: str, handler: FrameHandler) -> None:
+        """Stops passing the frames of an attempt to a handler."""
+        handlers = self._handlers.get(attempt, [])
+        if handler in handlers:
+            handlers.remove(handler)
+        if not handlers:
+            self._handlers.pop(attempt, None)
+        self.server.sent = len(self._handlers)
 
     def receive(
         self, epoch: int, sequence: int, frames: list[messages.Frame]
@@ -106,6 +125,8 @@
         """Handles a batch of the agent; drops it if its epoch is over."""
         if epoch != self._epoch or self._sender is None:
             return
+        if self._lost_frames:
+            return
         if sequence != self._sequence + 1:
             logs.LOG.warning(
                 'batch %d from %s follows %d; closing the link',
@@ -113,7 +134,9 @@
                 self.name,
                 self._sequence,
             )
-            self._heard_deadline = 0.0
+            # Later batches of this epoch are as doubtful as this one.
+            self._lost_frames = True
+            self._set_connected(False)
             return
         self._sequence = sequence
         self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
@@ -123,13 +146,15 @@
     def _handle(self, frame: messages.Frame) -> None:
         if isinstance(frame, messages.Heartbeat):
             self.revision = frame.revision
+            received = frame.load.get('k', 0)
+            while self._unconfirmed and self._unconfirmed[0][0] <= received:
+                self._unconfirmed.popleft()
             self.server.apply_load(frame.load)
             self._on_heartbeat(self, frame)
         elif isinstance(frame, messages.Welcome):
             self._accept_welcome(frame)
         else:
-            handler = self._handlers.get(frame.attempt)
-            if handler is not None:
+            for handler in list(self._handlers.get(frame.attempt, ())):
                 handler(frame)
 
     def _accept_welcome(self, frame: messages.Welcome) -> None:
@@ -141,8 +166,9 @@
     def _set_connected(self, connected: bool) -> None:
         if self.server.connected != connected:
             self.server.connected = connected
-            changed, self._link_changed = self._link_changed, anyio.Event()
-            changed.set()
+            for handlers in list(self._handlers.values()):
+                for handler in list(handlers):
+                    handler(None)
 
     async def run(self) -> None:
         """Keeps a link open until cancelled."""
@@ -159,6 +185,8 @@
     async def _run_link(self) -> None:
         self._epoch += 1
         self._sequence = 0
+        self._lost_frames = False
+        self._unconfirmed.clear()
         self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
         sender = links.Sender(
             self.address, self._gateway, self._epoch, self._codec
@@ -175,16 +203,32 @@
         async with anyio.create_task_group() as group:
             group.start_soon(sender.run)
             next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
-            while not (
-                clock.has_passed(self._heard_deadline) or sender.closed
-            ):
+            while not (self._is_silent() or sender.closed):
                 await anyio.sleep(0.1)
                 if clock.has_passed(next_heartbeat) and not sender.closed:
                     next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
-                    sender.send(messages.Heartbeat(self._get_revision(), {}))
+                    self._send_heartbeat(sender)
             logs.LOG.info('link to %s is silent or closed', self.name)
             group.cancel_scope.cancel()
 
+    def _is_silent(self) -> bool:
+        oldest = self._unconfirmed[0][1] if self._unconfirmed else math.inf
+        return (
+            self._lost_frames
+            or clock.has_passed(self._heard_deadline)
+            or clock.has_passed(oldest)
+        )
+
+    def _send_heartbeat(self, sender: links.Sender) -> None:
+        self._unconfirmed.append(
+            (
+                sender.sequence + 1,
+                # The agent confirms with its next heartbeat.
+                clock.make_deadline(SILENCE_SECONDS + HEARTBEAT_SECONDS),
+            )
+        )
+        sender.send(messages.Heartbeat(self._get_revision(), {}))
+
 
 class GatewayPeer:
     """An agent's side of the link to one gateway.
@@ -260,7 +304,9 @@
             while not (clock.has_passed(self._heard_deadline) or self.closed):
                 if clock.has_passed(next_heartbeat):
                     next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
-                    self.send(get_heartbeat())
+                    heartbeat = get_heartbeat()
+                    heartbeat.load = {**heartbeat.load, 'k': self._sequence}
+                    self.send(heartbeat)
                 await anyio.sleep(0.1)
             self.close()
             group.cancel_scope.cancel()
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -15,6 +15,7 @@
 from chivejunction.coordination import callers
 from chivejunction.coordination import configuration
 from chivejunction.coordination import dispatch
+from chivejunction.coordination import idempotency
 from chivejunction.coordination import membership
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
@@ -59,6 +60,11 @@
     data_port: settings.Port = pydantic.Field(
         description='TCP port on which agents send answers.'
     )
+    data_address: str = pydantic.Field(
+        '',
+        description='Address that agents dial to send answers, '
+        'tcp://ip:port; the own address and data port by default.',
+    )
     control_port: settings.Port = pydantic.Field(
         description='TCP port of the control exchange.'
     )
@@ -93,9 +99,8 @@
         self.view = views.ConfigView()
         self.table = servers.ServerTable()
         self.client = http_client.Client()
-        self.source = configuration.Configuration(
-            store_client.StoreClient(config.store_url, self.client)
-        )
+        store = store_client.StoreClient(config.store_url, self.client)
+        self.source = configuration.Configuration(store)
         self.membership = membership.Membership(
             self.table, self.client, config.hosts_url, self._make_peer
         )
@@ -103,6 +108,7 @@
             selection.Selector(self.table, self.view, config.failure_domain),
             self.membership.peers,
             self.view,
+            idempotency.KeyStore(store, config.host),
         )
         self.callers = callers.CallersApp(
             self.view, routing.Router(self.view), self.dispatcher
@@ -118,8 +124,8 @@
         return peers.AgentPeer(
             gateway=self.config.host,
             incarnation=self.incarnation,
-            reply_address=f'tcp://{self.config.address}:'
-            f'{self.config.data_port}',
+            reply_address=self.config.data_address
+            or f'tcp://{self.config.address}:{self.config.data_port}',
             server=server,
             address=address,
             codec=self.codec,
--- a/chivejunction/state/calls.py
+++ b/chivejunction/state/calls.py
@@ -24,6 +24,8 @@
         stream: Whether the caller reads an event stream.
         priority: Priority from 0 to 9, higher first.
         affinity: Key of the prompt prefix for cache affinity.
+        key: Idempotency key, empty without one.
+        request_hash: Hash of what the caller sent, to compare repeats.
     """
 
     id: str
@@ -42,3 +44,5 @@
     stream: bool = False
     priority: int = 4
     affinity: str = ''
+    key: str = ''
+    request_hash: str = ''
--- a/chivejunction/transport/links.py
+++ b/chivejunction/transport/links.py
@@ -7,6 +7,8 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import dataclasses
+from typing import ClassVar
 
 import anyio
 import pynng
@@ -19,10 +21,65 @@
 GATHER_SECONDS = 0.005
 QUEUE_MESSAGES = 256
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Two request bodies of 4 MiB gathered into one batch would be above
+# MAX_MESSAGE_BYTES, and NNG would close the connection of all streams.
+MAX_BATCH_BYTES = 1024 * 1024
 RECEIVE_BURST = 64
 SEND_TIMEOUT_MS = 3000
 
 
+@dataclasses.dataclass(slots=True)
+class BadFrame(messages.Frame):
+    """Stands for a malformed frame of an attempt; never sent."""
+
+    code: ClassVar[int] = -1
+    field_names: ClassVar[tuple[str, ...]] = ('attempt', 'reason')
+    attempt: str
+    reason: str
+
+
+def check_frame(frame: messages.Frame) -> None:
+    """Checks the types and ranges of the fields of a received frame.
+
+    Raises:
+        ProtocolError: A field has a wrong type, a number is negative or
+            the payload is too large.
+    """
+    for field in dataclasses.fields(frame):
+        value = getattr(frame, field.name)
+        if type(value) is not field.type:
+            raise errors.ProtocolError(
+                f'{type(frame).__name__}.{field.name} is a '
+                f'{type(value).__name__}'
+            )
+        if field.type is int and value < 0:
+            raise errors.ProtocolError(
+                f'{type(frame).__name__}.{field.name} is {value}'
+            )
+    size = len(frame.payload) if isinstance(frame, messages.Data) else 0
+    if size > messages.MAX_DATA_BYTES:
+        raise errors.ProtocolError(f'payload of {size} bytes')
+
+
+def split_batch(frames: list[list]) -> list[list[list]]:
+    """Splits packed frames into batches below MAX_BATCH_BYTES.
+
+    A larger single frame forms a batch of its own.
+    """
+    batches: list[list[list]] = []
+    size = MAX_BATCH_BYTES
+    for frame in frames:
+        frame_size = 64 + sum(
+            len(field) for field in frame if isinstance(field, bytes | str)
+        )
+        if size + frame_size > MAX_BATCH_BYTES:
+            batches.append([])
+            size = 0
+        batches[-1].append(frame)
+        size += frame_size
+    return batches
+
+
 class Sender:
     """Sends frames to one peer over one PUSH socket.
 
@@ -52,6 +109,11 @@
         )
         self._socket.dial(address, block=False)
 
+    @property
+    def sequence(self) -> int:
+        """Number of the last batch sent."""
+        return self._sequence
+
     @property
     def closed(self) -> bool:
         """Whether the link no longer takes frames."""
@@ -86,8 +148,9 @@
             next_send = clock.now() + GATHER_SECONDS
             frames, self._frames = self._frames, []
             self._wake = anyio.Event()
-            if frames and not self._closed:
-                await self._send_batch(frames)
+            for batch in split_batch(frames):
+                if not self._closed:
+                    await self._send_batch(batch)
 
     async def _send_batch(self, frames: list[list]) -> None:
         self._sequence += 1
@@ -142,19 +205,42 @@
                     data = self._socket.recv(block=False)
                 except pynng.TryAgain:
                     break
+                except RuntimeError as exc:
+                    # pynng cannot unpack a message of no bytes.
+                    self._on_error(errors.ProtocolError(str(exc)))
+                    continue
                 batch = self._decode(data)
                 if batch is not None:
                     yield batch
 
     def _decode(self, data: bytes):
         try:
-            value = self._codec.decode(data)
-            sender, epoch, sequence, frames = value
-            unpacked = [messages.unpack_frame(f) for f in frames]
+            sender, epoch, sequence, packed = self._codec.decode(data)
         except errors.ProtocolError as exc:
             self._on_error(exc)
             return None
         except (TypeError, ValueError) as exc:
             self._on_error(errors.ProtocolError(f'malformed batch: {exc}'))
             return None
-        return sender, epoch, sequence, unpacked
+        kinds = [type(v) for v in (sender, epoch, sequence, packed)]
+        if kinds != [str, int, int, list]:
+            self._on_error(errors.ProtocolError('malformed batch'))
+            return None
+        unpacked = [self._unpack(item) for item in packed]
+        return sender, epoch, sequence, [f for f in unpacked if f]
+
+    def _unpack(self, packed) -> messages.Frame | None:
+        """Returns a frame, a BadFrame for its attempt, or None.
+
+        The other frames of the batch belong to other streams and stay.
+        """
+        try:
+            frame = messages.unpack_frame(packed)
+            check_frame(frame)
+        except errors.ProtocolError as exc:
+            self._on_error(exc)
+            has_attempt = isinstance(packed, list) and len(packed) > 1
+            if has_attempt and isinstance(packed[1], str):
+                return BadFrame(packed[1], str(exc))
+            return None
+        return frame
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -1,5 +1,6 @@
 """Plain service that counts every run."""
 
+import anyio
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -12,9 +13,13 @@
     """Service that keeps the attempts it has run, by business key.
 
     The business key is the header ``x-business-key`` or the path.
+
+    Args:
+        delay: Seconds between the run and its answer.
     """
 
-    def __init__(self):
+    def __init__(self, delay: float = 0.0):
+        self._delay = delay
         self.runs: dict[str, list[str]] = {}
 
     def routes(self) -> list[routing.Route]:
@@ -36,6 +41,7 @@
         key = request.headers.get('x-business-key', request.url.path)
         attempt = request.headers.get('x-request-id', '')
         self.runs.setdefault(key, []).append(attempt)
+        await anyio.sleep(self._delay)
         return responses.JSONResponse(
             {
                 'key': key,
@@ -48,9 +54,9 @@
         )
 
 
-def make_app() -> applications.Starlette:
+def make_app(delay: float = 0.0) -> applications.Starlette:
     """Returns the service as an application."""
-    return applications.Starlette(routes=Service().routes())
+    return applications.Starlette(routes=Service(delay).routes())
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,390 @@
+"""Attempts at the gateway, frame by frame."""
+
+import types
+
+import anyio
+import pynng
+import pytest
+
+from bench import fleet
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction.coordination import attempt_streams
+from chivejunction.coordination import dispatch
+from chivejunction.protocol import codecs
+from chivejunction.protocol import messages
+from chivejunction.protocol import verdicts
+from chivejunction.state import budgets
+from chivejunction.state import calls
+from chivejunction.state import servers
+from chivejunction.transport import links
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class ScriptedPeer:
+    """Link whose agent answers with what ``answer(peer, frame)`` returns."""
+
+    def __init__(self, answer, host='lm-1'):
+        self.server = servers.Server(host, 'lm-pool', 'bkk-a', 'inc-1')
+        self.server.connected = True
+        self.name = host
+        self.epoch = 1
+        self.sent = []
+        self.answer = answer
+        self.handlers = {}
+
+    @property
+    def connected(self):
+        return self.server.connected
+
+    def add_handler(self, attempt, handler):
+        self.handlers[attempt] = handler
+
+    def remove_handler(self, attempt, handler):
+        self.handlers.pop(attempt, None)
+
+    def send(self, frame):
+        self.sent.append(frame)
+        for answer in self.answer(self, frame) or ():
+            self.handlers[frame.attempt](answer)
+
+    def count(self, kind):
+        return sum(isinstance(f, kind) for f in self.sent)
+
+
+class FixedSelector:
+    """Selector that returns the first peer that is not excluded."""
+
+    def __init__(self, peers):
+        self.peers = peers
+
+    def choose(self, pool, version='', affinity='', exclude=frozenset()):
+        for peer in self.peers:
+            if peer.name not in exclude:
+                return peer.server
+        return None
+
+
+def make_call(idempotent=True, seconds=5.0):
+    return calls.Call(
+        'req-1',
+        'temple',
+        'POST',
+        '/',
+        {},
+        b'',
+        clock.make_deadline(seconds),
+        idempotent=idempotent,
+    )
+
+
+def make_dispatcher(*peers):
+    return dispatch.Dispatcher(
+        FixedSelector(peers),
+        {p.name: p for p in peers},
+        types.SimpleNamespace(revision=1),
+    )
+
+
+def run_call(dispatcher, call):
+    """Returns the bytes of the answer, or raises the refusal."""
+
+    async def collect():
+        parts = []
+        async for event in dispatcher.run(call, 'lm-pool'):
+            if isinstance(event, messages.Data):
+                parts.append(event.payload)
+        return b''.join(parts)
+
+    return anyio.run(collect)
+
+
+def answer_whole(peer, frame):
+    """Answers a start with two parts of an answer."""
+    if isinstance(frame, messages.Start):
+        yield messages.Admitted(frame.attempt, 'inc-1')
+        yield messages.Head(frame.attempt, 200, {})
+        yield messages.Data(frame.attempt, 0, b'hello ')
+        yield messages.Data(frame.attempt, 6, b'world')
+        yield messages.End(frame.attempt, 11, 2, '', {})
+
+
+def refuse_with(code):
+    def answer(peer, frame):
+        if isinstance(frame, messages.Start):
+            yield messages.Refused(frame.attempt, code, 'test', 0)
+
+    return answer
+
+
+def stay_silent(peer, frame):
+    return ()
+
+
+class TestAnswers:
+    """Guards against answers that are incomplete, doubled or crossed."""
+
+    def test_repeated_and_overlapping_data_counts_once(self):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Head(frame.attempt, 200, {})
+                yield messages.Data(frame.attempt, 0, b'hello ')
+                yield messages.Data(frame.attempt, 0, b'hello ')
+                yield messages.Head(frame.attempt, 200, {})
+                yield messages.Data(frame.attempt, 3, b'lo world')
+                yield messages.End(frame.attempt, 11, 2, '', {})
+
+        peer = ScriptedPeer(answer)
+        assert run_call(make_dispatcher(peer), make_call()) == b'hello world'
+
+    @pytest.mark.parametrize(
+        'fault',
+        [
+            lambda a: messages.Data(a, 9, b'late'),
+            lambda a: messages.End(a, 11, 2, '', {}),
+            lambda a: links.BadFrame(a, 'malformed'),
+            lambda a: messages.End(a, 6, 99, '', {}),
+        ],
+        ids=['gap', 'early end', 'malformed', 'unknown verdict'],
+    )
+    def test_faulty_frame_is_resolved_from_the_last_offset(self, fault):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Head(frame.attempt, 200, {})
+                yield messages.Data(frame.attempt, 0, b'hello ')
+                yield fault(frame.attempt)
+            elif isinstance(frame, messages.Resolve):
+                assert frame.offset == 6
+                yield messages.Resolved(frame.attempt, 'inc-1', 'running', 11)
+                yield messages.Data(frame.attempt, 6, b'world')
+                yield messages.End(frame.attempt, 11, 2, '', {})
+
+        peer = ScriptedPeer(answer)
+        assert run_call(make_dispatcher(peer), make_call()) == b'hello world'
+        assert peer.count(messages.Start) == 1
+
+    def test_end_before_the_received_bytes_is_a_failure(self):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Head(frame.attempt, 200, {})
+                yield messages.Data(frame.attempt, 0, b'hello ')
+                yield messages.End(frame.attempt, 3, 2, '', {})
+
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(make_dispatcher(ScriptedPeer(answer)), make_call())
+        assert caught.value.code == 'server_failed'
+        assert caught.value.verdict is MAY_HAVE_RUN
+
+    def test_faults_without_progress_end_the_attempt(self):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Resolve):
+                yield messages.Resolved(frame.attempt, 'inc-1', 'running', 0)
+            yield links.BadFrame(frame.attempt, 'malformed')
+
+        peer = ScriptedPeer(answer)
+        with pytest.raises(errors.RefusalError):
+            run_call(make_dispatcher(peer), make_call(idempotent=False))
+        assert peer.count(messages.Resolve) <= 20
+
+
+class TestAdmissionTimeout:
+    """Guards against attempts that wait for a lost start for ever."""
+
+    def test_tombstone_allows_another_server(self):
+        def block(peer, frame):
+            if isinstance(frame, messages.Resolve):
+                yield messages.Resolved(frame.attempt, 'inc-1', 'blocked', 0)
+
+        first = ScriptedPeer(block)
+        second = ScriptedPeer(answer_whole, 'lm-2')
+        call = make_call(idempotent=False)
+        assert run_call(make_dispatcher(first, second), call) == b'hello world'
+        assert first.count(messages.Start) == 1
+
+    def test_restarted_agent_means_may_have_run(self):
+        def restart(peer, frame):
+            if isinstance(frame, messages.Resolve):
+                yield messages.Resolved(frame.attempt, 'inc-2', 'unknown', 0)
+
+        first = ScriptedPeer(restart)
+        second = ScriptedPeer(answer_whole, 'lm-2')
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(
+                make_dispatcher(first, second), make_call(idempotent=False)
+            )
+        assert caught.value.verdict is MAY_HAVE_RUN
+        assert second.sent == []
+
+
+class TestRetries:
+    """Guards against retries that the verdict or the budget forbids."""
+
+    def test_final_refusal_carries_the_strictest_verdict(self):
+        first = ScriptedPeer(stay_silent)
+        second = ScriptedPeer(refuse_with('overloaded'), 'lm-2')
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(make_dispatcher(first, second), make_call())
+        assert caught.value.code == 'overloaded'
+        assert caught.value.verdict is MAY_HAVE_RUN
+
+    def test_call_never_sent_has_not_run(self):
+        peer = ScriptedPeer(refuse_with('overloaded'))
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(make_dispatcher(peer), make_call())
+        assert caught.value.verdict is NOT_RUN
+
+    def test_stale_config_is_retried_on_the_same_server(self):
+        def answer(peer, frame):
+            if peer.count(messages.Start) < 3:
+                return refuse_with('stale_config')(peer, frame)
+            return answer_whole(peer, frame)
+
+        peer = ScriptedPeer(answer)
+        dispatcher = make_dispatcher(peer)
+        tokens = dispatcher.budget.tokens
+        assert run_call(dispatcher, make_call()) == b'hello world'
+        assert dispatcher.budget.tokens >= tokens
+
+    def test_overload_adds_at_most_a_tenth(self):
+        peers = [
+            ScriptedPeer(refuse_with('overloaded'), f'lm-{i}')
+            for i in range(4)
+        ]
+        dispatcher = make_dispatcher(*peers)
+        for _ in range(300):
+            with pytest.raises(errors.RefusalError):
+                run_call(dispatcher, make_call())
+        attempts = sum(p.count(messages.Start) for p in peers)
+        assert attempts <= 1.1 * 300
+
+    def test_second_attempt_of_a_call_that_may_have_run_is_a_violation(self):
+        trial = dispatch.Trial(make_call(idempotent=False), 'lm-pool', '')
+        trial.add(types.SimpleNamespace(verdict=MAY_HAVE_RUN))
+        with pytest.raises(errors.InvariantViolation, match='at_most_once'):
+            trial.add(types.SimpleNamespace(verdict=NOT_RUN))
+
+
+class TestHedging:
+    """Guards against hedges that are missing, doubled or unbounded."""
+
+    def make_pair(self):
+        slow = ScriptedPeer(
+            lambda peer, frame: (
+                [messages.Admitted(frame.attempt, 'inc-1')]
+                if isinstance(frame, messages.Start)
+                else []
+            )
+        )
+        fast = ScriptedPeer(answer_whole, 'lm-2')
+        dispatcher = make_dispatcher(slow, fast)
+        for _ in range(budgets.MIN_HEDGE_SAMPLES):
+            dispatcher.first_tokens.record(('lm-pool', '', False), 0.03)
+        return slow, fast, dispatcher
+
+    def test_late_first_token_is_hedged_and_the_loser_cancelled(self):
+        slow, fast, dispatcher = self.make_pair()
+        assert run_call(dispatcher, make_call()) == b'hello world'
+        assert fast.count(messages.Start) == 1
+        assert slow.count(messages.Cancel) == 1
+
+    def test_non_idempotent_call_is_never_hedged(self):
+        slow, fast, dispatcher = self.make_pair()
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(dispatcher, make_call(idempotent=False, seconds=0.3))
+        assert caught.value.verdict is MAY_HAVE_RUN
+        assert fast.sent == []
+        assert slow.count(messages.Cancel) == 0
+
+    def test_hedge_draws_on_the_budget(self):
+        slow, fast, dispatcher = self.make_pair()
+        while dispatcher.budget.take():
+            pass
+        with pytest.raises(errors.RefusalError):
+            run_call(dispatcher, make_call(seconds=0.3))
+        assert fast.sent == []
+
+
+class TestLinkFrames:
+    """Guards against bad frames that harm other streams of a link."""
+
+    def receive(self, *payloads):
+        """Returns what a receiver yields for raw messages."""
+        address = f'tcp://127.0.0.1:{fleet.find_port()}'
+        problems = []
+
+        async def run():
+            receiver = links.Receiver(
+                address, codecs.CODECS.get('msgpack'), problems.append
+            )
+            found = []
+            with pynng.Push0(dial=address) as sender:
+                for payload in payloads:
+                    await sender.asend(payload)
+                with anyio.move_on_after(0.5):
+                    async for batch in receiver.batches():
+                        found.append(batch)
+            receiver.close()
+            return found
+
+        return anyio.run(run), problems
+
+    def encode(self, sequence, frames):
+        codec = codecs.CODECS.get('msgpack')
+        return codec.encode(['lm-1', 1, sequence, frames])
+
+    @pytest.mark.parametrize(
+        'bad',
+        [
+            [8, 'a', -1, b'x'],
+            [8, 'a', 0, 'text'],
+            [8, 'a', 0, b'x' * (messages.MAX_DATA_BYTES + 1)],
+            [8, 'a'],
+            [99, 'a'],
+            [7, 'a', True, {}],
+        ],
+    )
+    def test_bad_frame_leaves_the_rest_of_its_batch(self, bad):
+        good = messages.Data('b', 0, b'fine')
+        found, problems = self.receive(self.encode(1, [bad, good.pack()]))
+        assert len(problems) == 1
+        assert isinstance(found[0][3][0], links.BadFrame)
+        assert found[0][3][0].attempt == 'a'
+        assert found[0][3][1] == good
+
+    @pytest.mark.parametrize(
+        'raw', [b'', b'\xc1', b'\x93\x01', b'\x01', b'\x94\x01\x02\x03\x04']
+    )
+    def test_malformed_message_is_dropped(self, raw):
+        good = messages.Data('b', 0, b'fine')
+        found, problems = self.receive(raw, self.encode(2, [good.pack()]))
+        assert len(problems) == 1
+        assert found == [('lm-1', 1, 2, [good])]
+
+    def test_large_starts_are_not_gathered_into_one_message(self):
+        frame = messages.Data('a', 0, b'x' * (4 * 1024 * 1024)).pack()
+        batches = links.split_batch([frame, frame, frame, [3, 1, {}]])
+        assert [len(b) for b in batches] == [1, 1, 1, 1]
+        small = messages.Data('a', 0, b'x' * 1000).pack()
+        assert len(links.split_batch([small] * 100)) == 1
+
+
+class TestCredit:
+    """Guards against an agent that waits for credit for ever."""
+
+    def test_credit_is_sent_as_the_answer_is_relayed(self):
+        size = messages.MAX_DATA_BYTES
+        count = 4 * attempt_streams.CREDIT_STEP_BYTES // size
+
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Head(frame.attempt, 200, {})
+                for i in range(count):
+                    yield messages.Data(frame.attempt, i * size, b'x' * size)
+                yield messages.End(frame.attempt, count * size, 2, '', {})
+
+        peer = ScriptedPeer(answer)
+        body = run_call(make_dispatcher(peer), make_call())
+        assert len(body) == count * size
+        assert peer.count(messages.Credit) == 4
