Refuse bad requests clearly and never end a broken answer as complete

Cause: NaN, negative and huge deadlines, duplicate headers, lone surrogates and deep JSON reached the agent or ended as a 500; a broken JSON answer was sent in parts; a caller that left kept its engine busy; callers' cookies and API keys reached backend servers; a service path was passed on decoded; SIGTERM closed the listener at once and cut requests after 60 s.

Change: protocol.headers parses and filters headers, protocol.sse filters events, coordination.answers holds answers below 1 MiB until their end and breaks off longer ones without a last chunk, CallersApp.leave refuses new requests until the running ones have ended. Event streams always ask the engine for the usage; the event without choices goes only to callers that asked for it.

Ruled out: sending HTTP/1.0 callers a stream. Without chunks a closed connection is the normal end, so their answers are held to the end.

--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -1,33 +1,34 @@
 """The callers' HTTP API as an ASGI application."""
 
-import json
 import uuid
 
+import anyio
+
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import answers
 from chivejunction.coordination import dispatch
+from chivejunction.coordination import idempotency
 from chivejunction.coordination import routing
 from chivejunction.protocol import chat
-from chivejunction.protocol import messages
-from chivejunction.protocol import refusals
+from chivejunction.protocol import headers as http_headers
+from chivejunction.protocol import verdicts
 from chivejunction.state import calls
 from chivejunction.state import views
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Longest time for a caller to send its body.
+BODY_SECONDS = 20.0
+# A caller that is refused while it sends often reads the refusal only after
+# it has sent everything.
+DRAIN_SECONDS = 2.0
 DEFAULT_DEADLINE_MS = 120_000
-DROPPED_HEADERS = frozenset(
-    {
-        'authorization',
-        'connection',
-        'content-length',
-        'host',
-        'idempotency-key',
-        'keep-alive',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
+# Load balancers notice within this time that the gateway leaves.
+LINGER_SECONDS = 1.0
+CHAT_PATH = '/v1/chat/completions'
+MODELS_PATH = '/v1/models'
+SERVICES_PATH = '/services/'
 
 
 class CallersApp:
@@ -49,36 +50,59 @@
         self._router = router
         self._dispatcher = dispatcher
         self.leaving = False
+        self.running = 0
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one HTTP request."""
         if scope['type'] != 'http':
             return
-        response = Response(send)
+        response = answers.Response(scope, send)
+        self.running += 1
         try:
             await self._route(scope, receive, response)
         except errors.RefusalError as exc:
             await response.refuse(exc)
+        except Exception as exc:
+            # An assertion or a programming error ends this request only.
+            logs.LOG.exception('request failed: %s', exc)
+            await response.refuse(
+                errors.RefusalError(
+                    'internal',
+                    'internal error',
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                )
+            )
+        finally:
+            self.running -= 1
 
-    async def _route(self, scope, receive, response: 'Response') -> None:
-        headers = {
-            k.decode('latin-1'): v.decode('latin-1')
-            for k, v in scope['headers']
-        }
-        organisation = self._authenticate(headers)
-        path, method = scope['path'], scope['method']
-        if path == '/v1/models' and method == 'GET':
-            await response.send_json(200, self._list_models(organisation))
-            return
+    async def leave(self) -> None:
+        """Refuses new requests and waits until all others have ended."""
+        self.leaving = True
+        await anyio.sleep(LINGER_SECONDS)
+        while self.running:
+            await anyio.sleep(0.05)
+
+    async def _route(self, scope, receive, response) -> None:
         if self.leaving:
+            response.add_header('connection', 'close')
             raise errors.RefusalError('leaving', 'the gateway is leaving')
-        body = await read_body(receive)
-        if path == '/v1/chat/completions' and method == 'POST':
-            await self._chat(organisation, headers, body, response)
-        elif path.startswith('/services/'):
-            await self._service(scope, organisation, headers, body, response)
+        headers = http_headers.parse_headers(scope['headers'])
+        organisation = self._authenticate(headers)
+        path, method = scope['path'], scope['method']
+        if path.startswith(SERVICES_PATH):
+            await self._service(
+                scope, receive, organisation, headers, response
+            )
+        elif path == CHAT_PATH:
+            check_method(method, ('POST',), response)
+            body = await read_body(receive, headers, response)
+            await self._chat(receive, organisation, headers, body, response)
+        elif path == MODELS_PATH or path.startswith(f'{MODELS_PATH}/'):
+            check_method(method, ('GET', 'HEAD'), response)
+            name = path[len(MODELS_PATH) + 1 :]
+            await response.send_json(200, self._show(organisation, name))
         else:
-            raise errors.RefusalError('not_found', f'no such path: {path}')
+            raise errors.RefusalError('not_found', 'no such path')
 
     def _authenticate(self, headers: dict[str, str]):
         scheme, _, key = headers.get('authorization', '').partition(' ')
@@ -89,7 +113,8 @@
             raise errors.RefusalError('unauthenticated', 'unknown credential')
         return found
 
-    def _list_models(self, organisation) -> dict:
+    def _show(self, organisation, name: str) -> dict:
+        """Returns one model, or the list of all for an empty name."""
         names = sorted(
             {
                 version.model
@@ -97,92 +122,178 @@
                 if self._view.is_allowed(organisation.name, version.name)
             }
         )
-        return {
-            'object': 'list',
-            'data': [{'id': name, 'object': 'model'} for name in names],
+        models = {
+            known: {
+                'id': known,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'chivejunction',
+            }
+            for known in names
         }
+        if not name:
+            return {'object': 'list', 'data': list(models.values())}
+        if name not in models:
+            raise errors.RefusalError('unknown_model', f'no model {name!r}')
+        return models[name]
 
-    async def _chat(self, organisation, headers, body, response) -> None:
+    async def _chat(
+        self, receive, organisation, headers, body, response
+    ) -> None:
         request = chat.parse_chat(body)
         call = self._make_call(organisation, headers, body)
         call.model = request.model
-        call.stream = request.stream
-        call.method, call.path = 'POST', '/v1/chat/completions'
-        call.idempotent = 'idempotency-key' not in headers
+        call.stream = bool(request.stream)
+        call.method, call.path = 'POST', CHAT_PATH
+        call.idempotent = not call.key
+        # Engines that compress would hide the end marker from the agent.
+        call.headers.pop('accept-encoding', None)
+        call.headers['content-type'] = 'application/json'
+        self._set_hash(call, body)
+        response.drop_usage = not request.wants_usage
+        plan = self._plan(call)
+        await self._run_plan(call, plan, body, receive, response)
+
+    def _plan(self, call: calls.Call) -> routing.Plan:
         plan = self._router.plan(call)
-        version = plan.steps[0]
         logs.log_decision(
             'version',
             request=call.id,
             organisation=call.organisation,
-            choice=version,
+            choice=plan.steps[0],
             excluded=plan.excluded,
             expected_cost=plan.expected_cost,
             revision=self._view.revision,
         )
-        value = json.loads(body)
-        value['model'] = version
-        call.body = json.dumps(value, ensure_ascii=False).encode()
+        return plan
+
+    async def _run_plan(self, call, plan, body, receive, response) -> None:
+        version = plan.steps[0]
+        call.body = chat.write_chat(body, version)
         pool = self._view.versions[version].pool
         response.add_header('x-model-version', version)
-        await response.relay(self._dispatcher.run(call, pool, version))
+        events = self._dispatcher.run(call, pool, version)
+        await relay(call, events, receive, response)
 
     async def _service(
-        self, scope, organisation, headers, body, response
+        self, scope, receive, organisation, headers, response
     ) -> None:
-        name, _, rest = scope['path'][len('/services/') :].partition('/')
+        name, _, rest = scope['path'][len(SERVICES_PATH) :].partition('/')
         service = self._view.services.get(name)
         if service is None or name not in organisation.services:
             raise errors.RefusalError(
                 'service_not_allowed', f'no access to service {name!r}'
             )
+        body = await read_body(receive, headers, response)
         call = self._make_call(organisation, headers, body)
-        query = scope['query_string'].decode('latin-1')
         call.service = name
         call.method = scope['method']
-        call.path = f'/{rest}?{query}' if query else f'/{rest}'
+        call.path = make_service_path(scope, name)
         call.idempotent = (
-            call.method not in service.not_repeatable
-            and 'idempotency-key' not in headers
+            call.method not in service.not_repeatable and not call.key
         )
-        await response.relay(self._dispatcher.run(call, service.pool))
+        self._set_hash(call, body)
+        events = self._dispatcher.run(call, service.pool)
+        await relay(call, events, receive, response)
+
+    @staticmethod
+    def _set_hash(call: calls.Call, body: bytes) -> None:
+        if call.key:
+            call.request_hash = idempotency.hash_request(call, body)
 
     def _make_call(self, organisation, headers, body) -> calls.Call:
-        call_id = uuid.uuid4().hex
-        try:
-            budget = float(headers.get('x-deadline-ms', DEFAULT_DEADLINE_MS))
-            target = float(
-                headers.get('x-quality-target', organisation.quality_target)
-            )
-        except ValueError as exc:
-            raise errors.RefusalError(
-                'invalid_request',
-                'x-deadline-ms and x-quality-target must be numbers',
-            ) from exc
-        passed_on = {
-            k: v for k, v in headers.items() if k not in DROPPED_HEADERS
-        }
+        number, text = http_headers.parse_number, http_headers.parse_text
+        budget = number(
+            headers,
+            'x-deadline-ms',
+            DEFAULT_DEADLINE_MS,
+            http_headers.MAX_DEADLINE_MS,
+        )
         return calls.Call(
-            id=call_id,
+            id=uuid.uuid4().hex,
             organisation=organisation.name,
             method='',
             path='',
-            headers=passed_on,
+            headers=http_headers.select_for_server(headers),
             body=body,
             deadline=clock.make_deadline(budget / 1000),
-            session=headers.get('x-session', ''),
-            request_class=headers.get('x-request-class', ''),
-            quality_target=target,
+            session=text(
+                headers, 'x-session', http_headers.MAX_SESSION_LENGTH
+            ),
+            request_class=text(
+                headers, 'x-request-class', http_headers.MAX_CLASS_LENGTH
+            ),
+            quality_target=number(
+                headers, 'x-quality-target', organisation.quality_target, 1
+            ),
             priority=organisation.priority,
+            key=text(headers, 'idempotency-key', http_headers.MAX_KEY_LENGTH),
         )
 
 
-async def read_body(receive) -> bytes:
+def check_method(method: str, allowed: tuple[str, ...], response) -> None:
+    """Checks the method of a request.
+
+    Raises:
+        RefusalError: The path does not take the method.
+    """
+    if method not in allowed:
+        response.add_header('allow', ', '.join(allowed))
+        raise errors.RefusalError(
+            'method_not_allowed', f'allowed: {", ".join(allowed)}'
+        )
+
+
+def make_service_path(scope, name: str) -> str:
+    """Returns the path for a service as the caller encoded it.
+
+    Raises:
+        RefusalError: The path is not plain ASCII.
+    """
+    raw = scope.get('raw_path') or scope['path'].encode()
+    raw = raw.partition(b'?')[0]
+    query = scope['query_string']
+    try:
+        path = raw.decode('ascii')
+        path = path[len(SERVICES_PATH) :].partition('/')[2]
+        return f'/{path}?{query.decode("ascii")}' if query else f'/{path}'
+    except UnicodeDecodeError as exc:
+        raise errors.RefusalError(
+            'invalid_request', 'path and query must be percent-encoded'
+        ) from exc
+
+
+async def read_body(receive, headers: dict[str, str], response) -> bytes:
     """Returns the body of a request.
 
     Raises:
-        RefusalError: The body is too large or the caller has gone.
+        RefusalError: The body is too large, too slow or the caller has
+            gone.
     """
+    try:
+        with anyio.fail_after(BODY_SECONDS):
+            body = await _read_parts(receive, headers)
+    except TimeoutError as exc:
+        response.add_header('connection', 'close')
+        raise errors.RefusalError(
+            'request_timeout', f'no whole body within {BODY_SECONDS:g} s'
+        ) from exc
+    if body is None:
+        response.add_header('connection', 'close')
+        with anyio.move_on_after(DRAIN_SECONDS):
+            while (await receive()).get('more_body'):
+                pass
+        raise errors.RefusalError(
+            'too_large', f'the limit is {MAX_BODY_BYTES} bytes'
+        )
+    return body
+
+
+async def _read_parts(receive, headers: dict[str, str]) -> bytes | None:
+    """Returns the body, or None when it is too large."""
+    announced = headers.get('content-length', '')
+    if announced.isdecimal() and int(announced) > MAX_BODY_BYTES:
+        return None
     parts = []
     size = 0
     while True:
@@ -192,83 +303,36 @@
         parts.append(message.get('body', b''))
         size += len(parts[-1])
         if size > MAX_BODY_BYTES:
-            raise errors.RefusalError(
-                'too_large', f'the limit is {MAX_BODY_BYTES} bytes'
-            )
+            return None
         if not message.get('more_body'):
             return b''.join(parts)
 
 
-class Response:
-    """Writes one HTTP response.
-
-    Args:
-        send: ASGI send function.
-    """
-
-    def __init__(self, send):
-        self._send = send
-        self._headers: dict[str, str] = {}
-        self.started = False
+async def relay(call: calls.Call, events, receive, response) -> None:
+    """Passes an answer on; a caller that leaves cancels a repeatable call.
 
-    def add_header(self, name: str, value: str) -> None:
-        """Adds a header to the head that will be sent."""
-        self._headers[name] = value
+    Calls that may not be repeated run to their end in any case, and the
+    agent keeps the answer.
 
-    async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Sends the head."""
-        self.started = True
-        merged = {**headers, **self._headers}
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': [
-                    (k.encode('latin-1'), v.encode('latin-1'))
-                    for k, v in merged.items()
-                ],
-            }
-        )
+    Raises:
+        RefusalError: The call failed.
+    """
+    if not call.idempotent:
+        await response.relay(events, call.deadline)
+        return
+    failures: list[Exception] = []
+    async with anyio.create_task_group() as group:
 
-    async def write(self, payload: bytes, more: bool) -> None:
-        """Sends a part of the body."""
-        await self._send(
-            {
-                'type': 'http.response.body',
-                'body': payload,
-                'more_body': more,
-            }
-        )
+        async def watch_caller() -> None:
+            while (await receive())['type'] != 'http.disconnect':
+                pass
+            group.cancel_scope.cancel()
 
-    async def send_json(self, status: int, value) -> None:
-        """Sends a whole JSON response."""
-        body = json.dumps(value, ensure_ascii=False).encode()
-        await self.start(
-            status,
-            {
-                'content-type': 'application/json',
-                'content-length': str(len(body)),
-            },
-        )
-        await self.write(body, False)
-
-    async def refuse(self, refusal: errors.RefusalError) -> None:
-        """Sends a refusal, or breaks an answer that has begun."""
-        if self.started:
-            # The missing last chunk tells the caller that the answer is
-            # incomplete.
-            raise errors.TransportError(f'answer broken off: {refusal}')
-        status, headers, body = refusals.render_refusal(refusal)
-        headers['content-length'] = str(len(body))
-        await self.start(status, headers)
-        await self.write(body, False)
-
-    async def relay(self, events) -> None:
-        """Passes the events of a dispatched call on to the caller."""
-        async for event in events:
-            if isinstance(event, messages.Head):
-                await self.start(event.status, event.headers)
-            elif isinstance(event, messages.Data):
-                await self.write(event.payload, True)
-            else:
-                await self.write(b'', False)
+        group.start_soon(watch_caller)
+        try:
+            await response.relay(events, call.deadline)
+        except Exception as exc:
+            failures.append(exc)
+        group.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -164,7 +164,7 @@
         ) as signals:
             async for _ in signals:
                 logs.LOG.info('leaving')
-                self.callers.leaving = True
+                await self.callers.leave()
                 self.stop.set()
                 return
 
--- a/chivejunction/protocol/chat.py
+++ b/chivejunction/protocol/chat.py
@@ -1,5 +1,6 @@
 """Validated models of the callers' chat completions API."""
 
+import json
 from typing import Annotated
 from typing import Any
 
@@ -15,18 +16,37 @@
 
     model_config = pydantic.ConfigDict(extra='allow')
 
-    role: str
+    role: Annotated[str, pydantic.StringConstraints(min_length=1)]
     content: Any = None
 
 
+class StreamOptions(pydantic.BaseModel):
+    """Options of an event stream; unknown fields are passed on."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    include_usage: pydantic.StrictBool | None = None
+
+
 class ChatRequest(pydantic.BaseModel):
     """Body of a chat completion; unknown fields are passed on."""
 
     model_config = pydantic.ConfigDict(extra='allow')
 
-    model: Annotated[str, pydantic.StringConstraints(max_length=127)]
+    model: Annotated[
+        str, pydantic.StringConstraints(min_length=1, max_length=127)
+    ]
     messages: Annotated[list[ChatMessage], pydantic.Field(min_length=1)]
-    stream: bool = False
+    stream: pydantic.StrictBool | None = False
+    stream_options: StreamOptions | None = None
+
+    @property
+    def wants_usage(self) -> bool:
+        """Whether the caller expects an event with the usage alone."""
+        return bool(
+            self.stream_options is not None
+            and self.stream_options.include_usage
+        )
 
 
 def parse_chat(body: bytes) -> ChatRequest:
@@ -40,6 +60,31 @@
     except pydantic.ValidationError as exc:
         problems = '; '.join(
             f'{".".join(map(str, e["loc"])) or "body"}: {e["msg"]}'
-            for e in exc.errors()
+            for e in exc.errors()[:10]
         )
         raise errors.RefusalError('invalid_request', problems) from exc
+
+
+def _refuse_constant(name: str):
+    raise ValueError(f'{name} is not JSON')
+
+
+def write_chat(body: bytes, version: str) -> bytes:
+    """Returns the body for an engine: the version as model, usage asked for.
+
+    Args:
+        body: Body of the caller, accepted by parse_chat.
+        version: Name of the model version to run.
+
+    Raises:
+        RefusalError: The body cannot be passed on as JSON.
+    """
+    try:
+        value = json.loads(body, parse_constant=_refuse_constant)
+        value['model'] = version
+        if value.get('stream'):
+            options = value.get('stream_options') or {}
+            value['stream_options'] = {**options, 'include_usage': True}
+        return json.dumps(value, ensure_ascii=False).encode()
+    except (ValueError, RecursionError) as exc:
+        raise errors.RefusalError('invalid_request', f'body: {exc}') from exc
--- a/chivejunction/protocol/refusals.py
+++ b/chivejunction/protocol/refusals.py
@@ -5,6 +5,7 @@
 import math
 
 from chivejunction import errors
+from chivejunction.protocol import verdicts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +36,7 @@
     'version_withdrawn': Refusal(410),
     'too_large': Refusal(413),
     'key_reused': Refusal(422),
+    'headers_too_large': Refusal(431),
     'rate_limited': Refusal(429, 1),
     'overloaded': Refusal(503, 1),
     'no_server': Refusal(503, 1),
@@ -47,6 +49,13 @@
     'internal': Refusal(500),
 }
 
+TYPES = {
+    401: 'authentication_error',
+    403: 'permission_error',
+    404: 'not_found_error',
+    429: 'rate_limit_error',
+}
+
 
 def render_refusal(
     error: errors.RefusalError,
@@ -59,12 +68,22 @@
     headers = {'content-type': 'application/json'}
     if retry_after is not None:
         headers['retry-after'] = str(max(1, math.ceil(retry_after)))
+    if error.verdict is not verdicts.Verdict.NOT_RUN:
+        # Clients of the OpenAI kind repeat requests on their own otherwise.
+        headers['x-should-retry'] = 'false'
     body = {
         'error': {
-            'type': 'chivejunction_error',
+            'type': find_type(entry.status),
             'code': error.code,
             'message': error.detail,
+            'param': None,
             'verdict': error.verdict.label,
         }
     }
     return entry.status, headers, json.dumps(body).encode()
+
+
+def find_type(status: int) -> str:
+    """Returns the error type that OpenAI-style clients know a status by."""
+    default = 'server_error' if status >= 500 else 'invalid_request_error'
+    return TYPES.get(status, default)
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -29,7 +29,14 @@
             routing.Route(
                 '/{path:path}',
                 self._run,
-                methods=['GET', 'POST', 'PUT', 'PATCH', 'DELETE'],
+                methods=[
+                    'GET',
+                    'POST',
+                    'PUT',
+                    'PATCH',
+                    'DELETE',
+                    'OPTIONS',
+                ],
             ),
         ]
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,443 @@
+"""Callers' API, served in this process without sockets."""
+
+import json
+import time
+import types
+import urllib.parse
+
+import anyio
+import pytest
+
+from chivejunction.coordination import answers
+from chivejunction.coordination import callers
+from chivejunction.coordination import routing
+from chivejunction.protocol import messages
+from chivejunction.protocol import resources
+from chivejunction.protocol import sse
+from chivejunction.state import views
+from tests import test_attempts
+
+THAI = 'มีเครื่องขยายเสียงไหม een geluidsinstallatie, één stuk'
+KEY = [(b'authorization', b'Bearer temple-key')]
+CHAT = {'model': 'small', 'messages': [{'role': 'user', 'content': THAI}]}
+
+
+def make_view():
+    """Returns a view with a model for temple and one for school."""
+    view = views.ConfigView()
+    view.apply(
+        resources.Document(
+            revision=1,
+            resources={
+                'organisation': {
+                    name: {
+                        'name': name,
+                        'key_hashes': [resources.hash_key(f'{name}-key')],
+                        'models': [model],
+                        'services': services,
+                    }
+                    for name, model, services in (
+                        ('temple', 'small', ['hire-desk']),
+                        ('school', 'large', []),
+                    )
+                },
+                'model': {n: {'name': n} for n in ('small', 'large')},
+                'modelversion': {
+                    f'{n}-1': {
+                        'name': f'{n}-1',
+                        'model': n,
+                        'pool': 'lm-pool',
+                    }
+                    for n in ('small', 'large')
+                },
+                'service': {
+                    'hire-desk': {'name': 'hire-desk', 'pool': 'hire-desk'}
+                },
+                'pool': {'lm-pool': {'name': 'lm-pool'}},
+            },
+        )
+    )
+    return view
+
+
+class Caller:
+    """Makes requests to an application over a scripted agent."""
+
+    def __init__(self, answer=test_attempts.answer_whole):
+        self.view = make_view()
+        self.peer = test_attempts.ScriptedPeer(answer)
+        self.dispatcher = test_attempts.make_dispatcher(self.peer)
+        self.app = callers.CallersApp(
+            self.view, routing.Router(self.view), self.dispatcher
+        )
+
+    def request(
+        self,
+        method,
+        path,
+        body=b'',
+        headers=(),
+        query=b'',
+        key=KEY,
+        leave_after=None,
+        version='1.1',
+        parts=None,
+    ):
+        """Returns status, headers, body and whether the answer ended."""
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        scope = {
+            'type': 'http',
+            'method': method,
+            'path': urllib.parse.unquote(path),
+            'raw_path': path.encode(),
+            'query_string': query,
+            'http_version': version,
+            'headers': [*key, *headers],
+        }
+        pending = [
+            {'type': 'http.request', 'body': part, 'more_body': True}
+            for part in parts or ()
+        ]
+        if parts is None:
+            pending.append({'type': 'http.request', 'body': body})
+        sent = []
+
+        async def receive():
+            if pending:
+                return pending.pop(0)
+            if leave_after is None:
+                await anyio.sleep_forever()
+            await anyio.sleep(leave_after)
+            return {'type': 'http.disconnect'}
+
+        async def send(message):
+            sent.append(message)
+
+        async def run():
+            with anyio.fail_after(20):
+                await self.app(scope, receive, send)
+
+        anyio.run(run)
+        head = sent[0] if sent else {'status': 0, 'headers': []}
+        found = {k.decode(): v.decode() for k, v in head['headers']}
+        content = b''.join(m.get('body', b'') for m in sent[1:])
+        ended = bool(sent) and not sent[-1].get('more_body', True)
+        return types.SimpleNamespace(
+            status=head['status'], headers=found, body=content, ended=ended
+        )
+
+    def refusal(self, *args, **kwargs):
+        """Returns status and error of a refused request."""
+        answer = self.request(*args, **kwargs)
+        error = json.loads(answer.body)['error']
+        assert answer.ended
+        assert set(error) == {'type', 'code', 'message', 'param', 'verdict'}
+        return answer.status, error['code'], error['verdict']
+
+
+@pytest.fixture
+def caller():
+    return Caller()
+
+
+def stream_of(parts, error=''):
+    """Returns an agent that streams parts as events of one answer."""
+
+    def answer(peer, frame):
+        if isinstance(frame, messages.Start):
+            yield messages.Head(
+                frame.attempt, 200, {'content-type': 'text/event-stream'}
+            )
+            offset = 0
+            for part in parts:
+                yield messages.Data(frame.attempt, offset, part)
+                offset += len(part)
+            yield messages.End(frame.attempt, offset, 1, error, {})
+
+    return answer
+
+
+class TestRefusedRequests:
+    """Guards against bad requests that are run or answered unclearly."""
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'',
+            b'{',
+            b'[]',
+            b'\xff\xfe',
+            b'{"model": "small", "messages": [{"role": "\xff"}]}',
+            b'{"model": "small", "messages": []}',
+            b'{"model": "", "messages": [{"role": "user"}]}',
+            b'{"model": 7, "messages": [{"role": "user"}]}',
+            b'{"model": "small", "messages": [{"role": "user"}], "x": NaN}',
+            b'{"model": "small", "messages": [{"role": "\\ud800"}]}',
+            b'{"model": "small", "messages": [{"role": "user"}], "x": '
+            + b'[' * 5000
+            + b']' * 5000
+            + b'}',
+            b'{"model": "small", "messages": [{"role": "user"}], "x": '
+            + b'9' * 5000
+            + b'}',
+            b'{"model": "small", "stream": "yes", '
+            b'"messages": [{"role": "user"}]}',
+        ],
+    )
+    def test_invalid_body(self, caller, body):
+        assert caller.refusal('POST', callers.CHAT_PATH, body) == (
+            400,
+            'invalid_request',
+            'not_run',
+        )
+        assert caller.peer.sent == []
+
+    @pytest.mark.parametrize(
+        'header',
+        [
+            (b'x-deadline-ms', b'-1'),
+            (b'x-deadline-ms', b'nan'),
+            (b'x-deadline-ms', b'inf'),
+            (b'x-deadline-ms', b'1e30'),
+            (b'x-deadline-ms', b'9999999999'),
+            (b'x-deadline-ms', b''),
+            (b'x-deadline-ms', b'1_000'),
+            (b'x-quality-target', b'1.01'),
+            (b'x-quality-target', b'nan'),
+            (b'x-session', b's' * 256),
+            (b'x-session', b''),
+            (b'x-session', b'\xe0\xb8\x81'),
+            (b'idempotency-key', b'k' * 256),
+            (b'x-request-class', b'c' * 64),
+            (b'x-other', b'a\r\nb: c'),
+            (b'x-other', b'a\x00'),
+            (b'bad name', b'a'),
+        ],
+    )
+    def test_invalid_header(self, caller, header):
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT, [header])
+        assert found == (400, 'invalid_request', 'not_run')
+        assert caller.peer.sent == []
+
+    @pytest.mark.parametrize(
+        'name', [b'x-session', b'authorization', b'idempotency-key']
+    )
+    def test_contradicting_headers(self, caller, name):
+        headers = [(name, b'Bearer temple-key'), (name, b'two')]
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT, headers)
+        assert found == (400, 'invalid_request', 'not_run')
+
+    def test_long_headers(self, caller):
+        headers = [(b'x-a', b'a' * 40_000)]
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT, headers)
+        assert found[:2] == (431, 'headers_too_large')
+
+    @pytest.mark.parametrize(
+        ('method', 'path', 'expected'),
+        [
+            ('GET', '/nowhere', (404, 'not_found')),
+            ('GET', callers.CHAT_PATH, (405, 'method_not_allowed')),
+            ('DELETE', callers.MODELS_PATH, (405, 'method_not_allowed')),
+            ('GET', '/v1/models/large', (404, 'unknown_model')),
+            ('POST', '/services/other/x', (403, 'service_not_allowed')),
+        ],
+    )
+    def test_unknown_path_or_method(self, caller, method, path, expected):
+        assert caller.refusal(method, path)[:2] == expected
+
+    @pytest.mark.parametrize('key', [[], [(b'authorization', b'Bearer no')]])
+    def test_unknown_organisation(self, caller, key):
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT, key=key)
+        assert found == (401, 'unauthenticated', 'not_run')
+
+    def test_large_body(self, caller):
+        part = b'x' * (1024 * 1024)
+        found = caller.refusal('POST', callers.CHAT_PATH, parts=[part] * 5)
+        assert found == (413, 'too_large', 'not_run')
+        header = (b'content-length', b'9999999')
+        found = caller.refusal('POST', callers.CHAT_PATH, b'', [header])
+        assert found[:2] == (413, 'too_large')
+
+    def test_slow_body(self, caller, monkeypatch):
+        monkeypatch.setattr(callers, 'BODY_SECONDS', 0.1)
+        found = caller.refusal('POST', callers.CHAT_PATH, parts=[b'{'])
+        assert found == (408, 'request_timeout', 'not_run')
+
+    def test_leaving(self, caller):
+        caller.app.leaving = True
+        answer = caller.request('POST', callers.CHAT_PATH, CHAT)
+        assert answer.status == 503
+        assert json.loads(answer.body)['error']['code'] == 'leaving'
+        assert 'retry-after' in answer.headers
+
+    def test_failed_assertion_ends_one_request_only(self, caller):
+        caller.dispatcher.run = None
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT)
+        assert found[:2] == (500, 'internal')
+        assert caller.app.running == 0
+
+
+class TestHeaders:
+    """Guards against leaked credentials and broken framing."""
+
+    def test_credentials_and_hop_headers_stay_at_the_gateway(self, caller):
+        headers = [
+            (b'cookie', b'a=b'),
+            (b'x-api-key', b'secret'),
+            (b'proxy-authorization', b'secret'),
+            (b'connection', b'close, x-hop'),
+            (b'x-hop', b'1'),
+            (b'te', b'trailers'),
+            (b'x-kept', b'1'),
+        ]
+        caller.request('POST', '/services/hire-desk/a', b'', headers)
+        assert caller.peer.sent[0].headers == {'x-kept': '1'}
+
+    def test_headers_of_a_server_cannot_break_framing(self):
+        def answer(peer, frame):
+            for sent in test_attempts.answer_whole(peer, frame):
+                if isinstance(sent, messages.Head):
+                    sent.headers = {
+                        'Content-Length': '3',
+                        'transfer-encoding': 'chunked',
+                        'connection': 'x-hop',
+                        'x-hop': '1',
+                        'x-bad': 'a\r\nset-cookie: b',
+                        'x-good': '1',
+                    }
+                yield sent
+
+        found = Caller(answer).request('GET', '/services/hire-desk/a')
+        assert found.headers == {'x-good': '1', 'content-length': '11'}
+
+    @pytest.mark.parametrize('method', ['HEAD', 'OPTIONS'])
+    def test_other_methods_of_services(self, caller, method):
+        answer = caller.request(method, '/services/hire-desk/a')
+        assert answer.status == 200
+        assert caller.peer.sent[0].method == method
+        assert caller.peer.sent[0].idempotent
+
+    def test_path_is_passed_on_as_encoded(self, caller):
+        path = '/services/hire-desk/%E0%B8%81%2Fx'
+        caller.request('GET', path, query=b'q=%20')
+        assert caller.peer.sent[0].path == '/%E0%B8%81%2Fx?q=%20'
+
+
+class TestWholeAnswers:
+    """Guards against broken answers that look complete."""
+
+    def test_broken_stream_ends_with_an_error_and_no_last_chunk(self):
+        event = sse.write_event({'choices': [{'delta': {'content': 'a'}}]})
+        found = Caller(stream_of([event], 'server_failed')).request(
+            'POST', callers.CHAT_PATH, {**CHAT, 'stream': True}
+        )
+        assert found.status == 200
+        assert not found.ended
+        assert b'[DONE]' not in found.body
+        last = found.body.strip().split(b'\n\n')[-1]
+        error = json.loads(last.removeprefix(b'data: '))['error']
+        assert error['code'] == 'server_failed'
+        assert error['verdict'] == 'may_have_run'
+
+    @pytest.mark.parametrize('stream', [False, True])
+    def test_nothing_of_a_broken_answer_is_sent_below_the_bound(self, stream):
+        def answer(peer, frame):
+            for sent in stream_of([b'{"a": 1'], 'server_failed')(peer, frame):
+                if isinstance(sent, messages.Head):
+                    sent.headers = {'content-type': 'application/json'}
+                yield sent
+
+        found = Caller(answer).refusal('GET', '/services/hire-desk/a')
+        assert found == (502, 'server_failed', 'may_have_run')
+
+    def test_http_1_0_gets_a_broken_stream_as_a_refusal(self):
+        event = sse.write_event({'choices': [{'delta': {'content': 'a'}}]})
+        found = Caller(stream_of([event], 'server_failed')).request(
+            'POST', callers.CHAT_PATH, {**CHAT, 'stream': True}, version='1.0'
+        )
+        assert found.status == 502
+        assert found.ended
+
+    def test_long_answer_is_passed_on_before_its_end(self):
+        part = b'x' * messages.MAX_DATA_BYTES
+        count = answers.WHOLE_BODY_BYTES // len(part) + 2
+
+        def answer(peer, frame):
+            for sent in stream_of([part] * count, 'failed')(peer, frame):
+                if isinstance(sent, messages.Head):
+                    sent.headers = {}
+                yield sent
+
+        found = Caller(answer).request('GET', '/services/hire-desk/a')
+        assert found.status == 200
+        assert not found.ended
+
+    @pytest.mark.parametrize('size', [1, 2, 3, 7])
+    def test_characters_split_over_chunks(self, size):
+        text = sse.write_event({'choices': [{'delta': {'content': THAI}}]})
+        text += b'data: [DONE]\n\n'
+        parts = [text[i : i + size] for i in range(0, len(text), size)]
+        found = Caller(stream_of(parts)).request(
+            'POST', callers.CHAT_PATH, {**CHAT, 'stream': True}
+        )
+        assert found.ended
+        assert found.body == text
+
+
+class TestDisconnect:
+    """Guards against work for callers that have gone, and lost calls."""
+
+    def run(self, path, method='POST', body=b''):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Admitted(frame.attempt, 'inc-1')
+
+        caller = Caller(answer)
+        headers = [(b'x-deadline-ms', b'800')]
+        start = time.monotonic()
+        caller.request(method, path, body, headers, leave_after=0.1)
+        return caller.peer, time.monotonic() - start
+
+    def test_repeatable_call_is_cancelled(self):
+        peer, seconds = self.run(callers.CHAT_PATH, body=CHAT)
+        assert peer.count(messages.Cancel) == 1
+        assert seconds < 0.6
+
+    def test_call_that_may_not_be_repeated_runs_on(self):
+        peer, seconds = self.run('/services/hire-desk/deposits')
+        assert peer.count(messages.Cancel) == 0
+        assert seconds >= 0.8
+
+
+class TestOpenAiClient:
+    """Guards against answers that an unchanged client cannot read."""
+
+    def test_models(self, caller):
+        listed = json.loads(caller.request('GET', '/v1/models').body)
+        assert [m['id'] for m in listed['data']] == ['small']
+        one = json.loads(caller.request('GET', '/v1/models/small').body)
+        assert one == listed['data'][0]
+        assert {'id', 'object', 'created', 'owned_by'} <= set(one)
+
+    @pytest.mark.parametrize('asked', [False, True])
+    def test_usage_event_only_when_asked_for(self, asked):
+        token = sse.write_event({'choices': [{'delta': {'content': 'a'}}]})
+        usage = sse.write_event({'choices': [], 'usage': {'total_tokens': 1}})
+        done = b'data: [DONE]\n\n'
+        caller = Caller(stream_of([token, usage, done]))
+        body = {**CHAT, 'stream': True}
+        if asked:
+            body['stream_options'] = {'include_usage': True}
+        found = caller.request('POST', callers.CHAT_PATH, body)
+        assert found.body == token + (usage if asked else b'') + done
+        sent = json.loads(caller.peer.sent[0].body)
+        assert sent['stream_options'] == {'include_usage': True}
+
+    def test_client_does_not_repeat_what_may_have_run(self):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.End(frame.attempt, 0, 1, 'server_failed', {})
+
+        found = Caller(answer).request('POST', '/services/hire-desk/a')
+        assert found.headers['x-should-retry'] == 'false'
