Open a new link at once when the TCP connection is lost

Cause: after SIGKILL of an agent the gateway waited out the 2.5 s of silence although the kernel had closed the connection.

Ruled out: the same at the agent. It cannot dial a new epoch, so closing early would only delay the gateway's notice.

--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -154,7 +154,8 @@
         elif isinstance(frame, messages.Welcome):
             self._accept_welcome(frame)
         else:
-            for handler in list(self._handlers.get(frame.attempt, ())):
+            attempt = getattr(frame, 'attempt', '')
+            for handler in list(self._handlers.get(attempt, ())):
                 handler(frame)
 
     def _accept_welcome(self, frame: messages.Welcome) -> None:
@@ -189,7 +190,11 @@
         self._unconfirmed.clear()
         self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
         sender = links.Sender(
-            self.address, self._gateway, self._epoch, self._codec
+            self.address,
+            self._gateway,
+            self._epoch,
+            self._codec,
+            close_on_loss=True,
         )
         self._sender = sender
         sender.send(
--- a/chivejunction/transport/links.py
+++ b/chivejunction/transport/links.py
@@ -5,6 +5,7 @@
 only its own sender.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
@@ -91,10 +92,18 @@
         name: Name of this process, the sender of each batch.
         epoch: Number of the link, raised for each new one.
         codec: Codec of the batches.
+        close_on_loss: Whether the link closes when its TCP connection is
+            lost. NNG would dial again by itself, but what was under way is
+            gone; the side that opens links does better with a new one.
     """
 
     def __init__(
-        self, address: str, name: str, epoch: int, codec: codecs.Codec
+        self,
+        address: str,
+        name: str,
+        epoch: int,
+        codec: codecs.Codec,
+        close_on_loss: bool = False,
     ):
         self.address = address
         self.name = name
@@ -107,8 +116,16 @@
         self._socket = pynng.Push0(
             send_buffer_size=QUEUE_MESSAGES, send_timeout=SEND_TIMEOUT_MS
         )
+        if close_on_loss:
+            self._loop = asyncio.get_running_loop()
+            self._socket.add_post_pipe_remove_cb(self._report_loss)
         self._socket.dial(address, block=False)
 
+    def _report_loss(self, pipe) -> None:
+        """Closes the link from the loop; called in a thread of NNG."""
+        if not (self._closed or self._loop.is_closed()):
+            self._loop.call_soon_threadsafe(self.close)
+
     @property
     def sequence(self) -> int:
         """Number of the last batch sent."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,6 +11,7 @@
 from chivejunction import errors
 from chivejunction.coordination import attempt_streams
 from chivejunction.coordination import dispatch
+from chivejunction.coordination import peers
 from chivejunction.protocol import codecs
 from chivejunction.protocol import messages
 from chivejunction.protocol import verdicts
@@ -57,11 +58,11 @@
 class FixedSelector:
     """Selector that returns the first peer that is not excluded."""
 
-    def __init__(self, peers):
-        self.peers = peers
+    def __init__(self, agents):
+        self.agents = agents
 
     def choose(self, pool, version='', affinity='', exclude=frozenset()):
-        for peer in self.peers:
+        for peer in self.agents:
             if peer.name not in exclude:
                 return peer.server
         return None
@@ -80,10 +81,10 @@
     )
 
 
-def make_dispatcher(*peers):
+def make_dispatcher(*agents):
     return dispatch.Dispatcher(
-        FixedSelector(peers),
-        {p.name: p for p in peers},
+        FixedSelector(agents),
+        {p.name: p for p in agents},
         types.SimpleNamespace(revision=1),
     )
 
@@ -248,15 +249,15 @@
         assert dispatcher.budget.tokens >= tokens
 
     def test_overload_adds_at_most_a_tenth(self):
-        peers = [
+        agents = [
             ScriptedPeer(refuse_with('overloaded'), f'lm-{i}')
             for i in range(4)
         ]
-        dispatcher = make_dispatcher(*peers)
+        dispatcher = make_dispatcher(*agents)
         for _ in range(300):
             with pytest.raises(errors.RefusalError):
                 run_call(dispatcher, make_call())
-        attempts = sum(p.count(messages.Start) for p in peers)
+        attempts = sum(p.count(messages.Start) for p in agents)
         assert attempts <= 1.1 * 300
 
     def test_second_attempt_of_a_call_that_may_have_run_is_a_violation(self):
@@ -370,6 +371,74 @@
         assert len(links.split_batch([small] * 100)) == 1
 
 
+class TestAgentPeer:
+    """Guards against frames of lost or old links that reach a stream."""
+
+    def follow(self, steps):
+        """Returns the frames that an attempt gets from batches.
+
+        ``steps(epoch)`` returns the batches after the welcome.
+        """
+        found = []
+
+        async def run():
+            peer = peers.AgentPeer(
+                gateway='gw-1',
+                incarnation='inc-g',
+                reply_address='tcp://127.0.0.1:1',
+                server=servers.Server('lm-1', 'lm-pool', 'bkk-a'),
+                address=f'tcp://127.0.0.1:{fleet.find_port()}',
+                codec=codecs.CODECS.get('msgpack'),
+                get_revision=lambda: 1,
+                on_welcome=lambda peer, frame: None,
+                on_heartbeat=lambda peer, frame: None,
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(peer.run)
+                await anyio.sleep(0.05)
+                epoch = peer.epoch
+                welcome = messages.Welcome('lm-1', 'inc-1', epoch, {})
+                peer.receive(epoch, 1, [welcome])
+                peer.add_handler('a', found.append)
+                for batch in steps(epoch):
+                    peer.receive(*batch)
+                await anyio.sleep(0.5)
+                self.redialled = peer.epoch > epoch
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        return [f.offset for f in found if f is not None]
+
+    def test_frames_of_the_link_arrive(self):
+        data = [messages.Data('a', 0, b'x')]
+        assert self.follow(lambda e: [(e, 2, data)]) == [0]
+        assert not self.redialled
+
+    def test_other_epoch_is_dropped_and_harms_nothing(self):
+        data = [messages.Data('a', 0, b'x')]
+        late = [messages.Data('a', 7, b'x')]
+        found = self.follow(
+            lambda e: [(e - 1, 2, late), (e + 1, 2, late), (e, 2, data)]
+        )
+        assert found == [0]
+        assert not self.redialled
+
+    @pytest.mark.parametrize('sequence', [1, 3, 0])
+    def test_gap_or_repeat_ends_the_link(self, sequence):
+        data = [messages.Data('a', 0, b'x')]
+        found = self.follow(lambda e: [(e, sequence, data), (e, 2, data)])
+        assert found == []
+        assert self.redialled
+
+    def test_frames_of_unknown_attempts_are_dropped(self):
+        frames = [
+            messages.Data('b', 0, b'x'),
+            messages.Saved(*[1] * len(messages.Saved.field_names)),
+            messages.Data('a', 0, b'x'),
+        ]
+        assert self.follow(lambda e: [(e, 2, frames)]) == [0]
+
+
 class TestCredit:
     """Guards against an agent that waits for credit for ever."""
 
