Test idempotency keys, stops and engine failures from outside

Guards at_most_once at the service's own count: repeats after the end, at the same time, with another body, of two organisations, with the store down, with lost store answers, and after a restart of the agent.

A record is taken over only while the agent would still know the attempt. Later a tombstone proves nothing, and the repeat gets a plain verdict.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,14 +1,18 @@
 """Faults of links and processes, counted at the fakes."""
 
+import json
 import signal
 import threading
 import time
 
+import httpcore
 import pytest
 
 from bench import faults
 from bench import fleet
 
+QUESTION = {'role': 'user', 'content': 'มีเครื่องขยายเสียงไหม'}
+
 
 @pytest.fixture
 def make_parts(tmp_path):
@@ -47,12 +51,14 @@
         reader = faults.StreamReader(parts.url)
         name = parts.find_server(before)
         time.sleep(0.3)
+        fault_time = time.monotonic()
         if side != 'gateway':
             parts.set_faults(name, silence='both')
         if side != 'agent':
             parts.set_faults('gw-1', silence='both')
         reader.join()
         assert reader.whole
+        assert reader.longest_gap(fault_time) < 4.5
         assert reader.content.count(b'"content"') == 100
         assert sum(parts.count_runs().values()) == 1
 
@@ -163,3 +169,157 @@
             assert deposit.body['error']['verdict'] != 'not_run' or (
                 parts.count_key('deposit-1') == 0
             )
+
+
+class TestEngineFailure:
+    """Guards against broken answers that a real client takes for whole."""
+
+    def test_stream_is_visibly_broken(self, make_parts):
+        parts = make_parts(engines=1, tokens=300, between_tokens=0.02)
+        reader = faults.StreamReader(parts.url)
+        time.sleep(0.8)
+        parts.fleet.signal('lm-1-server', signal.SIGKILL)
+        reader.join()
+        assert isinstance(reader.error, httpcore.RemoteProtocolError)
+        assert b'[DONE]' not in reader.content
+        assert b'"code": "server_failed"' in reader.content
+
+    def test_caller_that_leaves_frees_the_engine(self, make_parts):
+        parts = make_parts(engines=1, tokens=500, between_tokens=0.02)
+        body = json.dumps(
+            {'model': 'small', 'stream': True, 'messages': [QUESTION]}
+        ).encode()
+        with httpcore.stream(
+            'POST',
+            f'{parts.url}/v1/chat/completions',
+            headers={**faults.KEY, 'content-type': 'application/json'},
+            content=body,
+        ) as answer:
+            next(answer.iter_stream())
+            assert parts.fleet.read_health('lm-1')['running'] == 1
+        parts.fleet.wait_until(
+            lambda: parts.fleet.read_health('lm-1')['running'] == 0,
+            'the attempt is cancelled',
+            seconds=3,
+        )
+
+
+class TestGracefulStop:
+    """Guards against requests that a stopping gateway cuts."""
+
+    def test_streams_end_and_new_requests_are_refused(self, make_parts):
+        parts = make_parts(tokens=150, between_tokens=0.02)
+        readers = [faults.StreamReader(parts.url) for _ in range(8)]
+        time.sleep(0.5)
+        parts.fleet.signal('gw-1', signal.SIGTERM)
+        time.sleep(0.3)
+        status, body = fleet.call_json(
+            'POST',
+            f'{parts.url}/v1/chat/completions',
+            {'model': 'small', 'messages': [QUESTION]},
+            faults.KEY,
+        )
+        assert status == 503
+        assert body['error']['code'] == 'leaving'
+        assert body['error']['verdict'] == 'not_run'
+        for reader in readers:
+            reader.join()
+            assert reader.whole
+        assert parts.fleet.members['gw-1'].process.wait(5) == 0
+        assert sum(parts.count_runs().values()) == 8
+
+
+class TestIdempotencyKeys:
+    """Guards against a second run under one key, counted at the service."""
+
+    def test_repeat_gets_the_answer_of_the_first_run(self, make_parts):
+        parts = make_parts(engines=0, services=2)
+        calls = [Deposit(parts, 'd-1', {'idempotency-key': 'k'})]
+        calls[0].join()
+        for _ in range(3):
+            calls.append(Deposit(parts, 'd-1', {'idempotency-key': 'k'}))
+            calls[-1].join()
+        assert [c.status for c in calls] == [200] * 4
+        assert [c.body for c in calls] == [calls[0].body] * 4
+        assert parts.count_key('d-1') == 1
+
+    def test_repeats_at_the_same_time_share_one_run(self, make_parts):
+        parts = make_parts(engines=0, services=2, delay=0.5)
+        calls = [
+            Deposit(parts, 'd-1', {'idempotency-key': 'a/b'}) for _ in range(6)
+        ]
+        for call in calls:
+            call.join()
+        assert [c.status for c in calls] == [200] * 6
+        assert parts.count_key('d-1') == 1
+
+    def test_key_with_another_request_is_refused(self, make_parts):
+        parts = make_parts(engines=0, services=1)
+        Deposit(parts, 'd-1', {'idempotency-key': 'k'}).join()
+        status, body = fleet.call_json(
+            'POST',
+            f'{parts.url}/services/hire-desk/deposits',
+            {'amount': 501},
+            {**faults.KEY, 'idempotency-key': 'k', 'x-business-key': 'd-1'},
+        )
+        assert (status, body['error']['code']) == (422, 'key_reused')
+        assert parts.count_key('d-1') == 1
+
+    def test_keys_of_organisations_are_apart(self, make_parts):
+        parts = make_parts(engines=0, services=1)
+        for name in ('temple', 'school'):
+            call = Deposit(
+                parts,
+                'd-1',
+                {
+                    'idempotency-key': 'k',
+                    'authorization': f'Bearer {name}-key',
+                },
+            )
+            call.join()
+            assert call.status == 200
+        assert parts.count_key('d-1') == 2
+
+    def test_store_down_refuses_keyed_calls_only(self, make_parts):
+        parts = make_parts(engines=0, services=1)
+        store = parts.fleet.members['store'].url()
+        fleet.call_json('POST', f'{store}/faults', {'down': True})
+        keyed = Deposit(parts, 'd-1', {'idempotency-key': 'k'})
+        plain = Deposit(parts, 'd-2')
+        keyed.join()
+        plain.join()
+        assert keyed.status == 503
+        assert keyed.body['error']['code'] == 'store_unavailable'
+        assert keyed.body['error']['verdict'] == 'not_run'
+        assert plain.status == 200
+        assert parts.count_key('d-1') == 0
+        fleet.call_json('POST', f'{store}/faults', {'down': False})
+        again = Deposit(parts, 'd-1', {'idempotency-key': 'k'})
+        again.join()
+        assert again.status == 200
+        assert parts.count_key('d-1') == 1
+
+    def test_lost_store_answer_is_decided_by_a_read(self, make_parts):
+        parts = make_parts(engines=0, services=1)
+        Deposit(parts, 'd-0', {'idempotency-key': 'k0'}).join()
+        store = parts.fleet.members['store'].url()
+        fleet.call_json('POST', f'{store}/faults', {'lose_answers': 1.0})
+        for _ in range(2):
+            call = Deposit(parts, 'd-1', {'idempotency-key': 'k1'})
+            call.join()
+            assert call.status == 200
+        assert parts.count_key('d-1') == 1
+
+    def test_repeat_after_the_agent_restarted_is_not_run(self, make_parts):
+        parts = make_parts(engines=0, services=2)
+        Deposit(parts, 'd-1', {'idempotency-key': 'k'}).join()
+        name = next(n for n in parts.services if parts.read_runs(n))
+        parts.fleet.signal(name, signal.SIGKILL)
+        parts.fleet.members[name].process.wait()
+        parts.fleet.restart(name)
+        parts.wait_until_ready()
+        again = Deposit(parts, 'd-1', {'idempotency-key': 'k'})
+        again.join()
+        assert again.status == 409
+        assert again.body['error']['verdict'] == 'may_have_run'
+        assert parts.count_key('d-1') == 1
