Retry answers in one piece that break in their middle

Cause: the first bytes of any answer bound the call to one attempt, also when none had been passed on to the caller; a link that was silent towards the agent only was noticed after the silence limits of both sides, one after the other.

Change: an idempotent answer that is not a stream is read to its end, up to 1 MiB, before the attempt counts as chosen.

--- a/chivejunction/coordination/answers.py
+++ b/chivejunction/coordination/answers.py
@@ -8,14 +8,12 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import attempt_streams
 from chivejunction.protocol import headers as http_headers
 from chivejunction.protocol import messages
 from chivejunction.protocol import refusals
 from chivejunction.protocol import sse
 
-# Up to here nothing is sent before the whole body is known, so that a
-# failure in its middle still becomes a refusal.
-WHOLE_BODY_BYTES = 1024 * 1024
 # A caller that reads slowly may finish this long after its deadline.
 READ_MARGIN_SECONDS = 5.0
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -147,4 +145,8 @@
     def _must_pass_on(self, size: int) -> bool:
         if not (self._can_break and size):
             return False
-        return self._is_stream or self.started or size > WHOLE_BODY_BYTES
+        return (
+            self._is_stream
+            or self.started
+            or size > attempt_streams.WHOLE_BODY_BYTES
+        )
--- a/chivejunction/coordination/attempt_streams.py
+++ b/chivejunction/coordination/attempt_streams.py
@@ -22,6 +22,9 @@
 RESOLVE_REPLY_SECONDS = 1.5
 # Covers the silence limit of a link, a new dial and one more failed dial.
 PATIENCE_SECONDS = 6.0
+# Up to here nothing of an answer in one piece is passed on before its end,
+# so that a failure in its middle is retried or becomes a refusal.
+WHOLE_BODY_BYTES = 1024 * 1024
 # Resolves without a new byte after which an attempt counts as failed.
 MAX_IDLE_RESOLVES = 12
 
@@ -142,14 +145,19 @@
     def _link_lost(self) -> bool:
         return not self.peer.connected or self.peer.epoch != self._epoch
 
-    async def read_first(self, deadline: float) -> list[Event]:
+    async def read_first(self, deadline: float, held: int = 0) -> list[Event]:
         """Returns the events up to the first bytes of the answer.
 
+        Args:
+            deadline: Monotonic deadline of the call in seconds.
+            held: Bytes to wait for in place of the first ones; a shorter
+                answer is read to its end.
+
         Raises:
-            RefusalError: The attempt failed before its first bytes.
+            RefusalError: The attempt failed before that.
         """
         events = [await self.next_event(deadline)]
-        while isinstance(events[-1], messages.Head):
+        while not self.ended and self.offset <= held:
             events.append(await self.next_event(deadline))
         return events
 
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -269,11 +269,15 @@
 
     async def _follow(self, trial: Trial, server: servers.Server):
         """Runs an attempt on a server, again while its view is stale."""
-        until = min(trial.call.deadline, clock.make_deadline(STALE_SECONDS))
+        call = trial.call
+        until = min(call.deadline, clock.make_deadline(STALE_SECONDS))
+        held = 0
+        if call.idempotent and not call.stream:
+            held = attempt_streams.WHOLE_BODY_BYTES
         while True:
             try:
                 stream = await self._send(trial, server)
-                return stream, await stream.read_first(trial.call.deadline)
+                return stream, await stream.read_first(call.deadline, held)
             except errors.RefusalError as exc:
                 if exc.code != 'stale_config' or clock.has_passed(until):
                     raise
--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -228,8 +228,8 @@
         self._unconfirmed.append(
             (
                 sender.sequence + 1,
-                # The agent confirms with its next heartbeat.
-                clock.make_deadline(SILENCE_SECONDS + HEARTBEAT_SECONDS),
+                # Two heartbeats of the agent confirm it before.
+                clock.make_deadline(SILENCE_SECONDS),
             )
         )
         sender.send(messages.Heartbeat(self._get_revision(), {}))
--- a/chivejunction/transport/links.py
+++ b/chivejunction/transport/links.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import functools
 from typing import ClassVar
 
 import anyio
@@ -39,6 +40,12 @@
     reason: str
 
 
+@functools.cache
+def list_fields(kind: type[messages.Frame]) -> list[tuple[str, type]]:
+    """Returns name and type of each field of a kind of frame."""
+    return [(field.name, field.type) for field in dataclasses.fields(kind)]
+
+
 def check_frame(frame: messages.Frame) -> None:
     """Checks the types and ranges of the fields of a received frame.
 
@@ -46,16 +53,15 @@
         ProtocolError: A field has a wrong type, a number is negative or
             the payload is too large.
     """
-    for field in dataclasses.fields(frame):
-        value = getattr(frame, field.name)
-        if type(value) is not field.type:
+    for name, kind in list_fields(type(frame)):
+        value = getattr(frame, name)
+        if type(value) is not kind:
             raise errors.ProtocolError(
-                f'{type(frame).__name__}.{field.name} is a '
-                f'{type(value).__name__}'
+                f'{type(frame).__name__}.{name} is a {type(value).__name__}'
             )
-        if field.type is int and value < 0:
+        if kind is int and value < 0:
             raise errors.ProtocolError(
-                f'{type(frame).__name__}.{field.name} is {value}'
+                f'{type(frame).__name__}.{name} is {value}'
             )
     size = len(frame.payload) if isinstance(frame, messages.Data) else 0
     if size > messages.MAX_DATA_BYTES:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -230,6 +230,29 @@
         assert caught.value.code == 'overloaded'
         assert caught.value.verdict is MAY_HAVE_RUN
 
+    @pytest.mark.parametrize('stream', [False, True])
+    def test_failure_in_the_middle_is_retried_if_nothing_was_passed_on(
+        self, stream
+    ):
+        def answer(peer, frame):
+            if isinstance(frame, messages.Start):
+                yield messages.Head(frame.attempt, 200, {})
+                yield messages.Data(frame.attempt, 0, b'hel')
+                yield messages.End(frame.attempt, 3, 1, 'server_failed', {})
+
+        first = ScriptedPeer(answer)
+        second = ScriptedPeer(answer_whole, 'lm-2')
+        dispatcher = make_dispatcher(first, second)
+        call = make_call()
+        call.stream = stream
+        if not stream:
+            assert run_call(dispatcher, call) == b'hello world'
+            return
+        with pytest.raises(errors.RefusalError) as caught:
+            run_call(dispatcher, call)
+        assert caught.value.verdict is MAY_HAVE_RUN
+        assert second.sent == []
+
     def test_call_never_sent_has_not_run(self):
         peer = ScriptedPeer(refuse_with('overloaded'))
         with pytest.raises(errors.RefusalError) as caught:
@@ -377,7 +400,8 @@
     def follow(self, steps):
         """Returns the frames that an attempt gets from batches.
 
-        ``steps(epoch)`` returns the batches after the welcome.
+        ``steps(epoch)`` returns the batches after the welcome; a number
+        is a pause in seconds.
         """
         found = []
 
@@ -401,6 +425,9 @@
                 peer.receive(epoch, 1, [welcome])
                 peer.add_handler('a', found.append)
                 for batch in steps(epoch):
+                    if isinstance(batch, float):
+                        await anyio.sleep(batch)
+                        continue
                     peer.receive(*batch)
                 await anyio.sleep(0.5)
                 self.redialled = peer.epoch > epoch
@@ -430,6 +457,17 @@
         assert found == []
         assert self.redialled
 
+    @pytest.mark.parametrize('confirms', [False, True])
+    def test_link_that_is_silent_towards_the_agent_ends(self, confirms):
+        def steps(epoch):
+            for number in range(2, 10):
+                load = {'k': number if confirms else 0}
+                yield (epoch, number, [messages.Heartbeat(1, load)])
+                yield 0.5
+
+        self.follow(steps)
+        assert self.redialled != confirms
+
     def test_frames_of_unknown_attempts_are_dropped(self):
         frames = [
             messages.Data('b', 0, b'x'),
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from chivejunction.coordination import answers
+from chivejunction.coordination import attempt_streams
 from chivejunction.coordination import callers
 from chivejunction.coordination import routing
 from chivejunction.protocol import messages
@@ -361,7 +361,7 @@
 
     def test_long_answer_is_passed_on_before_its_end(self):
         part = b'x' * messages.MAX_DATA_BYTES
-        count = answers.WHOLE_BODY_BYTES // len(part) + 2
+        count = attempt_streams.WHOLE_BODY_BYTES // len(part) + 2
 
         def answer(peer, frame):
             for sent in stream_of([part] * count, 'failed')(peer, frame):
