Let two gateways follow one attempt

Cause: the agent kept one pump for each attempt, so the Resolve of a repeated call at a second gateway stopped the answer to the first; the first caller got it only after the stall limit (10.0 s for a call that takes 2 s, seen in the new test before the change).

Ruled out: a shorter stall limit. Two gateways would then take the pump from each other in turns.

--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -59,7 +59,9 @@
         self._gate = gate
         self._client = client
         self._is_engine = is_engine
-        self._pumps: dict[str, Pump] = {}
+        # By gateway and attempt: a repeated call may follow an attempt at
+        # another gateway than the first one.
+        self._pumps: dict[tuple[str, str], Pump] = {}
 
     def handle(
         self,
@@ -73,11 +75,11 @@
         elif isinstance(frame, messages.Resolve):
             self._resolve(group, peer, frame)
         elif isinstance(frame, messages.Credit):
-            pump = self._pumps.get(frame.attempt)
+            pump = self._pumps.get((peer.gateway, frame.attempt))
             if pump is not None:
                 pump.add_credit(frame.offset)
         elif isinstance(frame, messages.Cancel):
-            self._cancel(frame.attempt)
+            self._cancel(peer, frame.attempt)
 
     def _start(self, group, peer, start: messages.Start) -> None:
         if self._table.get(start.attempt) is not None:
@@ -114,19 +116,19 @@
         )
 
     def _pump(self, group, peer, attempt, offset: int) -> None:
-        old = self._pumps.get(attempt.id)
+        old = self._pumps.get((peer.gateway, attempt.id))
         if old is not None:
             old.stop()
         pump = Pump(peer, attempt, offset)
-        self._pumps[attempt.id] = pump
+        self._pumps[pump.key] = pump
         group.start_soon(self._run_pump, pump)
 
     async def _run_pump(self, pump: 'Pump') -> None:
         try:
             await pump.run()
         finally:
-            if self._pumps.get(pump.attempt.id) is pump:
-                del self._pumps[pump.attempt.id]
+            if self._pumps.get(pump.key) is pump:
+                del self._pumps[pump.key]
 
     def _resolve(self, group, peer, frame: messages.Resolve) -> None:
         attempt = self._table.get(frame.attempt)
@@ -142,11 +144,11 @@
         ):
             self._pump(group, peer, attempt, frame.offset)
 
-    def _cancel(self, attempt_id: str) -> None:
+    def _cancel(self, peer: peers.GatewayPeer, attempt_id: str) -> None:
         attempt = self._table.get(attempt_id)
         if attempt is None:
             return
-        pump = self._pumps.get(attempt_id)
+        pump = self._pumps.get((peer.gateway, attempt_id))
         if pump is not None:
             pump.stop()
         if attempt.cancel_scope is not None:
@@ -286,6 +288,7 @@
         offset: int,
     ):
         self.attempt = attempt
+        self.key = (peer.gateway, attempt.id)
         self._peer = peer
         self._offset = offset
         self._credit = offset + CREDIT_BYTES
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -24,9 +25,9 @@
 class Deposit(threading.Thread):
     """A service call that may not be repeated, made in the background."""
 
-    def __init__(self, parts, key, headers=None):
+    def __init__(self, parts, key, headers=None, gateway='gw-1'):
         super().__init__()
-        self.parts = parts
+        self.url = parts.fleet.members[gateway].url()
         self.headers = {**faults.KEY, 'x-business-key': key, **(headers or {})}
         self.status, self.body = 0, {}
         self.start()
@@ -34,7 +35,7 @@
     def run(self):
         self.status, self.body = fleet.call_json(
             'POST',
-            f'{self.parts.url}/services/hire-desk/deposits',
+            f'{self.url}/services/hire-desk/deposits',
             {'amount': 500},
             self.headers,
             seconds=30,
@@ -323,3 +324,69 @@
         assert again.status == 409
         assert again.body['error']['verdict'] == 'may_have_run'
         assert parts.count_key('d-1') == 1
+
+    def test_repeat_at_another_gateway_leaves_the_first_call_whole(
+        self, make_parts
+    ):
+        parts = make_parts(engines=0, services=1, delay=2.0)
+        parts.fleet.start_gateway('gw-2', 'bkk-a', 'bkk')
+        parts.fleet.wait_until(
+            lambda: parts.fleet.read_health('gw-2').get('servers') == 1,
+            'the second gateway has a link',
+        )
+        start = time.monotonic()
+        first = Deposit(parts, 'd-1', {'idempotency-key': 'k'})
+        time.sleep(0.5)
+        repeat = Deposit(parts, 'd-1', {'idempotency-key': 'k'}, 'gw-2')
+        first.join()
+        repeat.join()
+        assert (first.status, repeat.status) == (200, 200)
+        assert first.body == repeat.body
+        assert time.monotonic() - start < 5
+        assert parts.count_key('d-1') == 1
+
+
+class TestHostileCallers:
+    """Guards against bad connections that harm other requests."""
+
+    HEAD = (
+        b'POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n'
+        b'authorization: Bearer temple-key\r\n'
+    )
+
+    def exchange(self, parts, payload):
+        """Returns what the gateway answers to raw bytes."""
+        port = parts.fleet.members['gw-1'].ports['listen']
+        with socket.create_connection(('127.0.0.1', port), 5) as sock:
+            sock.settimeout(3)
+            answer = b''
+            try:
+                sock.sendall(payload)
+                while chunk := sock.recv(65536):
+                    answer += chunk
+            except OSError:
+                pass
+            return answer
+
+    def test_other_streams_stay_whole(self, make_parts):
+        parts = make_parts(tokens=500, between_tokens=0.02)
+        readers = [faults.StreamReader(parts.url) for _ in range(4)]
+        time.sleep(0.5)
+        bad = [
+            b'\x00\xff garbage\r\n\r\n',
+            self.HEAD + b'content-length: 5\r\ncontent-length: 6\r\n\r\n{}',
+            self.HEAD + b'content-length: -1\r\n\r\n',
+            self.HEAD + b'transfer-encoding: chunked\r\n\r\nzz\r\n{}\r\n',
+            self.HEAD + b'x-a: ' + b'a' * 200_000 + b'\r\n\r\n',
+        ]
+        for payload in bad:
+            answer = self.exchange(parts, payload)
+            assert not answer or answer.split()[1].startswith(b'4')
+        large = self.HEAD + b'content-length: 6000000\r\n\r\n'
+        answer = self.exchange(parts, large + b'x' * 6_000_000)
+        assert b' 413 ' in answer.split(b'\r\n')[0]
+        assert b'"code": "too_large"' in answer
+        for reader in readers:
+            reader.join()
+            assert reader.whole
+        assert sum(parts.count_runs().values()) == 4
