Keep the receiver alive when a map inside a frame is malformed

Cause: a wrong type in the load of a heartbeat or the info of a welcome raised out of the receive loop, which serves the links of all agents. An InvariantViolation of a hedge was lost when the other attempt won.

--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -244,6 +244,9 @@
                 hedge = self._choose_hedge(trial)
                 if hedge is not None:
                     await follow(hedge, group.cancel_scope)
+        for failure in failures:
+            if isinstance(failure, errors.InvariantViolation):
+                raise failure
         if not winners:
             raise failures[-1]
         self._settle(trial, winners[0][0])
--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -141,7 +141,14 @@
         self._sequence = sequence
         self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
         for frame in frames:
-            self._handle(frame)
+            try:
+                self._handle(frame)
+            except (AttributeError, KeyError, TypeError, ValueError) as exc:
+                # The maps inside frames have no fixed form; a bad one must
+                # not end the receiver of all links.
+                logs.LOG.warning(
+                    'bad %s from %s: %r', type(frame).__name__, self.name, exc
+                )
 
     def _handle(self, frame: messages.Frame) -> None:
         if isinstance(frame, messages.Heartbeat):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -457,6 +457,19 @@
         assert found == []
         assert self.redialled
 
+    @pytest.mark.parametrize(
+        'frame',
+        [
+            messages.Heartbeat(1, {'k': 'x'}),
+            messages.Heartbeat(1, {'t': 'x'}),
+            messages.Heartbeat(1, {'v': 1}),
+            messages.Welcome('lm-1', 'inc-1', 1, {'versions': 7}),
+        ],
+    )
+    def test_bad_map_in_a_frame_harms_no_stream(self, frame):
+        batch = [frame, messages.Data('a', 0, b'x')]
+        assert self.follow(lambda e: [(e, 2, batch)]) == [0]
+
     @pytest.mark.parametrize('confirms', [False, True])
     def test_link_that_is_silent_towards_the_agent_ends(self, confirms):
         def steps(epoch):
