--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,28 @@
+"""Counters and histograms."""
+
+from chivejunction import errors
+from chivejunction import metrics
+
+
+class TestMetrics:
+    """Guards against violations and latencies that nobody can see."""
+
+    def test_violation_is_counted_by_name(self):
+        violation = errors.InvariantViolation('at_most_once', 'test')
+        before = metrics.REGISTRY.get_sample_value(
+            'invariant_violations_total', {'name': 'at_most_once'}
+        )
+        metrics.count_violation(violation)
+        after = metrics.REGISTRY.get_sample_value(
+            'invariant_violations_total', {'name': 'at_most_once'}
+        )
+        assert after == (before or 0) + 1
+
+    def test_quantiles_are_exposed(self):
+        latency = metrics.Latency('test_seconds', 'Test.', 'kind')
+        for millis in range(1, 101):
+            latency.record('a', millis / 1000)
+        assert abs(latency.quantile('a', 0.95) - 0.095) < 0.002
+        text = metrics.render_metrics()[0].decode()
+        assert 'test_seconds_count{kind="a"} 100' in text
+        assert 'test_seconds{kind="a",quantile="0.95"}' in text
