--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,71 @@
+"""Slow-start window."""
+
+from chivejunction import clock
+from chivejunction.state import windows
+
+COLD, WARM = 2, 16
+
+
+def make_window():
+    return windows.SlowStartWindow(1.0, lambda: (COLD, WARM))
+
+
+def warm_up(window):
+    for _ in range(40):
+        started = clock.now()
+        window.record_first_token(started, 0.1)
+        window.record_end(started, 0.1, True)
+
+
+class TestSlowStartWindow:
+    """Guards against load on a cold server and against a stuck window."""
+
+    def test_grows_from_cold_to_warm_on_good_answers(self):
+        window = make_window()
+        assert window.size == COLD
+        warm_up(window)
+        assert window.size == WARM
+
+    def test_does_not_grow_while_it_is_not_full(self):
+        window = make_window()
+        for _ in range(40):
+            window.record_end(clock.now(), 0.1, False)
+        assert window.size == COLD
+
+    def test_shrinks_once_for_attempts_that_ran_together(self):
+        window = make_window()
+        warm_up(window)
+        started = clock.now()
+        for _ in range(10):
+            window.record_first_token(started, 1.2)
+        assert window.size == int(WARM * windows.SHRINK_SHARE)
+        window.record_end(started, 0.1, True)
+        assert window.size == int(WARM * windows.SHRINK_SHARE)
+
+    def test_never_shrinks_below_one(self):
+        window = make_window()
+        for _ in range(20):
+            window.record_first_token(clock.now(), 1.2)
+        assert window.size == 1
+
+    def test_jump_of_first_token_time_resets(self):
+        window = make_window()
+        warm_up(window)
+        for _ in range(windows.JUMP_COUNT):
+            window.record_first_token(clock.now(), 30.0)
+        assert window.size == COLD
+        assert window.resets == 1
+
+    def test_one_slow_answer_is_no_jump(self):
+        window = make_window()
+        warm_up(window)
+        for _ in range(2 * windows.JUMP_COUNT):
+            window.record_first_token(clock.now(), 30.0)
+            window.record_first_token(clock.now(), 0.1)
+        assert window.resets == 0
+
+    def test_reset_returns_to_cold(self):
+        window = make_window()
+        warm_up(window)
+        window.reset('test')
+        assert window.size == COLD
