Test load reports, heartbeats and the bounds of a drain

Cause: the process tests passed without the reset on refused connections (the new incarnation resets the window too) and without versions in heartbeats (the welcome carried them), so neither guarded its rule.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import json
+import pathlib
 import random
 import re
 import urllib.request
@@ -212,8 +213,18 @@
     }
 
 
-async def measure_overload(rng: random.Random, seconds: float) -> dict:
-    """Returns goodput at 0.5, 1 and 2 times the capacity."""
+def read_peak_memory(started: fleet.Fleet, name: str) -> float:
+    """Returns the highest resident memory of a member in MB."""
+    status = pathlib.Path(
+        f'/proc/{started.members[name].process.pid}/status'
+    ).read_text()
+    return int(re.search(r'VmHWM:\s+(\d+) kB', status)[1]) / 1000
+
+
+async def measure_overload(
+    rng: random.Random, seconds: float
+) -> tuple[dict, float]:
+    """Returns goodput by load and the agents' peak memory in MB."""
     phases = {}
     with fleet.Fleet(log_level='warning') as started:
         start_fleet(
@@ -242,7 +253,10 @@
                 (more_runs - runs) / max(1, sum(o.good for o in outcomes)), 3
             )
             phases[f'{factor}x'] = phase
-    return phases
+        memory = max(
+            read_peak_memory(started, name) for name in list_agents(started)
+        )
+    return phases, memory
 
 
 async def measure_cold_start(rng: random.Random, slow_start: bool) -> dict:
@@ -277,7 +291,7 @@
 async def measure(seed: int, seconds: float) -> dict:
     """Returns all figures of one run."""
     rng = random.Random(seed)
-    phases = await measure_overload(rng, seconds)
+    phases, memory = await measure_overload(rng, seconds)
     peak = max(p['goodput_per_s'] for p in phases.values())
     double = phases['2.0x']
     good = double['good_by_organisation']
@@ -286,6 +300,7 @@
         'seed': seed,
         'capacity_per_s': round(CAPACITY, 2),
         'phases': phases,
+        'agent_peak_memory_mb': round(memory, 1),
         'goodput_at_2x_of_peak': round(double['goodput_per_s'] / peak, 3),
         'extra_attempts_at_2x': round(double['attempts_per_request'] - 1, 3),
         'share_at_2x_of_fair_share': {
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -6,11 +6,15 @@
 import time
 import urllib.request
 
+import anyio
 import httpcore
 import pytest
 
 from bench import fleet
+from chivejunction.coordination import draining
+from chivejunction.protocol import messages
 from tests import conftest
+from tests import rig as rigs
 
 KEY = {
     'authorization': 'Bearer temple-key',
@@ -19,6 +23,11 @@
 ENGINE = {'tokens': 40, 'between_tokens': 0.05, 'versions': 'small-1,large-1'}
 
 
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
 @pytest.fixture
 def pair(tmp_path):
     """One gateway and two engines that stream for two seconds."""
@@ -157,3 +166,64 @@
         results = []
         stream(pair, results)
         assert is_whole(results[0])
+
+
+def hold_until(rig, more):
+    async def script(stream, attempt):
+        await stream.send(rigs.HEAD % attempt + rigs.TOKEN)
+        await more.wait()
+        await stream.send(rigs.TOKEN + rigs.DONE)
+
+    return script
+
+
+class TestDrainDelivery:
+    """Guards against an exit before a gateway that reconnects has it all."""
+
+    @pytest.mark.anyio
+    async def test_drain_waits_for_a_gateway_that_comes_back(self):
+        async with rigs.open_rig() as rig:
+            ended = anyio.Event()
+            rig.engine.script = hold_until(rig, more := anyio.Event())
+            rig.start('one', idempotent=False)
+            await rig.peer.wait_for('one', messages.Data)
+            rig.peer.closed = True
+            send, receive = anyio.create_memory_object_stream(2)
+            drain = draining.Drain(rig.gate, rig.executor, list, 60)
+
+            async def run_drain():
+                assert await drain.run(aiter(receive))
+                ended.set()
+
+            rig.group.start_soon(run_drain)
+            await send.send(1)
+            more.set()
+            found = rig.table.get('one')
+            await rig.wait_until(lambda: found.ended)
+            # Longer than it would wait after an end that was sent.
+            await anyio.sleep(draining.SETTLE_SECONDS + 1)
+            assert not ended.is_set()
+            again = rigs.StubPeer()
+            rig.handle(messages.Resolve('one', 'agent-1', 0), again)
+            assert (await again.wait_end('one')).error == ''
+            assert again.body('one') == 2 * rigs.TOKEN + rigs.DONE
+            await rig.wait_until(ended.is_set, 10)
+
+    @pytest.mark.anyio
+    async def test_longest_time_bounds_the_drain(self):
+        async with rigs.open_rig() as rig:
+            rig.engine.script = hold_until(rig, anyio.Event())
+            rig.start('one')
+            await rig.peer.wait_for('one', messages.Data)
+            announced = []
+            send, receive = anyio.create_memory_object_stream(2)
+            drain = draining.Drain(
+                rig.gate,
+                rig.executor,
+                lambda: announced.append(rig.gate.load()['s']),
+                0.3,
+            )
+            await send.send(1)
+            with anyio.fail_after(2):
+                assert not await drain.run(aiter(receive))
+            assert announced == ['leaving']
--- /dev/null
+++ b/tests/test_load_reports.py
@@ -0,0 +1,81 @@
+"""Load reports of the engine and what heartbeats say about them."""
+
+import types
+
+import pytest
+
+from bench import fleet
+from chivejunction import agent
+from chivejunction.coordination import load_reports
+from chivejunction.protocol import messages
+from tests import rig as rigs
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+def make_reports(rig):
+    return load_reports.LoadReports(
+        f'http://127.0.0.1:{fleet.find_port()}',
+        rig.executor._client,
+        rig.gate,
+        rig.window,
+        0.05,
+    )
+
+
+def warm(rig):
+    rig.configure(2, warm_window=8)
+    rig.window._size = 8
+
+
+class TestLoadReports:
+    """Guards against a restart of the engine that goes unnoticed."""
+
+    async def test_other_incarnation_resets_the_window(self):
+        async with rigs.open_rig() as rig:
+            warm(rig)
+            reports = make_reports(rig)
+            reports.apply({'incarnation': 'a', 'versions': None})
+            assert rig.gate.window == 8
+            reports.apply({'incarnation': 'b', 'versions': None})
+            assert rig.gate.window == 1
+
+    async def test_refused_connection_resets_and_is_reported(self):
+        async with rigs.open_rig() as rig:
+            warm(rig)
+            rig.group.start_soon(make_reports(rig).run)
+            await rig.wait_until(lambda: rig.gate.window == 1)
+            assert rig.gate.load()['s'] == 'down'
+
+    async def test_versions_of_the_report_are_admitted(self):
+        async with rigs.open_rig() as rig:
+            make_reports(rig).apply(
+                {'incarnation': 'a', 'versions': ['small-2']}
+            )
+            for name in ('small-1', 'small-2'):
+                rig.start(name, version=name)
+            refused = await rig.peer.wait_end('small-1')
+            assert refused.error == 'version_not_loaded'
+            assert isinstance(await rig.peer.wait_end('small-2'), messages.End)
+
+    async def test_heartbeat_names_versions_only_after_a_change(self):
+        async with rigs.open_rig() as rig:
+            report = agent.Report(
+                types.SimpleNamespace(
+                    gate=rig.gate,
+                    view=rig.view,
+                    config=types.SimpleNamespace(
+                        host='a', failure_domain='b', pool='c'
+                    ),
+                )
+            )
+            assert report.describe()['versions'] == ['small-1']
+            assert 'v' not in report.make_heartbeat().load
+            rig.gate.versions = frozenset({'small-2'})
+            assert report.make_heartbeat().load['v'] == ['small-2']
+            assert 'v' not in report.make_heartbeat().load
