Keep the agent running when one request cannot be sent

Cause: a header byte or path character outside ASCII raised in httpcore and ended the task group, and with it the agent and all its streams. A header that HTTP does not allow also reset the slow-start window, so a caller could hold a server at its cold window.

Headers go out as latin-1 and paths are percent-encoded; any other error ends its own attempt as MAY_HAVE_RUN (internal).

The test rig stops its attempts before its listener: a connection that arrived during the cancel made asyncio raise InvalidStateError in one of five runs of the admission tests.

Seen failing: 4 of the 5 new tests ended the executor before the change; without the exception for LocalProtocolError the window was reset.

--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -1,9 +1,12 @@
 """Runs attempts at the agent: engine call, buffering, streaming back."""
 
 import dataclasses
+import string
+from urllib import parse
 
 import anyio
 from anyio import abc
+import httpcore
 
 from chivejunction import clock
 from chivejunction import errors
@@ -296,6 +299,10 @@
         except errors.InvariantViolation as exc:
             metrics.count_violation(exc)
             self._refuse(attempt, errors.RefusalError('internal', str(exc)))
+        except Exception:
+            # An error in one attempt must not end the others.
+            logs.LOG.exception('attempt %s failed', attempt.id)
+            self._finish(attempt, verdicts.Verdict.MAY_HAVE_RUN, 'internal')
         finally:
             seconds = clock.now() - started
             if attempt.verdict is verdicts.Verdict.RAN:
@@ -314,11 +321,12 @@
         attempt, start = entry.attempt, entry.start
         call = Call(attempt, start, self._is_engine)
         headers = {
-            k: v
+            k.encode('latin-1'): v.encode('latin-1')
             for k, v in start.headers.items()
             if k.lower() != 'content-length'
         }
-        headers['x-request-id'] = attempt.id
+        headers[b'x-request-id'] = attempt.id.encode()
+        path = parse.quote(start.path, safe=string.punctuation)
         first = (
             self._limits.first_token if call.is_stream else self._limits.answer
         )
@@ -329,7 +337,7 @@
                     silence.deadline = anyio.current_time() + first
                     async with self._client.stream(
                         start.method,
-                        self._url + start.path,
+                        self._url + path,
                         attempt.deadline,
                         headers,
                         call.body,
@@ -355,7 +363,9 @@
     def _fail(
         self, attempt: attempts.Attempt, exc: errors.TransportError
     ) -> None:
-        self._window.reset(f'the connection failed: {exc}')
+        # A request that HTTP does not allow says nothing about the server.
+        if not isinstance(exc.__cause__, httpcore.LocalProtocolError):
+            self._window.reset(f'the connection failed: {exc}')
         if exc.connected:
             self._finish(
                 attempt, verdicts.Verdict.MAY_HAVE_RUN, 'server_failed'
--- a/chivejunction/transport/http_client.py
+++ b/chivejunction/transport/http_client.py
@@ -47,7 +47,7 @@
         method: str,
         url: str,
         deadline: float,
-        headers: dict[str, str] | None = None,
+        headers: dict[str, str] | dict[bytes, bytes] | None = None,
         body: bytes = b'',
         read_seconds: float | None = None,
     ):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -116,6 +116,10 @@
         await stream.send(HEAD % attempt + TOKEN + DONE)
 
     async def serve_one(self, stream):
+        with contextlib.suppress(anyio.EndOfStream):
+            await self.serve_request(stream)
+
+    async def serve_request(self, stream):
         async with stream:
             request = b''
             while b'\r\n\r\n' not in request:
@@ -206,5 +210,10 @@
         group.start_soon(rig.gate.run, 0.05)
         group.start_soon(rig.executor.run)
         yield rig
+        # A connection that arrives while the listener is cancelled makes
+        # asyncio report an error.
+        for attempt in rig.table:
+            rig.executor._stop(attempt)
+        await rig.wait_until(lambda: not rig.executor.live)
         group.cancel_scope.cancel()
     await listener.aclose()
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -222,3 +222,39 @@
             end = rig.peer.find('one', messages.End)[0]
             assert end.verdict == RAN
             assert rig.peer.body('one') == 400 * chunk + rigs.DONE
+
+
+class TestOddRequests:
+    """Guards against a caller's request that ends the agent."""
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'headers': {'x-name': 'caf\xe9'}},
+            {'path': '/v1/รายการ?q=a b'},
+            {'body': b'\xff\xfe'},
+        ],
+    )
+    async def test_text_outside_ascii_is_passed_on(self, fields):
+        async with rigs.open_rig() as rig:
+            rig.start('one', **fields)
+            assert (await rig.peer.wait_end('one')).verdict == RAN
+
+    async def test_broken_header_fails_only_its_own_attempt(self):
+        async with rigs.open_rig() as rig:
+            rig.configure(2, warm_window=8)
+            rig.window._size = 8
+            rig.start('one', headers={'x-name': 'a\nb'})
+            end = await rig.peer.wait_end('one')
+            assert (end.verdict, end.error) == (MAY, 'server_failed')
+            assert rig.gate.window == 8
+            assert rig.engine.runs == []
+
+    async def test_unforeseen_error_fails_only_its_own_attempt(self):
+        async with rigs.open_rig() as rig:
+            rig.start('one', headers={'x-name': None})
+            end = await rig.peer.wait_end('one')
+            assert (end.verdict, end.error) == (MAY, 'internal')
+            rig.start('two')
+            assert (await rig.peer.wait_end('two')).verdict == RAN
+            assert rig.gate.running == 0
