--- /dev/null
+++ b/fakes/faults.py
@@ -0,0 +1,48 @@
+"""Fault switches that the fakes of backend servers share."""
+
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+
+class Faults:
+    """Switches under ``/faults``; GET shows them, POST changes some.
+
+    Shares are exact over time: a share of 0.25 hits every fourth call.
+
+    Args:
+        **defaults: Switches with their values at the start.
+    """
+
+    def __init__(self, **defaults):
+        self.values = defaults
+        self._sums: dict[str, float] = {}
+
+    def __getitem__(self, name: str):
+        return self.values[name]
+
+    def hits(self, name: str) -> bool:
+        """Tells whether the share of a fault hits the present call."""
+        total = self._sums.get(name, 0.0) + self.values[name]
+        self._sums[name] = total - 1 if total >= 1 else total
+        return total >= 1
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes of the switches."""
+        return [
+            routing.Route('/faults', self._show, methods=['GET']),
+            routing.Route('/faults', self._change, methods=['POST']),
+        ]
+
+    async def _show(self, request: requests.Request):
+        return responses.JSONResponse(self.values)
+
+    async def _change(self, request: requests.Request):
+        changes = await request.json()
+        unknown = sorted(set(changes) - set(self.values))
+        if unknown:
+            return responses.JSONResponse(
+                {'error': f'unknown faults: {unknown}'}, 400
+            )
+        self.values.update(changes)
+        return responses.JSONResponse(self.values)
--- a/fakes/programs.py
+++ b/fakes/programs.py
@@ -1,6 +1,7 @@
 """Start of a fake as a process of its own."""
 
 from collections.abc import Callable
+import contextlib
 
 import anyio
 import fire
@@ -9,12 +10,19 @@
 from chivejunction.transport import http_server
 
 
-def run_app(make_app: Callable, port: int, **options) -> None:
+def run_app(
+    make_app: Callable,
+    port: int,
+    make_context: Callable | None = None,
+    **options,
+) -> None:
     """Serves an ASGI application on loopback until the process ends.
 
     Args:
         make_app: Returns the application.
         port: TCP port on 127.0.0.1.
+        make_context: Returns an asynchronous context manager of the
+            application, entered while it is served.
         **options: Passed on to make_app.
     """
     logs.configure_logs(f'fake-{port}', 'warning')
@@ -22,15 +30,19 @@
     async def serve() -> None:
         app = make_app(**options)
         sock = http_server.bind_socket('127.0.0.1', port)
-        await http_server.serve(app, sock, anyio.Event())
+        context = (
+            make_context(app) if make_context else contextlib.nullcontext()
+        )
+        async with context:
+            await http_server.serve(app, sock, anyio.Event())
 
     anyio.run(serve, backend_options={'use_uvloop': True})
 
 
-def run_fire(make_app: Callable) -> None:
+def run_fire(make_app: Callable, make_context: Callable | None = None) -> None:
     """Runs a fake with its options from the command line."""
 
     def start(port: int, **options) -> None:
-        run_app(make_app, port, **options)
+        run_app(make_app, port, make_context, **options)
 
     fire.Fire(start)
