Choose servers by expected first token, place and cached prefix

Cause: the choice was two random choices over raw queue lengths; it ignored place, cached prefixes, stale reports, slow servers and servers that come back cold.

Ruled out: taking the lowest cost of all (gateways with the same report all take the same server); comparing exact costs (a server that was slow once stayed just behind the others and was never tried again, seen by test_slow_server_is_avoided_and_tried_again).

Tests of cost fading, latency ejection and reopening failed first for reasons named above; the others were written with the code and have not been seen to fail.

--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -6,6 +6,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import affinity
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import routing
 from chivejunction.protocol import chat
@@ -122,6 +123,7 @@
         )
         value = json.loads(body)
         value['model'] = version
+        call.affinity = affinity.make_key(organisation.name, value['messages'])
         call.body = json.dumps(value, ensure_ascii=False).encode()
         pool = self._view.versions[version].pool
         response.add_header('x-model-version', version)
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -182,20 +182,30 @@
                 pool=pool,
                 version=version,
                 choice=server.host,
+                expected_cost_s=self._selector.decision.expected,
+                excluded=self._selector.decision.excluded,
                 revision=self._view.revision,
             )
             started = False
+            outcome = self._selector.begin()
             try:
                 async for event in self._run_attempt(
                     call, pool, version, self._peers[server.host]
                 ):
                     started = True
+                    if isinstance(event, messages.Data):
+                        outcome.see_data(call.stream)
+                    elif isinstance(event, messages.End):
+                        outcome.succeed()
                     yield event
                 return
             except errors.RefusalError as exc:
                 refusal = exc
+                outcome.fail(exc.code, exc.verdict is verdicts.Verdict.NOT_RUN)
                 if started or not exc.verdict.allows_retry(call.idempotent):
                     raise
+            finally:
+                self._selector.record(server.host, outcome)
         if clock.has_passed(call.deadline):
             raise errors.RefusalError('deadline', 'the deadline has passed')
         raise refusal or errors.RefusalError(
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -74,6 +74,11 @@
     codec: Literal['msgpack', 'cbor'] = pydantic.Field(
         'msgpack', description='Codec between gateways and agents.'
     )
+    server_policy: Literal[
+        'affinity', 'round_robin', 'random', 'two_choices'
+    ] = pydantic.Field(
+        'affinity', description='Policy that chooses backend servers.'
+    )
     log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
         'info', description='Least severe level that is logged.'
     )
@@ -100,7 +105,12 @@
             self.table, self.client, config.hosts_url, self._make_peer
         )
         self.dispatcher = dispatch.Dispatcher(
-            selection.Selector(self.table, self.view, config.failure_domain),
+            selection.Selector(
+                self.table,
+                self.view,
+                config.failure_domain,
+                config.server_policy,
+            ),
             self.membership.peers,
             self.view,
         )
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -3,6 +3,54 @@
 from collections.abc import Iterator
 import dataclasses
 
+from chivejunction import clock
+
+# First-token time in seconds that is assumed before the first observation.
+ASSUMED_FIRST_TOKEN = 0.1
+ASSUMED_DURATION = 1.0
+# Weight of a new observation; about the last ten observations count.
+OBSERVATION_WEIGHT = 0.2
+# A server that looks slow gets few requests, so its estimate has to fade by
+# itself, or the server would never be tried again after it has recovered.
+FADE_SECONDS = 10.0
+# A server that refused for lack of room counts as full for this long; its
+# next heartbeat is at most a second away.
+BUSY_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """Result of one attempt, for ``Selector.record``.
+
+    Attributes:
+        sent_at: Monotonic time at which the attempt was sent.
+        first_token_at: Monotonic time of the first data of a stream; 0 for
+            plain answers and before it.
+        load: Load of the server relative to its window when chosen.
+        kind: ``ok``, ``error``, ``refused`` or ``cancelled``.
+        code: Refusal code or error, may be empty.
+    """
+
+    sent_at: float = dataclasses.field(default_factory=clock.now)
+    first_token_at: float = 0.0
+    load: float = 0.0
+    kind: str = 'cancelled'
+    code: str = ''
+
+    def see_data(self, is_stream: bool) -> None:
+        """Notes that data came; only a stream shows its first token."""
+        if is_stream and not self.first_token_at:
+            self.first_token_at = clock.now()
+
+    def succeed(self) -> None:
+        """Notes a whole answer."""
+        self.kind = 'ok'
+
+    def fail(self, code: str, not_run: bool) -> None:
+        """Notes a failure; a refused attempt has not run."""
+        self.kind = 'refused' if not_run else 'error'
+        self.code = code
+
 
 @dataclasses.dataclass(slots=True)
 class Server:
@@ -13,43 +61,121 @@
         pool: Pool it belongs to.
         failure_domain: Failure domain it stands in.
         incarnation: Incarnation of its agent.
+        engine: Incarnation of its engine, if the agent reports it.
         versions: Model versions that are loaded.
         running: Requests running, as last reported.
         queued: Requests waiting at the agent, as last reported.
         window: Concurrent requests that the agent admits.
-        first_token: Recent time to first token in seconds.
+        first_token: Time to first token without load in seconds; 0 if
+            unknown.
+        observed_at: Monotonic time of the latest observation.
+        duration: Recent time of a whole attempt in seconds.
         sent: Attempts sent by this gateway and not ended.
+        reported_sent: The value of ``sent`` at the last report.
+        sent_since: Attempts sent by this gateway since the last report.
+        busy_until: Deadline until which the server counts as full.
         connected: Whether the data link works.
         leaving: Whether the host announced that it leaves.
         ready: Whether the agent takes work.
+        absent: Whether the server could not be chosen lately.
+        ramp_until: Deadline until which it gets a reduced share.
         ejected_until: Deadline of an outlier ejection.
+        key: Host name as bytes, for rendezvous hashing.
     """
 
     host: str
     pool: str
     failure_domain: str
     incarnation: str = ''
+    engine: str = ''
     versions: frozenset[str] = frozenset()
     running: int = 0
     queued: int = 0
     window: int = 1
     first_token: float = 0.0
+    observed_at: float = 0.0
+    duration: float = ASSUMED_DURATION
     sent: int = 0
+    reported_sent: int = 0
+    sent_since: int = 0
+    busy_until: float = 0.0
     connected: bool = False
     leaving: bool = False
     ready: bool = True
+    absent: bool = False
+    ramp_until: float = 0.0
     ejected_until: float = 0.0
+    key: bytes = b''
+    started_as: tuple[str, str] = ('', '')
+
+    def __post_init__(self):
+        self.key = self.host.encode()
 
     def apply_load(self, load: dict) -> None:
-        """Takes over the load of a heartbeat."""
+        """Takes over the load of a heartbeat.
+
+        Short names: ``r`` running, ``q`` queued, ``w`` window, ``t`` time
+        to first token in milliseconds, ``s`` state, ``v`` versions, ``i``
+        incarnation of the engine.
+        """
         self.running = load.get('r', self.running)
         self.queued = load.get('q', self.queued)
-        self.window = load.get('w', self.window)
-        self.first_token = load.get('t', self.first_token * 1000) / 1000
+        self.window = max(1, load.get('w', self.window))
         self.leaving = load.get('s', '') == 'leaving'
         self.ready = load.get('s', 'ready') == 'ready'
+        self.engine = load.get('i', self.engine)
+        self.reported_sent = self.sent
+        self.sent_since = 0
         if 'v' in load:
             self.versions = frozenset(load['v'])
+        if load.get('t') and not self.first_token:
+            self.first_token = load['t'] / 1000
+            self.observed_at = clock.now()
+        self._note_restart()
+
+    def _note_restart(self) -> None:
+        started_as = self.incarnation, self.engine
+        if started_as != self.started_as:
+            if self.started_as != ('', ''):
+                # What was learnt belongs to the earlier incarnation, and
+                # the new one has an empty cache.
+                self.absent = True
+                self.first_token = 0.0
+            self.started_as = started_as
+
+    def observe(self, outcome: Outcome) -> None:
+        """Learns from the result of an attempt."""
+        now = clock.now()
+        if outcome.first_token_at:
+            seconds = outcome.first_token_at - outcome.sent_at
+            # Observed under load; the estimate is for an idle server.
+            seconds /= 1 + outcome.load
+            known = self.first_token or seconds
+            self.first_token = known + OBSERVATION_WEIGHT * (seconds - known)
+            self.observed_at = now
+        if outcome.kind == 'ok':
+            self.duration += OBSERVATION_WEIGHT * (
+                now - outcome.sent_at - self.duration
+            )
+        elif outcome.kind == 'refused':
+            self.busy_until = now + BUSY_SECONDS
+
+    def estimate_load(self, growth: float) -> float:
+        """Returns the expected requests at the server.
+
+        The report is corrected by what this gateway knows better: its own
+        attempts. Other gateways saw the same report, so they are expected to
+        have sent ``growth`` attempts for each one sent from here since.
+
+        Args:
+            growth: Load of other gateways relative to that of this one.
+        """
+        others = self.running + self.queued - self.reported_sent
+        return (
+            (others if others > 0 else 0)
+            + self.sent
+            + growth * self.sent_since
+        )
 
 
 class ServerTable:
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,347 @@
+"""Choice of the backend server."""
+
+import collections
+import random
+import time
+
+import pytest
+
+from chivejunction import clock
+from chivejunction.coordination import affinity
+from chivejunction.coordination import policies
+from chivejunction.coordination import selection
+from chivejunction.protocol import resources
+from chivejunction.state import outliers
+from chivejunction.state import servers
+from chivejunction.state import views
+
+DOMAINS = {'bkk-a': 'bkk', 'bkk-b': 'bkk', 'cnx-a': 'cnx'}
+
+
+def make_view(revision=1, closed=()):
+    domains = {
+        name: {
+            'name': name,
+            'region': region,
+            'state': 'closed' if name in closed else 'open',
+        }
+        for name, region in DOMAINS.items()
+    }
+    return resources.Document(
+        revision=revision, resources={'failuredomain': domains}
+    )
+
+
+@pytest.fixture
+def now(monkeypatch):
+    """Clock that tests set; a list with the monotonic time."""
+    value = [1000.0]
+    monkeypatch.setattr(time, 'monotonic', lambda: value[0])
+    return value
+
+
+class Pool:
+    """Selector over servers of a pool, by default three in each domain."""
+
+    def __init__(self, count=3, policy='affinity', domains=DOMAINS):
+        self.view = views.ConfigView()
+        self.view.apply(make_view())
+        self.table = servers.ServerTable()
+        for domain in domains:
+            for i in range(count):
+                server = servers.Server(f'{domain}-{i}', 'lm', domain)
+                server.connected = True
+                server.versions = frozenset({'small-1'})
+                server.apply_load({'w': 16})
+                self.table.add(server)
+        self.selector = selection.Selector(
+            self.table, self.view, 'bkk-a', policy
+        )
+        self.selector._policy.rng = random.Random(7)
+
+    def choose(self, key='', **options):
+        return self.selector.choose('lm', 'small-1', key, **options)
+
+    def count(self, times, keys=None):
+        """Counts choices that end at once."""
+        counts = collections.Counter()
+        for i in range(times):
+            server = self.choose(keys and f'key-{i % keys}')
+            server.sent_since = 0
+            counts[server.host] += 1
+        return counts
+
+    def record(self, host, kind='ok', seconds=0.1):
+        outcome = servers.Outcome(clock.now() - seconds, clock.now())
+        outcome.kind = kind
+        self.selector.record(host, outcome)
+
+
+class TestEligibility:
+    """Guards against work for servers that must not get any."""
+
+    @pytest.mark.parametrize(
+        'change, reason',
+        [
+            ({'connected': False}, 'not connected'),
+            ({'ready': False}, 'not ready'),
+            ({'leaving': True}, 'leaving'),
+            ({'versions': frozenset()}, 'version not loaded'),
+        ],
+    )
+    @pytest.mark.parametrize('policy', list(policies.POLICIES))
+    def test_unfit_server(self, policy, change, reason):
+        pool = Pool(1, policy)
+        for name, value in change.items():
+            setattr(pool.table.get('bkk-a-0'), name, value)
+        assert 'bkk-a-0' not in pool.count(50)
+        assert pool.selector.decision.excluded['bkk-a-0'] == reason
+
+    def test_closed_domain_and_tried_server(self):
+        pool = Pool(1)
+        pool.view.apply(make_view(2, closed={'bkk-a'}))
+        chosen = pool.choose(exclude=frozenset({'bkk-b-0'}))
+        assert chosen.host == 'cnx-a-0'
+        assert pool.selector.decision.refused == {
+            'bkk-a-0': 'failure domain closed',
+            'bkk-b-0': 'tried before',
+        }
+
+    def test_nothing_eligible(self):
+        pool = Pool(1)
+        assert pool.selector.choose('lm', 'other') is None
+        assert len(pool.selector.decision.excluded) == 3
+
+    def test_every_other_server_has_a_reason(self):
+        pool = Pool()
+        chosen = pool.choose()
+        excluded = pool.selector.decision.excluded
+        assert len(excluded) == 8
+        assert chosen.host not in excluded
+
+
+class TestExpectedTime:
+    """Guards against choices by a stale or partial view of load."""
+
+    def test_own_attempts_correct_a_stale_report(self):
+        pool = Pool(2, domains=['bkk-a'])
+        for _ in range(40):
+            server = pool.choose()
+            server.sent += 1
+        sent = [s.sent for s in pool.table]
+        assert abs(sent[0] - sent[1]) <= 4
+
+    def test_report_that_counts_own_attempts(self):
+        server = servers.Server('a', 'lm', 'bkk-a', sent=3)
+        server.apply_load({'r': 5, 'q': 1, 'w': 8})
+        assert server.estimate_load(0) == 6
+        server.sent = 1
+        assert server.estimate_load(0) == 4
+
+    def test_full_own_domain_spills_to_region_then_beyond(self):
+        pool = Pool(1)
+        own, near = pool.table.get('bkk-a-0'), pool.table.get('bkk-b-0')
+        own.apply_load({'r': 16, 'q': 16, 'w': 16})
+        assert pool.count(20) == {'bkk-b-0': 20}
+        near.apply_load({'r': 16, 'q': 16, 'w': 16})
+        assert pool.count(20) == {'cnx-a-0': 20}
+
+    def test_far_region_is_left_alone_when_near_is_idle(self):
+        counts = Pool().count(300)
+        assert not any(host.startswith('cnx') for host in counts)
+
+    def test_slow_server_is_avoided_and_tried_again(self, now):
+        pool = Pool(3, domains=['bkk-a'])
+        for _ in range(4):
+            pool.record('bkk-a-0', seconds=0.4)
+            pool.record('bkk-a-1')
+            pool.record('bkk-a-2')
+        assert 'bkk-a-0' not in pool.count(100)
+        now[0] += 60
+        assert pool.count(300)['bkk-a-0'] > 20
+
+    def test_small_window_of_a_cold_server(self):
+        pool = Pool(2, domains=['bkk-a'])
+        cold = pool.table.get('bkk-a-0')
+        cold.apply_load({'w': 2})
+        for _ in range(18):
+            pool.choose().sent += 1
+        assert cold.sent <= 4
+
+    def test_refusal_for_lack_of_room_counts_at_once(self, now):
+        pool = Pool(2, domains=['bkk-a'])
+        pool.record('bkk-a-0', 'refused')
+        assert pool.count(40) == {'bkk-a-1': 40}
+        now[0] += 1
+        assert pool.count(40)['bkk-a-0'] > 5
+
+
+class TestHerd:
+    """Guards against gateways that all follow the same stale report."""
+
+    def test_gateways_spread_over_a_seemingly_idle_pair(self):
+        pools = [Pool(8, domains=['bkk-a']) for _ in range(20)]
+        counts = collections.Counter()
+        for number, pool in enumerate(pools):
+            pool.selector._policy.rng = random.Random(number)
+            for server in pool.table:
+                load = 6 if server.host < 'bkk-a-2' else 7
+                server.apply_load({'r': load, 'w': 16})
+            for _ in range(5):
+                server = pool.choose()
+                server.sent += 1
+                counts[server.host] += 1
+        assert max(counts.values()) < 2.5 * 100 / 8
+
+    def test_unseen_attempts_of_other_gateways_count(self):
+        pool = Pool(2, domains=['bkk-a'])
+        server = pool.table.get('bkk-a-0')
+        server.sent = 1
+        server.apply_load({'r': 5, 'w': 16})
+        pool.table.get('bkk-a-1').apply_load({'r': 5, 'w': 16})
+        server.sent += 1
+        server.sent_since = 1
+        growth = pool.selector._estimate_growth(list(pool.table))
+        assert growth == selection.MAX_GROWTH
+        assert server.estimate_load(growth) == 6 + selection.MAX_GROWTH
+
+
+class TestAffinity:
+    """Guards against prefixes that lose their cached server."""
+
+    def test_key_stays_at_one_server_at_all_gateways(self):
+        first, second = Pool(), Pool()
+        second.selector._policy.rng = random.Random(99)
+        for i in range(50):
+            host = first.choose(f'key-{i}').host
+            assert host == second.choose(f'key-{i}').host
+            assert not host.startswith('cnx')
+
+    def test_keys_spread(self):
+        counts = Pool().count(600, keys=600)
+        assert len(counts) == 6
+        assert max(counts.values()) < 2 * 100
+
+    def test_lost_server_moves_only_its_keys(self):
+        pool = Pool()
+        before = {i: pool.choose(f'key-{i}').host for i in range(200)}
+        for server in pool.table:
+            server.sent_since = 0
+        pool.table.get('bkk-a-1').connected = False
+        for i, host in before.items():
+            if host != 'bkk-a-1':
+                assert pool.choose(f'key-{i}').host == host
+
+    def test_hot_key_spills_at_the_load_bound(self):
+        pool = Pool(3, domains=['bkk-a'])
+        for _ in range(48):
+            pool.choose('hot').sent += 1
+        assert max(s.sent for s in pool.table) <= 1.25 * 16 + 1
+
+    def test_slow_home_is_passed_over(self, now):
+        pool = Pool(3, domains=['bkk-a'])
+        home = pool.choose('key').host
+        for server in pool.table:
+            for _ in range(4):
+                slow = server.host == home
+                pool.record(server.host, seconds=0.45 if slow else 0.1)
+        assert pool.choose('key').host != home
+
+    def test_key_of_a_growing_chat_is_stable(self):
+        chat = [{'role': 'user', 'content': 'มีลำโพงไหม'}]
+        key = affinity.make_key('temple', chat)
+        chat.append({'role': 'assistant', 'content': 'มี'})
+        assert affinity.make_key('temple', chat) == key
+        assert affinity.make_key('school', chat) != key
+        assert affinity.make_key('temple', []) == ''
+        assert affinity.make_key('t', [{'role': 'user', 'content': '\ud800'}])
+
+    def test_long_system_prompt_is_shared(self):
+        system = {'role': 'system', 'content': 's' * 300}
+        keys = {
+            affinity.make_key('t', [system, {'role': 'user', 'content': c}])
+            for c in 'abc'
+        }
+        assert len(keys) == 1
+
+
+class TestOutliers:
+    """Guards against servers that fail and still get work."""
+
+    def fail(self, pool, host, times=outliers.CONSECUTIVE_ERRORS):
+        for _ in range(times):
+            pool.record(host, 'error')
+
+    def test_errors_eject_with_growing_back_off(self, now):
+        pool = Pool(4, domains=['bkk-a'])
+        bad = pool.table.get('bkk-a-0')
+        for seconds in (5, 10, 20):
+            self.fail(pool, 'bkk-a-0')
+            assert bad.ejected_until == now[0] + seconds
+            assert 'bkk-a-0' not in pool.count(40)
+            excluded = pool.selector.decision.excluded
+            assert excluded['bkk-a-0'] == 'ejected as an outlier'
+            now[0] += seconds + 0.1
+        assert 'bkk-a-0' in pool.count(300, keys=300)
+
+    def test_latency_ejects(self, now):
+        pool = Pool(4, domains=['bkk-a'])
+        for _ in range(6):
+            for server in pool.table:
+                slow = server.host == 'bkk-a-0'
+                pool.record(server.host, seconds=2.0 if slow else 0.1)
+        assert pool.table.get('bkk-a-0').ejected_until > now[0]
+        assert sum(s.ejected_until > now[0] for s in pool.table) == 1
+
+    def test_never_more_than_half(self, now):
+        pool = Pool(4, domains=['bkk-a'])
+        for server in pool.table:
+            self.fail(pool, server.host)
+        assert sum(s.ejected_until > now[0] for s in pool.table) == 2
+
+    def test_half_stays_when_the_pool_shrinks(self, now):
+        pool = Pool(4, domains=['bkk-a'])
+        self.fail(pool, 'bkk-a-0')
+        now[0] += 1
+        self.fail(pool, 'bkk-a-1')
+        pool.table.get('bkk-a-2').connected = False
+        pool.table.get('bkk-a-3').connected = False
+        assert pool.choose().host == 'bkk-a-0'
+
+    def test_refusals_do_not_eject(self, now):
+        pool = Pool(4, domains=['bkk-a'])
+        for _ in range(30):
+            pool.record('bkk-a-0', 'refused')
+        assert pool.table.get('bkk-a-0').ejected_until == 0
+
+
+class TestReturn:
+    """Guards against a stampede on servers that come back cold."""
+
+    @pytest.mark.parametrize('keys', [None, 400])
+    def test_reopened_domain_gets_a_growing_share(self, now, keys):
+        usual = Pool(2).count(400, keys)
+        usual = sum(usual[f'bkk-b-{i}'] for i in (0, 1)) / 400
+        pool = Pool(2)
+        pool.view.apply(make_view(2, closed={'bkk-b'}))
+        pool.count(10)
+        pool.view.apply(make_view(3))
+        shares = []
+        for _ in range(3):
+            counts = pool.count(400, keys)
+            shares.append(sum(counts[f'bkk-b-{i}'] for i in (0, 1)) / 400)
+            now[0] += selection.RAMP_SECONDS / 2 + 0.1
+        assert shares[0] < 0.2 * usual
+        assert shares[0] < shares[1] < shares[2]
+        assert 0.75 * usual < shares[2] < 1.25 * usual
+
+    def test_new_incarnation_starts_over(self, now):
+        pool = Pool(3, domains=['bkk-a'])
+        for _ in range(3):
+            pool.record('bkk-a-0', seconds=0.05)
+        server = pool.table.get('bkk-a-0')
+        server.apply_load({'i': 'engine-1'})
+        server.apply_load({'i': 'engine-2'})
+        assert server.first_token == 0
+        counts = pool.count(300, keys=300)
+        assert counts['bkk-a-0'] < 0.15 * 300
