Report the result of each attempt to the selector

Cause: first-token times, errors and refusals never reached the choice.

Ruled out: reading a first token from plain answers; their first data come with the last token. A status of 500 or above counts as an error although the answer is whole.

--- a/bench/serverchoice.py
+++ b/bench/serverchoice.py
@@ -9,6 +9,7 @@
 
 import fire
 
+from chivejunction import clock
 from chivejunction.coordination import policies
 from chivejunction.coordination import selection
 from chivejunction.protocol import resources
@@ -38,6 +39,7 @@
         server.connected = True
         server.versions = frozenset({'v-1', 'v-2'})
         server.first_token = rng.uniform(0.05, 0.2)
+        server.observed_at = clock.now()
         server.apply_load({'r': rng.randrange(16), 'w': 16})
         table.add(server)
     return selection.Selector(table, view, 'd-0', policy)
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -193,10 +193,7 @@
                     call, pool, version, self._peers[server.host]
                 ):
                     started = True
-                    if isinstance(event, messages.Data):
-                        outcome.see_data(call.stream)
-                    elif isinstance(event, messages.End):
-                        outcome.succeed()
+                    outcome.see(event, call.stream)
                     yield event
                 return
             except errors.RefusalError as exc:
--- a/chivejunction/coordination/selection.py
+++ b/chivejunction/coordination/selection.py
@@ -12,6 +12,8 @@
 # The last one is a round trip of 60 ms plus what the volume between regions
 # costs: traffic leaves the region to save more than a third of a second.
 PENALTIES = (0.0, 0.001, 0.36)
+# Place of a server in a closed failure domain.
+CLOSED = -1
 # A server that comes back gets a share that grows from MIN_SHARE to the
 # whole within this time, since its cache is empty and others know it too.
 RAMP_SECONDS = 8.0
@@ -77,6 +79,9 @@
         self._policy = policies.POLICIES.get(policy)()
         self._outliers = outliers.OutlierDetector(table)
         self.decision = Decision([], None, {})
+        # Places by failure domain under one document.
+        self._document = view.document
+        self._places: dict[str, int] = {}
 
     def choose(
         self,
@@ -134,23 +139,38 @@
         server.observe(outcome)
         self._outliers.record(server, outcome)
 
+    def _refresh_places(self) -> None:
+        if self._document is not self._view.document:
+            self._document = self._view.document
+            self._places.clear()
+
+    def _find_place(self, domain: str) -> int:
+        view = self._view
+        if not view.is_open(domain):
+            return CLOSED
+        if domain == self._failure_domain:
+            return 0
+        own = view.region_of(self._failure_domain)
+        return 1 if view.region_of(domain) == own else 2
+
     def _filter(
         self, pool: str, version: str, exclude: frozenset[str], now: float
     ) -> tuple[list[servers.Server], dict[str, str]]:
-        is_open = self._view.is_open
-        domains: dict[str, bool] = {}
         usable, refused = [], {}
+        self._refresh_places()
+        places = self._places
         for server in self._table.in_pool(pool):
             domain = server.failure_domain
-            if domain not in domains:
-                domains[domain] = is_open(domain)
+            place = places.get(domain)
+            if place is None:
+                place = places[domain] = self._find_place(domain)
             if not server.connected:
                 reason = 'not connected'
-            elif not server.ready:
-                reason = 'leaving' if server.leaving else 'not ready'
             elif server.leaving:
                 reason = 'leaving'
-            elif not domains[domain]:
+            elif not server.ready:
+                reason = 'not ready'
+            elif place == CLOSED:
                 reason = 'failure domain closed'
             else:
                 if server.absent:
@@ -167,56 +187,47 @@
             refused[server.host] = reason
         return usable, refused
 
-    def _locate(self, usable: list[servers.Server]) -> dict[str, int]:
-        region_of = self._view.region_of
-        own = region_of(self._failure_domain)
-        return {
-            domain: 0
-            if domain == self._failure_domain
-            else 1
-            if region_of(domain) == own
-            else 2
-            for domain in {s.failure_domain for s in usable}
-        }
-
     @staticmethod
     def _estimate_growth(usable: list[servers.Server]) -> float:
-        own = sum([s.reported_sent for s in usable])
-        all_load = sum([s.running + s.queued for s in usable])
-        return min(MAX_GROWTH, max(0, all_load - own) / max(1, own))
+        own = others = 0
+        for server in usable:
+            own += server.reported_sent
+            others += server.others
+        return min(MAX_GROWTH, others / max(1, own))
 
     def _estimate(
         self, usable: list[servers.Server], now: float
     ) -> list[policies.Candidate]:
-        places = self._locate(usable)
+        places = self._places
         growth = self._estimate_growth(usable)
         known = sorted([s.first_token for s in usable if s.first_token])
         typical = (
             known[len(known) // 2] if known else servers.ASSUMED_FIRST_TOKEN
         )
         candidates = []
+        add = candidates.append
+        make = policies.Candidate
+        fade_from = now - servers.FADE_SECONDS
         for server in usable:
-            requests, window = server.estimate_load(growth), server.window
-            if server.busy_until > now and requests < window:
+            window = server.window
+            requests = server.estimate_load(growth)
+            if requests < window and server.busy_until > now:
                 requests = window
             load = requests / window
-            base = server.first_token
-            if not base:
-                base = typical
-            elif now - server.observed_at > 1:
-                fresh = 0.5 ** (
-                    (now - server.observed_at) / servers.FADE_SECONDS
-                )
-                base = typical + (base - typical) * fresh
-            cost = base * (1 + CONGESTION * (load if load < 1 else 1))
-            if requests >= window:
+            fresh = server.observed_at - fade_from
+            base = typical
+            if fresh > 0 and server.first_token:
+                fresh /= servers.FADE_SECONDS
+                base += (server.first_token - typical) * fresh
+            if load < 1:
+                cost = base * (1 + CONGESTION * load)
+            else:
+                cost = base * (1 + CONGESTION)
                 cost += server.duration * (requests - window + 1) / window
             place = places[server.failure_domain]
-            candidate = policies.Candidate(
-                server, load, cost + PENALTIES[place], place
-            )
+            share = 1.0
             if server.ramp_until > now:
                 left = (server.ramp_until - now) / RAMP_SECONDS
-                candidate.share = max(MIN_SHARE, 1 - left)
-            candidates.append(candidate)
+                share = max(MIN_SHARE, 1 - left)
+            add(make(server, load, cost + PENALTIES[place], place, share))
         return candidates
--- a/chivejunction/state/outliers.py
+++ b/chivejunction/state/outliers.py
@@ -61,7 +61,7 @@
         record.consecutive = record.consecutive + 1 if failed else 0
         record.results.append(int(failed))
         del record.results[:-ERROR_WINDOW]
-        record.samples += bool(outcome.first_token_at)
+        record.samples += outcome.first_token_at > 0
         if clock.has_passed(server.ejected_until) and (
             self._has_errors(record) or self._is_slow(server, record)
         ):
@@ -117,6 +117,8 @@
         now: Monotonic time in seconds.
     """
     kept = [s for s in usable if s.ejected_until <= now]
+    if len(kept) == len(usable):
+        return usable
     missing = (len(usable) + 1) // 2 - len(kept)
     if missing > 0:
         ejected = [s for s in usable if s.ejected_until > now]
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from chivejunction import clock
+from chivejunction.protocol import messages
 
 # First-token time in seconds that is assumed before the first observation.
 ASSUMED_FIRST_TOKEN = 0.1
@@ -12,7 +13,8 @@
 OBSERVATION_WEIGHT = 0.2
 # A server that looks slow gets few requests, so its estimate has to fade by
 # itself, or the server would never be tried again after it has recovered.
-FADE_SECONDS = 10.0
+# Without observations it is back at the pool's median after this time.
+FADE_SECONDS = 30.0
 # A server that refused for lack of room counts as full for this long; its
 # next heartbeat is at most a second away.
 BUSY_SECONDS = 0.5
@@ -25,7 +27,7 @@
     Attributes:
         sent_at: Monotonic time at which the attempt was sent.
         first_token_at: Monotonic time of the first data of a stream; 0 for
-            plain answers and before it.
+            plain answers and before it, negative for errors.
         load: Load of the server relative to its window when chosen.
         kind: ``ok``, ``error``, ``refused`` or ``cancelled``.
         code: Refusal code or error, may be empty.
@@ -37,14 +39,23 @@
     kind: str = 'cancelled'
     code: str = ''
 
-    def see_data(self, is_stream: bool) -> None:
-        """Notes that data came; only a stream shows its first token."""
-        if is_stream and not self.first_token_at:
-            self.first_token_at = clock.now()
+    def see(self, event: messages.Frame, is_stream: bool) -> None:
+        """Notes an event of the answer.
 
-    def succeed(self) -> None:
-        """Notes a whole answer."""
-        self.kind = 'ok'
+        Args:
+            event: Head, data or end.
+            is_stream: Whether the first data show the first token.
+        """
+        if isinstance(event, messages.Data):
+            if is_stream and not self.first_token_at:
+                self.first_token_at = clock.now()
+        elif isinstance(event, messages.Head):
+            if event.status >= 500:
+                self.fail(f'status {event.status}', False)
+                # An error that comes fast must not look like a fast server.
+                self.first_token_at = -1.0
+        elif self.kind == 'cancelled':
+            self.kind = 'ok'
 
     def fail(self, code: str, not_run: bool) -> None:
         """Notes a failure; a refused attempt has not run."""
@@ -72,6 +83,7 @@
         duration: Recent time of a whole attempt in seconds.
         sent: Attempts sent by this gateway and not ended.
         reported_sent: The value of ``sent`` at the last report.
+        others: Requests of other gateways at the last report.
         sent_since: Attempts sent by this gateway since the last report.
         busy_until: Deadline until which the server counts as full.
         connected: Whether the data link works.
@@ -97,6 +109,7 @@
     duration: float = ASSUMED_DURATION
     sent: int = 0
     reported_sent: int = 0
+    others: int = 0
     sent_since: int = 0
     busy_until: float = 0.0
     connected: bool = False
@@ -125,6 +138,7 @@
         self.ready = load.get('s', 'ready') == 'ready'
         self.engine = load.get('i', self.engine)
         self.reported_sent = self.sent
+        self.others = max(0, self.running + self.queued - self.sent)
         self.sent_since = 0
         if 'v' in load:
             self.versions = frozenset(load['v'])
@@ -146,7 +160,7 @@
     def observe(self, outcome: Outcome) -> None:
         """Learns from the result of an attempt."""
         now = clock.now()
-        if outcome.first_token_at:
+        if outcome.first_token_at > 0:
             seconds = outcome.first_token_at - outcome.sent_at
             # Observed under load; the estimate is for an idle server.
             seconds /= 1 + outcome.load
@@ -170,12 +184,7 @@
         Args:
             growth: Load of other gateways relative to that of this one.
         """
-        others = self.running + self.queued - self.reported_sent
-        return (
-            (others if others > 0 else 0)
-            + self.sent
-            + growth * self.sent_since
-        )
+        return self.others + self.sent + growth * self.sent_since
 
 
 class ServerTable:
--- /dev/null
+++ b/tests/test_feedback.py
@@ -0,0 +1,94 @@
+"""Results of attempts as the dispatcher reports them."""
+
+import anyio
+import pytest
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction.coordination import dispatch
+from chivejunction.protocol import messages
+from chivejunction.protocol import verdicts
+from chivejunction.state import calls
+from tests import test_selection
+
+
+class Dispatcher(dispatch.Dispatcher):
+    """Dispatcher whose attempts follow a script."""
+
+    def __init__(self, pool, script):
+        super().__init__(
+            pool.selector, {s.host: None for s in pool.table}, pool.view
+        )
+        self.script = script
+
+    async def _run_attempt(self, call, pool, version, peer):
+        for step in self.script:
+            if isinstance(step, Exception):
+                raise step
+            await anyio.sleep(0.02)
+            yield step
+
+
+HEAD = messages.Head('a', 200, {})
+DATA = messages.Data('a', 0, b'x')
+END = messages.End('a', 1, 2, '', {})
+
+
+class TestFeedback:
+    """Guards against a selector that never learns how attempts ended."""
+
+    def run(self, script, stop_after=None, stream=True, idempotent=False):
+        pool = test_selection.Pool(1, domains=['bkk-a'])
+        recorded = []
+        pool.selector.record = lambda host, o: recorded.append((host, o))
+        call = calls.Call(
+            'r', 'temple', 'POST', '/', {}, b'', clock.make_deadline(5)
+        )
+        call.stream, call.idempotent = stream, idempotent
+
+        async def consume():
+            events = Dispatcher(pool, script).run(call, 'lm', 'small-1')
+            seen = 0
+            try:
+                async for _ in events:
+                    seen += 1
+                    if seen == stop_after:
+                        break
+            except errors.RefusalError:
+                pass
+            await events.aclose()
+
+        anyio.run(consume)
+        assert [host for host, _ in recorded] == ['bkk-a-0']
+        return recorded[0][1]
+
+    def test_whole_stream(self):
+        outcome = self.run([HEAD, DATA, END])
+        assert outcome.kind == 'ok'
+        assert 0.03 < outcome.first_token_at - outcome.sent_at < 1
+
+    def test_plain_answer_shows_no_first_token(self):
+        outcome = self.run([HEAD, DATA, END], stream=False)
+        assert (outcome.kind, outcome.first_token_at) == ('ok', 0)
+
+    def test_error_status(self):
+        bad = messages.Head('a', 500, {})
+        outcome = self.run([bad, DATA, END])
+        assert outcome.kind == 'error'
+        assert outcome.first_token_at < 0
+
+    @pytest.mark.parametrize(
+        'verdict, kind',
+        [
+            (verdicts.Verdict.NOT_RUN, 'refused'),
+            (verdicts.Verdict.MAY_HAVE_RUN, 'error'),
+        ],
+    )
+    def test_failure(self, verdict, kind):
+        failure = errors.RefusalError('server_failed', 'x', verdict)
+        outcome = self.run([failure])
+        assert (outcome.kind, outcome.code) == (kind, 'server_failed')
+
+    def test_caller_that_leaves_is_no_failure(self):
+        outcome = self.run([HEAD, DATA, END], stop_after=2)
+        assert outcome.kind == 'cancelled'
