Keep the fake engine alive when a step is overdue

Cause: anyio.sleep refuses negative delays, so a late timer ended the batch and with it the engine. This is the likely cause of the one answer 500 seen in test_fencing[True] on a busy machine.

Ruled out: nothing else was tried.

Figures: TestLateTimer fails with ValueError before, passes after.

--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -130,7 +130,7 @@
             due = max(
                 due + self._measure_step(prefilled), time.monotonic() - 0.05
             )
-            await anyio.sleep(due - time.monotonic())
+            await anyio.sleep(max(0.0, due - time.monotonic()))
             self._advance()
 
     def _fill_slots(self) -> None:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,10 +4,12 @@
 import threading
 import time
 
+import anyio
 import httpcore
 import pytest
 
 from bench import fleet
+from fakes import batching
 from fakes import engine as engine_module
 
 
@@ -304,3 +306,25 @@
         post(url, 'faults', refuse=True)
         assert self.call(url).status == 503
         assert read(url, 'runs') == {}
+
+
+class TestLateTimer:
+    """Guards against an engine that dies when a step is already overdue."""
+
+    def test_steps_without_length(self):
+        batch = batching.Batch(
+            2, 0.0, 0.0, 0.0, 100, lambda: 1.0, lambda: time.sleep(0.01)
+        )
+        sequence = batching.Sequence('a-1', 10, 5)
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                group.start_soon(batch.run)
+                batch.add(sequence)
+                with anyio.fail_after(5):
+                    while not sequence.closed:
+                        await sequence.wait_beyond(sequence.produced)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert sequence.produced == 5
