--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -182,9 +182,8 @@
                 pool=pool,
                 version=version,
                 choice=server.host,
-                expected_cost_s=self._selector.decision.expected,
-                excluded=self._selector.decision.excluded,
                 revision=self._view.revision,
+                **self._selector.describe_decision(),
             )
             started = False
             outcome = self._selector.begin()
--- a/chivejunction/coordination/membership.py
+++ b/chivejunction/coordination/membership.py
@@ -38,6 +38,8 @@
         self._hosts_url = hosts_url
         self._make_peer = make_peer
         self.peers: dict[str, peers.AgentPeer] = {}
+        # Gateways on the host list, this one included.
+        self.gateway_count = 1
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def run(self) -> None:
@@ -56,6 +58,8 @@
     def _update(
         self, group: abc.TaskGroup, listed: list[host_list.ListedHost]
     ) -> None:
+        gateways = sum(host.role == 'gateway' for host in listed)
+        self.gateway_count = max(1, gateways)
         agents = {host.host: host for host in listed if host.role == 'agent'}
         for host in agents.values():
             known = self.peers.get(host.host)
--- a/chivejunction/coordination/selection.py
+++ b/chivejunction/coordination/selection.py
@@ -1,8 +1,10 @@
 """Choice of the backend server for an attempt."""
 
 import dataclasses
+import logging
 
 from chivejunction import clock
+from chivejunction import logs
 from chivejunction.coordination import policies
 from chivejunction.state import outliers
 from chivejunction.state import servers
@@ -120,6 +122,18 @@
         chosen.server.sent_since += 1
         return chosen.server
 
+    def describe_decision(self) -> dict:
+        """Returns the log fields of the latest choice, none if not logged.
+
+        The reasons of 100 servers cost about as much as the choice.
+        """
+        if not logs.DECISIONS.isEnabledFor(logging.INFO):
+            return {}
+        return {
+            'expected_cost_s': self.decision.expected,
+            'excluded': self.decision.excluded,
+        }
+
     def begin(self) -> servers.Outcome:
         """Returns the outcome to fill in for the latest choice."""
         chosen = self.decision.chosen
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -117,7 +117,10 @@
             self.view,
         )
         self.limiter = limits.Limiter(
-            self.view, config.host, time.time_ns() // 1_000_000
+            self.view,
+            config.host,
+            time.time_ns() // 1_000_000,
+            lambda: self.membership.gateway_count,
         )
         self.callers = callers.CallersApp(
             self.view,
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -93,6 +93,7 @@
         ramp_until: Deadline until which it gets a reduced share.
         ejected_until: Deadline of an outlier ejection.
         key: Host name as bytes, for rendezvous hashing.
+        started_as: Incarnations of agent and engine at the last report.
     """
 
     host: str
@@ -149,13 +150,15 @@
 
     def _note_restart(self) -> None:
         started_as = self.incarnation, self.engine
-        if started_as != self.started_as:
-            if self.started_as != ('', ''):
-                # What was learnt belongs to the earlier incarnation, and
-                # the new one has an empty cache.
-                self.absent = True
-                self.first_token = 0.0
-            self.started_as = started_as
+        if any(
+            old and old != new
+            for old, new in zip(self.started_as, started_as, strict=True)
+        ):
+            # What was learnt belongs to the earlier incarnation, and the
+            # new one has an empty cache.
+            self.absent = True
+            self.first_token = 0.0
+        self.started_as = started_as
 
     def observe(self, outcome: Outcome) -> None:
         """Learns from the result of an attempt."""
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -1,12 +1,14 @@
 """Choice of the backend server."""
 
 import collections
+import logging
 import random
 import time
 
 import pytest
 
 from chivejunction import clock
+from chivejunction import logs
 from chivejunction.coordination import affinity
 from chivejunction.coordination import policies
 from chivejunction.coordination import selection
@@ -120,6 +122,22 @@
         assert chosen.host not in excluded
 
 
+class TestDecisionLog:
+    """Guards against log lines without reasons, and their cost when off."""
+
+    def test_fields(self):
+        pool = Pool(1)
+        pool.choose()
+        logs.DECISIONS.setLevel(logging.INFO)
+        fields = pool.selector.describe_decision()
+        assert len(fields['excluded']) == 2
+        assert fields['expected_cost_s'] > 0
+        logs.DECISIONS.setLevel(logging.WARNING)
+        fields = pool.selector.describe_decision()
+        logs.DECISIONS.setLevel(logging.NOTSET)
+        assert fields == {}
+
+
 class TestExpectedTime:
     """Guards against choices by a stale or partial view of load."""
 
@@ -340,7 +358,10 @@
         for _ in range(3):
             pool.record('bkk-a-0', seconds=0.05)
         server = pool.table.get('bkk-a-0')
+        server.incarnation = 'agent-1'
+        server.apply_load({})
         server.apply_load({'i': 'engine-1'})
+        assert not server.absent
         server.apply_load({'i': 'engine-2'})
         assert server.first_token == 0
         counts = pool.count(300, keys=300)
