--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -17,7 +17,7 @@
 # A prompt of 1,500 tokens takes 0.3 s without a cached prefix; the cache
 # holds about six such prompts.
 ENGINE_OPTIONS = {
-    'step_seconds': 0.02,
+    'between_tokens': 0.02,
     'prefill_seconds': 0.0002,
     'cache_blocks': 600,
     'cold_factor': 6.0,
@@ -117,7 +117,7 @@
     }
 
 
-def set_fault(started: fleet.Fleet, name: str, path: str, **value) -> None:
+def set_fault(started: fleet.Fleet, name: str, **value) -> None:
     """Sets fault switches of the engine of a host."""
     url = started.members[f'{name}-engine'].url()
-    fleet.call_json('POST', f'{url}/{path}', value)
+    fleet.call_json('POST', f'{url}/faults', value)
--- a/bench/selection.py
+++ b/bench/selection.py
@@ -51,7 +51,7 @@
         group.start_soon(running.run)
         await anyio.sleep(workload.seconds / 2)
         await to_thread.run_sync(
-            lambda: deployment.set_fault(started, COLD_SERVER, 'cold-start')
+            lambda: deployment.set_fault(started, COLD_SERVER, cold_start=True)
         )
     return running
 
@@ -62,7 +62,7 @@
         deployment.start(started, policy, cold_seconds=COLD_SECONDS)
         # All engines start cold; only the later cold start is measured.
         time.sleep(COLD_SECONDS)
-        deployment.set_fault(started, SLOW_SERVER, 'faults', slow=SLOW_FACTOR)
+        deployment.set_fault(started, SLOW_SERVER, slow=SLOW_FACTOR)
         workload = load.Workload(
             urls=[
                 started.members[f'gw-{d}'].url() for d in deployment.DOMAINS
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -19,6 +19,7 @@
         tokens: Tokens of the answer.
         speed: Step time of its version relative to the engine's.
         priority: Priority from 0 to 9, higher first.
+        first: Number of its first token, above 0 for a continued answer.
         produced: Tokens of the answer so far.
         closed: Whether the client has gone or the engine gave up.
         changed: Set and replaced when the sequence has progressed.
@@ -29,6 +30,7 @@
     tokens: int
     speed: float = 1.0
     priority: int = 4
+    first: int = 0
     produced: int = 0
     closed: bool = False
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import json
+import re
 import time
 import uuid
 
@@ -21,6 +22,7 @@
 # Numbered, so that a reader can tell a lost from a repeated token. The first
 # two are plain ASCII; the others put multi-byte characters into answers.
 WORDS = ('', '', 'เช่า', 'bijen', 'ลำโพง', 'één', 'speaker', 'korf', 'วันนี้')
+NUMBERED = re.compile(r'w(\d+)')
 # Every such event is written in two parts, cut inside a character.
 SPLIT_EVERY = 4
 DONE = b'data: [DONE]\n\n'
@@ -32,9 +34,16 @@
     return f'w{index}{WORDS[index % len(WORDS)]} '
 
 
-def write_text(tokens: int) -> str:
-    """Returns the text of a whole answer."""
-    return ''.join(map(write_token, range(tokens))).rstrip()
+def write_text(tokens: int, first: int = 0) -> str:
+    """Returns the text of a whole answer that begins with a token."""
+    numbers = range(first, first + tokens)
+    return ''.join(map(write_token, numbers)).rstrip()
+
+
+def count_numbered(text: str) -> int:
+    """Returns the number after the last whole numbered token of a text."""
+    numbers = NUMBERED.findall(text)
+    return int(numbers[-1]) + 1 if numbers else 0
 
 
 def split_characters(payload: bytes) -> list[bytes]:
@@ -95,10 +104,15 @@
     the middle for ``stall_seconds``; ``cut_share`` breaks it in the middle,
     without ``[DONE]``; ``cross_share`` echoes another attempt's id;
     ``wrong_length_share`` leaves out the end of a plain answer or some bytes
-    of a stream. ``POST /cold-start`` with ``{"cut": bool}`` starts the
-    engine cold without a warning; ``cut`` breaks what is running.
+    of a stream. ``cold_start`` starts the engine cold without a warning and
+    switches itself off; with ``cold_cut`` it breaks what is running.
+
+    A chat with ``continue_final_message`` goes on after the last numbered
+    token of its last message.
 
     Args:
+        first_token: Time of the engine for a first token besides the
+            prompt's, in seconds.
         batch_options: Options of batching.Batch.
         cache: Prompt-prefix cache.
         tokens: Tokens of an answer without ``max_tokens``.
@@ -106,6 +120,8 @@
             any version.
         cold_seconds: Time to become warm in seconds.
         cold_factor: Factor on all times while cold; falls to 1 linearly.
+        cold_slots: Sequences that a cold engine runs without becoming even
+            slower; 0 for any number.
         lag: Lag of load reports in seconds.
         check_fencing: Whether orders with an old fencing number are refused.
         load_seconds: Time to load a version in seconds.
@@ -115,22 +131,28 @@
 
     def __init__(
         self,
+        first_token: float,
         batch_options: dict,
         cache: prefixes.PrefixCache,
         tokens: int,
         versions: dict[str, float],
         cold_seconds: float,
         cold_factor: float,
+        cold_slots: int,
         lag: float,
         check_fencing: bool,
         load_seconds: float,
         resume_seconds: float,
     ):
+        self._first_token_work = int(
+            first_token / batch_options['prefill_seconds']
+        )
         self._tokens = tokens
         self._versions = versions
         self._any_version = not versions
         self._cold_seconds = cold_seconds
         self._cold_factor = cold_factor
+        self._cold_slots = cold_slots
         self._lag = lag
         self._check_fencing = check_fencing
         self._load_seconds = load_seconds
@@ -152,6 +174,9 @@
             cut_share=0.0,
             cross_share=0.0,
             wrong_length_share=0.0,
+            cold_start=False,
+            cold_cut=False,
+            on_change=self._change_faults,
         )
         self.batch = batching.Batch(
             get_slowness=self._measure_slowness,
@@ -172,6 +197,8 @@
         if left > 0:
             share = left / self._cold_seconds
             factor *= 1 + (self._cold_factor - 1) * share
+            if self._cold_slots:
+                factor *= max(1.0, self.batch.running / self._cold_slots) ** 2
         return factor
 
     def _record_load(self) -> None:
@@ -181,7 +208,9 @@
                 'running': self.batch.running,
                 'waiting': self.batch.waiting,
                 'cached_prefix_tokens': self._cache.tokens,
-                'versions': sorted(self._versions),
+                'versions': None
+                if self._any_version
+                else sorted(self._versions),
                 'lag_s': self._lag,
             }
         )
@@ -203,7 +232,6 @@
             ('/cache-events', self._list_events, 'GET'),
             ('/runs', self._list_runs, 'GET'),
             ('/orders', self._take_order, 'POST'),
-            ('/cold-start', self._force_cold_start, 'POST'),
         ]
         return [
             *(routing.Route(p, h, methods=[m]) for p, h, m in table),
@@ -220,12 +248,12 @@
     async def _list_runs(self, request: requests.Request):
         return responses.JSONResponse(self.runs)
 
-    async def _force_cold_start(self, request: requests.Request):
-        options = json.loads(await request.body() or b'{}')
-        if options.get('cut'):
-            self.batch.close_all()
-        self._start_cold()
-        return responses.JSONResponse({'incarnation': self.incarnation})
+    def _change_faults(self) -> None:
+        if self.faults['cold_start']:
+            self.faults.values['cold_start'] = False
+            if self.faults['cold_cut']:
+                self.batch.close_all()
+            self._start_cold()
 
     async def _take_order(self, request: requests.Request):
         order = await request.json()
@@ -290,11 +318,15 @@
         prompt_tokens = prefixes.count_tokens(prompt)
         sequence = batching.Sequence(
             attempt=request.headers.get('x-request-id', ''),
-            prefill_left=max(1, prompt_tokens - cached),
+            prefill_left=max(1, prompt_tokens - cached)
+            + self._first_token_work,
             tokens=max(1, int(body.get('max_tokens') or self._tokens)),
             speed=self._versions.get(body['model'], 1.0),
             priority=int(request.headers.get('x-priority', 4)),
         )
+        if body.get('continue_final_message'):
+            sequence.first = count_numbered(body['messages'][-1]['content'])
+            sequence.tokens = max(1, sequence.tokens - sequence.first)
         run = {
             'attempt': sequence.attempt,
             'version': body['model'],
@@ -337,7 +369,7 @@
         self._end(sequence, run)
         message = {
             'role': 'assistant',
-            'content': write_text(sequence.produced),
+            'content': write_text(sequence.produced, sequence.first),
         }
         value = {
             'id': headers['x-request-id'],
@@ -390,7 +422,7 @@
                     raise ConnectionAbortedError('answer broken off')
                 if index == middle and fault == 'stall':
                     await anyio.sleep(self.faults['stall_seconds'])
-                event = self._event(run, attempt, index)
+                event = self._event(run, attempt, sequence.first + index)
                 if index == middle and fault == 'wrong_length':
                     event = event[: len(event) // 2]
                 skip, event = max(0, skip - len(event)), event[skip:]
@@ -453,8 +485,9 @@
 
 
 def make_app(
+    first_token: float = 0.0,
+    between_tokens: float = 0.005,
     slots: int = 16,
-    step_seconds: float = 0.005,
     growth: float = 0.03,
     prefill_seconds: float = 0.00005,
     prefill_chunk: int = 2048,
@@ -466,6 +499,7 @@
     versions='',
     cold_seconds: float = 0.0,
     cold_factor: float = 8.0,
+    cold_slots: int = 0,
     lag: float = 0.0,
     check_fencing: bool = True,
     load_seconds: float = 0.05,
@@ -473,9 +507,10 @@
 ) -> applications.Starlette:
     """Returns an engine as an application; see Engine, Batch, PrefixCache."""
     engine = Engine(
+        first_token,
         {
             'slots': slots,
-            'step_seconds': step_seconds,
+            'step_seconds': between_tokens,
             'growth': growth,
             'prefill_seconds': prefill_seconds,
             'prefill_chunk': prefill_chunk,
@@ -487,6 +522,7 @@
         parse_versions(versions),
         cold_seconds,
         cold_factor,
+        cold_slots,
         lag,
         check_fencing,
         load_seconds,
--- a/fakes/faults.py
+++ b/fakes/faults.py
@@ -1,5 +1,7 @@
 """Fault switches that the fakes of backend servers share."""
 
+from collections.abc import Callable
+
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -11,11 +13,15 @@
     Shares are exact over time: a share of 0.25 hits every fourth call.
 
     Args:
+        on_change: Called after a change; may set switches back.
         **defaults: Switches with their values at the start.
     """
 
-    def __init__(self, **defaults):
+    def __init__(
+        self, on_change: Callable[[], None] = lambda: None, **defaults
+    ):
         self.values = defaults
+        self._on_change = on_change
         self._sums: dict[str, float] = {}
 
     def __getitem__(self, name: str):
@@ -45,4 +51,5 @@
                 {'error': f'unknown faults: {unknown}'}, 400
             )
         self.values.update(changes)
+        self._on_change()
         return responses.JSONResponse(self.values)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -75,7 +75,7 @@
     """Guards against load that does not slow an engine down."""
 
     def test_batch_slows_tokens(self, start_engine):
-        url = start_engine(step_seconds=0.01, growth=0.5, slots=8)
+        url = start_engine(between_tokens=0.01, growth=0.5, slots=8)
         alone = measure(url, max_tokens=20)
         threads = ask_parallel(url, 7, max_tokens=80)
         time.sleep(0.1)
@@ -85,7 +85,7 @@
         assert shared > 2 * alone
 
     def test_priority_goes_first(self, start_engine):
-        url = start_engine(slots=1, step_seconds=0.01)
+        url = start_engine(slots=1, between_tokens=0.01)
         threads = ask_parallel(url, 4, max_tokens=20)
         time.sleep(0.1)
         ask(url, attempt='urgent', headers=[('x-priority', '9')])
@@ -96,7 +96,7 @@
         assert len(ended) <= 3
 
     def test_closed_client_frees_the_slot(self, start_engine):
-        url = start_engine(slots=1, step_seconds=0.01)
+        url = start_engine(slots=1, between_tokens=0.01)
         body = {'model': 'm', 'stream': True, 'max_tokens': 5000}
         body['messages'] = [{'role': 'user', 'content': 'x'}]
         with httpcore.stream(
@@ -109,6 +109,20 @@
         assert read(url, 'runs')[0]['complete'] is False
 
 
+class TestColdSlots:
+    """Guards against a cold engine that bears any load."""
+
+    def test_more_than_its_slots_make_it_slower(self, start_engine):
+        options = {'cold_seconds': 60, 'cold_factor': 1.0}
+        url = start_engine(cold_slots=2, between_tokens=0.01, **options)
+        alone = measure(url, max_tokens=10)
+        threads = ask_parallel(url, 5, max_tokens=30)
+        time.sleep(0.05)
+        assert measure(url, max_tokens=10) > 4 * alone
+        for thread in threads:
+            thread.join()
+
+
 class TestPrefixCache:
     """Guards against prompts that cost the same cached or not."""
 
@@ -154,7 +168,7 @@
         assert text == engine_module.write_text(20)
 
     def test_characters_are_cut_by_chunk_borders(self, start_engine):
-        url = start_engine(step_seconds=0.01)
+        url = start_engine(between_tokens=0.01)
         body = {'model': 'm', 'stream': True, 'max_tokens': 12}
         body['messages'] = [{'role': 'user', 'content': 'x'}]
         with httpcore.stream(
@@ -172,8 +186,19 @@
         assert broken
         assert 'เช่า' in b''.join(chunks).decode()
 
+    def test_continues_a_final_message(self, start_engine):
+        url = start_engine()
+        messages = [
+            {'role': 'user', 'content': 'x'},
+            {'role': 'assistant', 'content': engine_module.write_text(8)},
+        ]
+        _, plain, _ = ask(url, messages=messages, continue_final_message=True)
+        value = json.loads(plain)
+        text = value['choices'][0]['message']['content']
+        assert text == engine_module.write_text(12, 8)
+
     def test_resumes_from_an_offset(self, start_engine):
-        url = start_engine(step_seconds=0.02, resume_seconds=5)
+        url = start_engine(between_tokens=0.02, resume_seconds=5)
         body = {'model': 'm', 'stream': True}
         body['messages'] = [{'role': 'user', 'content': 'x'}]
         with httpcore.stream(
@@ -226,7 +251,7 @@
         assert ask(url)[0] == 503
 
     def test_slow_factor(self, start_engine):
-        url = start_engine(step_seconds=0.01)
+        url = start_engine(between_tokens=0.01)
         post(url, 'faults', slow=5.0)
         assert measure(url, max_tokens=10) > 0.5
 
@@ -238,7 +263,7 @@
     """Guards against a cold start that nobody could notice."""
 
     def test_slow_until_warm(self, start_engine):
-        url = start_engine(step_seconds=0.01, cold_seconds=2, cold_factor=10)
+        url = start_engine(between_tokens=0.01, cold_seconds=2, cold_factor=10)
         cold = measure(url, max_tokens=5)
         time.sleep(2)
         warm = measure(url, max_tokens=5)
@@ -248,7 +273,8 @@
         url = start_engine()
         ask(url, content='q' * 1000)
         before = read(url, 'load')
-        post(url, 'cold-start')
+        post(url, 'faults', cold_start=True)
+        assert read(url, 'faults')['cold_start'] is False
         after = read(url, 'load')
         assert after['incarnation'] != before['incarnation']
         assert after['cached_prefix_tokens'] == 0
@@ -257,8 +283,13 @@
 class TestReports:
     """Guards against load reports and orders that are too good."""
 
+    def test_engine_for_any_version_names_none(self, start_engine):
+        url = start_engine(first_token=0.3)
+        assert read(url, 'load')['versions'] is None
+        assert measure(url, max_tokens=1) > 0.3
+
     def test_load_lags(self, start_engine):
-        url = start_engine(lag=0.6, step_seconds=0.02)
+        url = start_engine(lag=0.6, between_tokens=0.02)
         threads = ask_parallel(url, 3, max_tokens=60)
         time.sleep(0.2)
         assert read(url, 'load')['running'] == 0
