Keep keys at their server while it has room in its window

A trial that printed each choice showed 45% of keyed requests passed over, nearly all by the load bound of half a window, not by cost.

The test that a long system prompt gives one key is replaced by its opposite, since the rule changed.

--- a/bench/ratelimits.py
+++ b/bench/ratelimits.py
@@ -141,10 +141,10 @@
     """Prints the error with exchanges and with silence from one third on."""
     print(
         json.dumps(
-            [
-                measure(seed, seconds, gateways),
-                measure(seed, seconds, gateways, seconds / 3),
-            ]
+            {
+                'exchange': measure(seed, seconds, gateways),
+                'silence': measure(seed, seconds, gateways, seconds / 3),
+            }
         )
     )
 
--- a/chivejunction/coordination/affinity.py
+++ b/chivejunction/coordination/affinity.py
@@ -2,33 +2,26 @@
 
 import xxhash
 
-# A system prompt this long (about 64 tokens) is worth caching by itself, and
-# callers share it; a shorter one says too little about the whole prompt.
-SHARED_CHARACTERS = 256
-KEY_CHARACTERS = 1024
+# Part of a message that goes into a key.
+KEY_CHARACTERS = 4096
 
 
 def make_key(organisation: str, messages: list[dict]) -> str:
     """Returns the affinity key of a chat, empty without messages.
 
-    The key stays the same while messages are added to a chat. It contains
-    the organisation: organisations are competitors, and a cached prefix
-    shortens the first token, which would show a common prompt.
+    It covers the system prompt and the first message after it, so it stays
+    the same while messages are added to a chat. It contains the
+    organisation: organisations are competitors, and a cached prefix shortens
+    the first token, which would show a common prompt.
 
     Args:
         organisation: Name of the organisation.
         messages: Messages with ``role`` and ``content``, oldest first.
     """
     parts = []
-    size = 0
     for message in messages:
-        is_system = message.get('role') in ('system', 'developer')
-        if not is_system and size >= SHARED_CHARACTERS:
-            break
-        text = str(message.get('content', ''))[: KEY_CHARACTERS - size]
-        parts.append(text)
-        size += len(text)
-        if not is_system or size >= KEY_CHARACTERS:
+        parts.append(str(message.get('content', ''))[:KEY_CHARACTERS])
+        if message.get('role') not in ('system', 'developer'):
             break
     if not parts:
         return ''
--- a/chivejunction/coordination/policies.py
+++ b/chivejunction/coordination/policies.py
@@ -105,12 +105,13 @@
     ejects = True
     # Load bound relative to the mean load of the candidates.
     load_factor = 1.25
-    # A server below this share of its window is never above the bound: at
-    # low load, a second request for a key would leave its cache otherwise.
-    free_load = 0.5
+    # A server with room in its window is never above the bound: it need not
+    # queue, and the bound on cost already covers a batch that slows down.
+    free_load = 1.0
     # Cost, relative to the best and in seconds, that a cached prefix is
-    # worth and within which servers count as equal.
+    # worth.
     key_margin = (2.0, 0.1)
+    # Cost within which servers count as equal.
     near_margin = (1.25, 0.02)
     # Relative difference of cost below which the nearer server is taken.
     cost_step = 0.1
--- a/chivejunction/coordination/selection.py
+++ b/chivejunction/coordination/selection.py
@@ -22,6 +22,8 @@
 MIN_SHARE = 0.05
 # Bound on the estimated load of other gateways relative to this one's.
 MAX_GROWTH = 8.0
+# Weight of one choice in the means of own and other requests.
+MEAN_WEIGHT = 0.02
 # Requests in a full batch delay a first token by this part of its time.
 CONGESTION = 1.0
 
@@ -84,6 +86,8 @@
         # Places by failure domain under one document.
         self._document = view.document
         self._places: dict[str, int] = {}
+        # Mean own and other requests by pool, as reported.
+        self._means: dict[str, list[float]] = {}
 
     def choose(
         self,
@@ -116,7 +120,7 @@
         self.decision = Decision([], None, refused)
         if not usable:
             return None
-        candidates = self._estimate(usable, now)
+        candidates = self._estimate(pool, usable, now)
         chosen = self._policy.choose(candidates, affinity)
         self.decision = Decision(candidates, chosen, refused)
         chosen.server.sent_since += 1
@@ -201,19 +205,28 @@
             refused[server.host] = reason
         return usable, refused
 
-    @staticmethod
-    def _estimate_growth(usable: list[servers.Server]) -> float:
+    def _estimate_growth(
+        self, pool: str, usable: list[servers.Server]
+    ) -> float:
         own = others = 0
         for server in usable:
             own += server.reported_sent
             others += server.others
-        return min(MAX_GROWTH, others / max(1, own))
+        # Averaged, since at a moment without own attempts the ratio says
+        # nothing and would make every server look full.
+        mean = self._means.get(pool)
+        if mean is None:
+            mean = self._means[pool] = [float(own), float(others)]
+        else:
+            mean[0] += MEAN_WEIGHT * (own - mean[0])
+            mean[1] += MEAN_WEIGHT * (others - mean[1])
+        return min(MAX_GROWTH, mean[1] / max(1.0, mean[0]))
 
     def _estimate(
-        self, usable: list[servers.Server], now: float
+        self, pool: str, usable: list[servers.Server], now: float
     ) -> list[policies.Candidate]:
         places = self._places
-        growth = self._estimate_growth(usable)
+        growth = self._estimate_growth(pool, usable)
         known = sorted([s.first_token for s in usable if s.first_token])
         typical = (
             known[len(known) // 2] if known else servers.ASSUMED_FIRST_TOKEN
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -219,10 +219,20 @@
         pool.table.get('bkk-a-1').apply_load({'r': 5, 'w': 16})
         server.sent += 1
         server.sent_since = 1
-        growth = pool.selector._estimate_growth(list(pool.table))
+        growth = pool.selector._estimate_growth('lm', list(pool.table))
         assert growth == selection.MAX_GROWTH
         assert server.estimate_load(growth) == 6 + selection.MAX_GROWTH
 
+    def test_a_moment_without_own_attempts_counts_little(self):
+        pool = Pool(2, domains=['bkk-a'])
+        usable = list(pool.table)
+        for own in (4, 4, 4, 0, 4, 0):
+            for server in usable:
+                server.sent = own
+                server.apply_load({'r': own + 4})
+            growth = pool.selector._estimate_growth('lm', usable)
+            assert 0.9 < growth < 1.3
+
 
 class TestAffinity:
     """Guards against prefixes that lose their cached server."""
@@ -274,13 +284,13 @@
         assert affinity.make_key('temple', []) == ''
         assert affinity.make_key('t', [{'role': 'user', 'content': '\ud800'}])
 
-    def test_long_system_prompt_is_shared(self):
-        system = {'role': 'system', 'content': 's' * 300}
+    def test_chats_with_a_common_system_prompt_spread(self):
+        system = {'role': 'system', 'content': 's' * 3000}
         keys = {
             affinity.make_key('t', [system, {'role': 'user', 'content': c}])
             for c in 'abc'
         }
-        assert len(keys) == 1
+        assert len(keys) == 3
 
 
 class TestOutliers:
