--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -7,9 +7,11 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import affinity
 from chivejunction.coordination import answers
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import idempotency
+from chivejunction.coordination import limits
 from chivejunction.coordination import routing
 from chivejunction.protocol import chat
 from chivejunction.protocol import headers as http_headers
@@ -38,6 +40,7 @@
         view: Configuration of the gateway.
         router: Chooses versions.
         dispatcher: Runs calls.
+        limiter: Applies the rate limits of organisations.
     """
 
     def __init__(
@@ -45,10 +48,12 @@
         view: views.ConfigView,
         router: routing.Router,
         dispatcher: dispatch.Dispatcher,
+        limiter: limits.Limiter,
     ):
         self._view = view
         self._router = router
         self._dispatcher = dispatcher
+        self._limiter = limiter
         self.leaving = False
         self.running = 0
 
@@ -151,8 +156,13 @@
         call.headers['content-type'] = 'application/json'
         self._set_hash(call, body)
         response.drop_usage = not request.wants_usage
+        call.affinity = affinity.make_key(
+            organisation.name, [m.model_dump() for m in request.messages]
+        )
+        expected = limits.expect_tokens(body, request.max_tokens)
+        self._limiter.check(organisation.name, expected)
         plan = self._plan(call)
-        await self._run_plan(call, plan, body, receive, response)
+        await self._run_plan(call, plan, body, receive, response, expected)
 
     def _plan(self, call: calls.Call) -> routing.Plan:
         plan = self._router.plan(call)
@@ -167,12 +177,18 @@
         )
         return plan
 
-    async def _run_plan(self, call, plan, body, receive, response) -> None:
+    async def _run_plan(
+        self, call, plan, body, receive, response, expected
+    ) -> None:
         version = plan.steps[0]
         call.body = chat.write_chat(body, version)
         pool = self._view.versions[version].pool
         response.add_header('x-model-version', version)
-        events = self._dispatcher.run(call, pool, version)
+        events = self._limiter.follow(
+            call.organisation,
+            expected,
+            self._dispatcher.run(call, pool, version),
+        )
         await relay(call, events, receive, response)
 
     async def _service(
@@ -193,6 +209,7 @@
             call.method not in service.not_repeatable and not call.key
         )
         self._set_hash(call, body)
+        self._limiter.check(organisation.name)
         events = self._dispatcher.run(call, service.pool)
         await relay(call, events, receive, response)
 
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -56,6 +56,7 @@
         self.version = version
         self.streams: list[attempt_streams.AttemptStream] = []
         self.excluded: set[str] = set()
+        self.outcomes: dict[str, servers.Outcome] = {}
         self.key_revision = 0
 
     @property
@@ -97,6 +98,20 @@
             refusal.code, refusal.detail, verdict, refusal.retry_after
         )
 
+    def see(self, stream, event: Event) -> None:
+        """Notes an event for the choice of later servers."""
+        outcome = self.outcomes.get(stream.peer.name)
+        if outcome is not None:
+            outcome.see(event, self.call.stream)
+
+    def fail(self, host: str, refusal: errors.RefusalError) -> None:
+        """Notes the failure of an attempt for the choice of later servers."""
+        outcome = self.outcomes.get(host)
+        if outcome is not None:
+            outcome.fail(
+                refusal.code, refusal.verdict is verdicts.Verdict.NOT_RUN
+            )
+
     def close(self) -> None:
         """Stops receiving; cancels attempts that may be repeated."""
         for stream in self.streams:
@@ -142,6 +157,7 @@
                 have run. After data was yielded the answer is incomplete.
         """
         trial = Trial(call, pool, version)
+        stream = None
         try:
             stream, events = await self._open(trial)
             # Bytes have been passed on: only this attempt can end them.
@@ -153,15 +169,20 @@
                         passed += len(event.payload)
                     elif isinstance(event, messages.End):
                         self._check_whole(stream, event, passed)
+                        trial.see(stream, event)
                     yield event
                 if stream.ended:
                     break
                 events = [await stream.next_event(call.deadline)]
             self.budget.add_success()
         except errors.RefusalError as exc:
+            if stream is not None:
+                trial.fail(stream.peer.name, exc)
             raise trial.make_refusal(exc) from exc
         finally:
             trial.close()
+            for host, outcome in trial.outcomes.items():
+                self._selector.record(host, outcome)
 
     @staticmethod
     def _check_whole(stream, end: messages.End, passed: int) -> None:
@@ -204,6 +225,7 @@
         )
         if server is not None:
             trial.excluded.add(server.host)
+            trial.outcomes[server.host] = self._selector.begin()
             logs.log_decision(
                 'server',
                 request=call.id,
@@ -212,6 +234,7 @@
                 version=trial.version,
                 choice=server.host,
                 revision=self._view.revision,
+                **self._selector.describe_decision(),
             )
         return server
 
@@ -280,9 +303,13 @@
         while True:
             try:
                 stream = await self._send(trial, server)
-                return stream, await stream.read_first(call.deadline, held)
+                events = await stream.read_first(call.deadline, held)
+                for event in events:
+                    trial.see(stream, event)
+                return stream, events
             except errors.RefusalError as exc:
                 if exc.code != 'stale_config' or clock.has_passed(until):
+                    trial.fail(server.host, exc)
                     raise
             await anyio.sleep(clock.jitter(STALE_DELAY_SECONDS))
 
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -1,6 +1,7 @@
 """chivejunction-gateway: serves callers and operators on an entry host."""
 
 import signal
+import time
 from typing import Literal
 import uuid
 
@@ -16,6 +17,7 @@
 from chivejunction.coordination import configuration
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import idempotency
+from chivejunction.coordination import limits
 from chivejunction.coordination import membership
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
@@ -80,6 +82,11 @@
     codec: Literal['msgpack', 'cbor'] = pydantic.Field(
         'msgpack', description='Codec between gateways and agents.'
     )
+    server_policy: Literal[
+        'affinity', 'round_robin', 'random', 'two_choices'
+    ] = pydantic.Field(
+        'affinity', description='Policy that chooses backend servers.'
+    )
     log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
         'info', description='Least severe level that is logged.'
     )
@@ -105,13 +112,27 @@
             self.table, self.client, config.hosts_url, self._make_peer
         )
         self.dispatcher = dispatch.Dispatcher(
-            selection.Selector(self.table, self.view, config.failure_domain),
+            selection.Selector(
+                self.table,
+                self.view,
+                config.failure_domain,
+                config.server_policy,
+            ),
             self.membership.peers,
             self.view,
             idempotency.KeyStore(store, config.host),
         )
+        self.limiter = limits.Limiter(
+            self.view,
+            config.host,
+            time.time_ns() // 1_000_000,
+            lambda: self.membership.gateway_count,
+        )
         self.callers = callers.CallersApp(
-            self.view, routing.Router(self.view), self.dispatcher
+            self.view,
+            routing.Router(self.view),
+            self.dispatcher,
+            self.limiter,
         )
         self.operators = operators.OperatorsApi(
             self.view, self.source, config.operator_token
--- a/chivejunction/protocol/chat.py
+++ b/chivejunction/protocol/chat.py
@@ -39,6 +39,7 @@
     messages: Annotated[list[ChatMessage], pydantic.Field(min_length=1)]
     stream: pydantic.StrictBool | None = False
     stream_options: StreamOptions | None = None
+    max_tokens: Annotated[int, pydantic.Field(ge=1)] | None = None
 
     @property
     def wants_usage(self) -> bool:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -60,6 +60,7 @@
 
     def __init__(self, agents):
         self.agents = agents
+        self.outcomes = []
 
     def choose(self, pool, version='', affinity='', exclude=frozenset()):
         for peer in self.agents:
@@ -67,6 +68,15 @@
                 return peer.server
         return None
 
+    def begin(self):
+        return servers.Outcome()
+
+    def record(self, host, outcome):
+        self.outcomes.append((host, outcome.kind))
+
+    def describe_decision(self):
+        return {}
+
 
 def make_call(idempotent=True, seconds=5.0):
     return calls.Call(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,6 +10,7 @@
 
 from chivejunction.coordination import attempt_streams
 from chivejunction.coordination import callers
+from chivejunction.coordination import limits
 from chivejunction.coordination import routing
 from chivejunction.protocol import messages
 from chivejunction.protocol import resources
@@ -68,7 +69,10 @@
         self.peer = test_attempts.ScriptedPeer(answer)
         self.dispatcher = test_attempts.make_dispatcher(self.peer)
         self.app = callers.CallersApp(
-            self.view, routing.Router(self.view), self.dispatcher
+            self.view,
+            routing.Router(self.view),
+            self.dispatcher,
+            limits.Limiter(self.view, 'gw-1', 1),
         )
 
     def request(
