--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -115,10 +115,8 @@
             'version',
             request=call.id,
             organisation=call.organisation,
-            choice=version,
-            excluded=plan.excluded,
-            expected_cost=plan.expected_cost,
             revision=self._view.revision,
+            **plan.describe(),
         )
         value = json.loads(body)
         value['model'] = version
--- a/chivejunction/state/calls.py
+++ b/chivejunction/state/calls.py
@@ -24,6 +24,7 @@
         stream: Whether the caller reads an event stream.
         priority: Priority from 0 to 9, higher first.
         affinity: Key of the prompt prefix for cache affinity.
+        pin: Version that the session has had so far, empty if unknown.
     """
 
     id: str
@@ -42,3 +43,4 @@
     stream: bool = False
     priority: int = 4
     affinity: str = ''
+    pin: str = ''
--- a/chivejunction/state/estimates.py
+++ b/chivejunction/state/estimates.py
@@ -8,12 +8,15 @@
 import collections
 import dataclasses
 import math
+import random
 import statistics
 
 from chivejunction.protocol import resources
 
 BINS = 21
 HALF_LIFE_SECONDS = 6 * 3600.0
+# Decay within a step is below 0.2% and not worth its time.
+DECAY_STEP_SECONDS = 60.0
 # The operators' prior counts as this many ratings, whatever they claim.
 PRIOR_WEIGHT = 20.0
 UNKNOWN_QUALITY = 0.5
@@ -32,7 +35,9 @@
 OFFSET_SHRINKAGE = 0.9
 MAX_OFFSET = 0.2
 MAX_ORGANISATION_CELLS = 20_000
-CACHE_SECONDS = 1.0
+# Ratings move an estimate little in this time; a bad version is found by the
+# test of its rollout, not here.
+CACHE_SECONDS = 5.0
 DEFAULT_TOKENS = (200.0, 200.0)
 TOKEN_STEP = 0.05
 
@@ -61,40 +66,45 @@
 class Cell:
     """Decayed histogram of ratings, with the weight of missing ones."""
 
-    __slots__ = ('counts', 'missing', 'updated')
+    __slots__ = ('counts', 'missing', 'squares', 'total', 'updated', 'weight')
 
     def __init__(self, now: float):
         self.counts = [0.0] * BINS
+        self.weight = self.total = self.squares = 0.0
         self.missing = 0.0
         self.updated = now
 
     def decay(self, now: float) -> None:
         """Reduces all weights to their value at a time."""
-        if now <= self.updated:
+        if now <= self.updated + DECAY_STEP_SECONDS:
             return
         factor = 0.5 ** ((now - self.updated) / HALF_LIFE_SECONDS)
         self.counts = [count * factor for count in self.counts]
+        self.weight *= factor
+        self.total *= factor
+        self.squares *= factor
         self.missing *= factor
         self.updated = now
 
     def add(self, rating: float) -> None:
         """Adds a rating, split over the two bins around it."""
-        position = min(max(rating, 0.0), 1.0) * (BINS - 1)
+        rating = min(max(rating, 0.0), 1.0)
+        position = rating * (BINS - 1)
         low = min(int(position), BINS - 2)
         part = position - low
         self.counts[low] += 1 - part
         self.counts[low + 1] += part
+        self.weight += 1
+        self.total += rating
+        self.squares += rating * rating
 
     def summarise(self) -> tuple[float, float, float]:
         """Returns weight, mean and variance of the ratings."""
-        weight = sum(self.counts)
-        if not weight:
+        if not self.weight:
             return 0.0, 0.0, 0.0
-        scale = BINS - 1
-        mean = sum(i * c for i, c in enumerate(self.counts)) / scale / weight
-        square = sum(i * i * c for i, c in enumerate(self.counts))
-        variance = square / scale / scale / weight - mean * mean
-        return weight, mean, max(0.0, variance)
+        mean = self.total / self.weight
+        variance = self.squares / self.weight - mean * mean
+        return self.weight, mean, max(0.0, variance)
 
 
 def find_prior(
@@ -257,7 +267,7 @@
     ) -> Quality:
         """Returns the quality of a version for a request.
 
-        Results are kept for CACHE_SECONDS.
+        Results are kept for about CACHE_SECONDS.
         """
         key = (version.name, request_class, organisation, target)
         found = self._cache.get(key)
@@ -273,7 +283,9 @@
         value = estimate_quality(
             find_prior(version, request_class), cell, own, self._offset, target
         )
-        self._cache[key] = (now + CACHE_SECONDS, value)
+        # Spread, so that no single decision renews all estimates.
+        until = now + CACHE_SECONDS * (0.5 + random.random())
+        self._cache[key] = (until, value)
         return value
 
     @property
