Run cascades with ratings and one bill for each request

Cause: plans had one step and answers were not rated. Ruled out: escalation of non-idempotent requests (a second step is a second run); dropping the cost of a cheap step when the next one fails. The two tests over processes first failed with 503: an agent that is behind the configuration refuses, so the fixture waits for equal revisions.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -43,7 +43,7 @@
             'pool': 'p',
             'input_cost': 1.0 + 2 * i,
             'output_cost': 2.0 + 4 * i,
-            'quality': {name: 0.5 + 0.05 * i for name in CLASSES},
+            'quality': dict.fromkeys(CLASSES, 0.5 + 0.05 * i),
         }
         for i in range(VERSIONS)
     }
--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -6,6 +6,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import cascades
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import routing
 from chivejunction.protocol import chat
@@ -37,6 +38,7 @@
         view: Configuration of the gateway.
         router: Chooses versions.
         dispatcher: Runs calls.
+        runner: Runs plans.
     """
 
     def __init__(
@@ -44,9 +46,11 @@
         view: views.ConfigView,
         router: routing.Router,
         dispatcher: dispatch.Dispatcher,
+        runner: cascades.CascadeRunner,
     ):
         self._view = view
         self._router = router
+        self._runner = runner
         self._dispatcher = dispatcher
         self.leaving = False
 
@@ -110,7 +114,6 @@
         call.method, call.path = 'POST', '/v1/chat/completions'
         call.idempotent = 'idempotency-key' not in headers
         plan = self._router.plan(call)
-        version = plan.steps[0]
         logs.log_decision(
             'version',
             request=call.id,
@@ -118,12 +121,7 @@
             revision=self._view.revision,
             **plan.describe(),
         )
-        value = json.loads(body)
-        value['model'] = version
-        call.body = json.dumps(value, ensure_ascii=False).encode()
-        pool = self._view.versions[version].pool
-        response.add_header('x-model-version', version)
-        await response.relay(self._dispatcher.run(call, pool, version))
+        await response.relay(self._runner.run(call, plan))
 
     async def _service(
         self, scope, organisation, headers, body, response
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -13,15 +13,18 @@
 from chivejunction import logs
 from chivejunction import settings
 from chivejunction.coordination import callers
+from chivejunction.coordination import cascades
 from chivejunction.coordination import configuration
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import membership
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
+from chivejunction.coordination import ratings
 from chivejunction.coordination import routing
 from chivejunction.coordination import selection
 from chivejunction.coordination import spread
 from chivejunction.protocol import codecs
+from chivejunction.state import estimates
 from chivejunction.state import servers
 from chivejunction.state import views
 from chivejunction.transport import exchanges
@@ -68,6 +71,12 @@
     hosts_url: str = pydantic.Field(
         description="URL of the platform's host list."
     )
+    ratings_url: str = pydantic.Field(
+        '', description="URL of the platform's rating service."
+    )
+    check_cost: float = pydantic.Field(
+        0.0, description='Cost of one rating in cost units.', ge=0
+    )
     operator_token: str = pydantic.Field(
         description='Credential of the operators.', min_length=6
     )
@@ -104,8 +113,28 @@
             self.membership.peers,
             self.view,
         )
+        self.qualities = estimates.QualityEstimates()
+        self.costs = estimates.CostEstimates()
+        self.raters = ratings.Raters(
+            config.ratings_url,
+            self.client,
+            ratings.RatingLog(self.qualities),
+            self.qualities,
+            self.view,
+            config.check_cost,
+        )
+        self.router = routing.Router(
+            self.view, self.qualities, self.costs, checks=self.raters
+        )
+        self.runner = cascades.CascadeRunner(
+            self.dispatcher,
+            self.view,
+            self.raters,
+            self.qualities,
+            self.costs,
+        )
         self.callers = callers.CallersApp(
-            self.view, routing.Router(self.view), self.dispatcher
+            self.view, self.router, self.dispatcher, self.runner
         )
         self.operators = operators.OperatorsApi(
             self.view, self.source, config.operator_token
@@ -185,6 +214,7 @@
             group.start_soon(self._receive)
             group.start_soon(control.run)
             group.start_soon(self.membership.run)
+            group.start_soon(self.raters.run)
             group.start_soon(spread.poll_store, self.view, self.source)
             group.start_soon(
                 http_server.serve, admin, admin_socket, anyio.Event(), 1
--- /dev/null
+++ b/fakes/ratings.py
@@ -0,0 +1,130 @@
+"""Service that rates answers, late, with gaps and with an offset."""
+
+import json
+import random
+import time
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from fakes import programs
+
+CONCENTRATION = 20.0
+
+
+def draw_quality(rng: random.Random, quality: float) -> float:
+    """Returns the quality of one answer of a version.
+
+    Args:
+        rng: Random source.
+        quality: True mean quality of the version, 0 to 1.
+    """
+    quality = min(max(quality, 0.001), 0.999)
+    return rng.betavariate(
+        quality * CONCENTRATION, (1 - quality) * CONCENTRATION
+    )
+
+
+class RatingService:
+    """Rates answers around the true quality of their version.
+
+    ``POST /v1/ratings`` with ``{request, version, request_class, answer}``
+    answers 202, or 200 with the rating when ``immediate``.
+    ``GET /v1/ratings?since=N`` lists ratings after sequence number N.
+    ``PUT /faults`` sets ``late`` (seconds), ``missing`` (share), ``biased``
+    (added to each rating), ``down`` (bool).
+
+    Args:
+        quality: JSON object of version or ``version/class`` to its true
+            quality.
+        default: True quality of other versions.
+        immediate: Whether the answer to POST holds the rating.
+        seed: Seed of the ratings.
+    """
+
+    def __init__(
+        self,
+        quality: str | dict = '{}',
+        default: float = 0.8,
+        immediate: bool = True,
+        seed: int = 0,
+    ):
+        self._quality = (
+            json.loads(quality) if isinstance(quality, str) else dict(quality)
+        )
+        self._default = default
+        self._immediate = immediate
+        self._rng = random.Random(seed)
+        self._ratings: list[tuple[float, dict]] = []
+        self.faults = {
+            'late': 0.0,
+            'missing': 0.0,
+            'biased': 0.0,
+            'down': False,
+        }
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes."""
+        return [
+            routing.Route('/v1/ratings', self._post, methods=['POST']),
+            routing.Route('/v1/ratings', self._list, methods=['GET']),
+            routing.Route('/quality', self._put_quality, methods=['PUT']),
+            routing.Route('/faults', self._put_faults, methods=['PUT']),
+        ]
+
+    async def _put_faults(self, request: requests.Request):
+        self.faults.update(await request.json())
+        return responses.JSONResponse(self.faults)
+
+    async def _put_quality(self, request: requests.Request):
+        self._quality.update(await request.json())
+        return responses.JSONResponse(self._quality)
+
+    def rate(self, version: str, request_class: str) -> float:
+        """Returns the rating of a new answer of a version."""
+        quality = self._quality.get(
+            f'{version}/{request_class}',
+            self._quality.get(version, self._default),
+        )
+        rating = draw_quality(self._rng, quality) + self.faults['biased']
+        return min(max(rating, 0.0), 1.0)
+
+    async def _post(self, request: requests.Request):
+        if self.faults['down']:
+            return responses.JSONResponse({}, 503)
+        body = await request.json()
+        if self._rng.random() < self.faults['missing']:
+            return responses.JSONResponse({}, 202)
+        rating = {
+            'request': body['request'],
+            'version': body['version'],
+            'rating': self.rate(body['version'], body['request_class']),
+        }
+        self._ratings.append((time.monotonic() + self.faults['late'], rating))
+        if self._immediate and not self.faults['late']:
+            return responses.JSONResponse(rating)
+        return responses.JSONResponse({}, 202)
+
+    async def _list(self, request: requests.Request):
+        if self.faults['down']:
+            return responses.JSONResponse({}, 503)
+        since = int(request.query_params.get('since', 0))
+        now = time.monotonic()
+        found = []
+        for sequence in range(since, len(self._ratings)):
+            due, rating = self._ratings[sequence]
+            if due > now:
+                break
+            found.append({'sequence': sequence + 1, **rating})
+        return responses.JSONResponse({'ratings': found})
+
+
+def make_app(**options) -> applications.Starlette:
+    """Returns the rating service as an application."""
+    return applications.Starlette(routes=RatingService(**options).routes())
+
+
+if __name__ == '__main__':
+    programs.run_fire(make_app)
--- /dev/null
+++ b/tests/test_cascades.py
@@ -0,0 +1,325 @@
+"""Plans that run step by step, and ratings."""
+
+import json
+
+import anyio
+import pytest
+
+from bench import fleet
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction.coordination import cascades
+from chivejunction.coordination import ratings
+from chivejunction.coordination import routing
+from chivejunction.protocol import messages
+from chivejunction.protocol import verdicts
+from chivejunction.state import estimates
+from chivejunction.transport import http_client
+from tests import conftest
+from tests import test_routing
+
+USAGE = {'prompt_tokens': 500, 'completion_tokens': 500}
+QUESTION = [{'role': 'user', 'content': 'Kunt u de haak ruilen?'}]
+
+
+class FakeDispatcher:
+    """Answers with the name of the version; fails for names in failing."""
+
+    def __init__(self, failing=()):
+        self.failing = failing
+        self.runs = []
+
+    async def run(self, call, pool, version=''):
+        self.runs.append(json.loads(call.body)['model'])
+        if version in self.failing:
+            raise errors.RefusalError('no_server', 'none')
+        yield messages.Head('a', 200, {})
+        yield messages.Data('a', 0, version.encode())
+        yield messages.End(
+            'a', len(version), verdicts.Verdict.RAN.value, '', dict(USAGE)
+        )
+
+
+class FakeRaters:
+    cost = 0.0
+
+    def __init__(self, rating):
+        self.rating = rating
+        self.submitted = []
+
+    async def check(self, answer, deadline):
+        return self.rating
+
+    def submit(self, answer):
+        self.submitted.append(answer)
+
+
+def run_plan(
+    rating, steps=('tiny-1', 'large-1'), failing=(), seconds=100, **options
+):
+    dispatcher = FakeDispatcher(failing)
+    raters = FakeRaters(rating)
+    bills = []
+    runner = cascades.CascadeRunner(
+        dispatcher,
+        test_routing.make_view(),
+        raters,
+        estimates.QualityEstimates(),
+        estimates.CostEstimates(),
+        bills.append,
+    )
+    call = test_routing.make_call(
+        body=json.dumps({'model': 'auto', 'messages': QUESTION}).encode(),
+        deadline=clock.make_deadline(seconds),
+        **options,
+    )
+    plan = routing.Plan(list(steps), target=0.8)
+
+    async def collect():
+        return [event async for event in runner.run(call, plan)]
+
+    return anyio.run(collect), bills, dispatcher, raters
+
+
+class TestCascadeRunner:
+    """Guards against mixed answers, double bills and needless steps."""
+
+    def check_whole(self, events, version):
+        assert [type(e) for e in events] == [
+            messages.Head,
+            messages.Data,
+            messages.End,
+        ]
+        assert events[0].headers['x-model-version'] == version
+        assert events[1].payload == version.encode()
+
+    def test_good_answer_ends_the_plan(self):
+        events, bills, dispatcher, _ = run_plan(0.9)
+        self.check_whole(events, 'tiny-1')
+        assert dispatcher.runs == ['tiny-1']
+        assert [b.cost for b in bills] == [1.0]
+
+    def test_bad_answer_escalates_with_one_bill(self):
+        events, bills, dispatcher, raters = run_plan(0.5)
+        self.check_whole(events, 'large-1')
+        assert dispatcher.runs == ['tiny-1', 'large-1']
+        assert len(bills) == 1
+        assert bills[0].version == 'large-1'
+        assert [s.cost for s in bills[0].steps] == [1.0, 20.0]
+        assert bills[0].cost == 21.0
+        assert [a.version for a in raters.submitted] == ['large-1']
+
+    def test_missing_rating_leaves_the_choice_to_the_estimate(self):
+        assert run_plan(None)[2].runs == ['tiny-1', 'large-1']
+        options = {'steps': ('large-1', 'small-1')}
+        good = run_plan(None, request_class='faq', **options)
+        assert good[2].runs == ['large-1']
+
+    def test_short_deadline_keeps_the_present_answer(self):
+        events, _, dispatcher, raters = run_plan(0.1, seconds=0.9)
+        self.check_whole(events, 'tiny-1')
+        assert dispatcher.runs == ['tiny-1']
+        assert len(raters.submitted) == 1
+
+    def test_failed_step_goes_on_with_the_next(self):
+        events, bills, _, _ = run_plan(0.9, failing=('tiny-1',))
+        self.check_whole(events, 'large-1')
+        assert [b.cost for b in bills] == [20.0]
+
+    def test_non_idempotent_request_runs_once(self):
+        _, bills, dispatcher, _ = run_plan(0.1, idempotent=False)
+        assert dispatcher.runs == ['tiny-1']
+        assert len(bills) == 1
+
+    def test_cost_of_a_step_is_billed_when_the_next_fails(self):
+        bills = []
+        dispatcher = FakeDispatcher(('large-1',))
+        runner = cascades.CascadeRunner(
+            dispatcher,
+            test_routing.make_view(),
+            FakeRaters(0.1),
+            estimates.QualityEstimates(),
+            estimates.CostEstimates(),
+            bills.append,
+        )
+        call = test_routing.make_call(
+            body=b'{"model":"auto"}', deadline=clock.make_deadline(100)
+        )
+
+        async def collect():
+            plan = routing.Plan(['tiny-1', 'large-1'], target=0.8)
+            async for _ in runner.run(call, plan):
+                pass
+
+        with pytest.raises(errors.RefusalError):
+            anyio.run(collect)
+        assert [(b.version, b.cost) for b in bills] == [('', 1.0)]
+
+
+class TestRatingLog:
+    """Guards against ratings that count twice or not at all."""
+
+    def setup_method(self):
+        self.qualities = estimates.QualityEstimates()
+        self.log = ratings.RatingLog(self.qualities)
+        self.seen = []
+        self.log.add_observer(
+            lambda answer, rating, now: self.seen.append(rating)
+        )
+        self.log.expect(ratings.Answer('r', 'tiny-1', 'faq', 'a', b''), 0.0)
+
+    def read_quality(self, now):
+        version = test_routing.make_view().versions['tiny-1']
+        return self.qualities.estimate(version, 'faq', 'a', 0.8, now)
+
+    def test_rating_counts_once(self):
+        assert self.log.accept('r', 'tiny-1', 0.5, 1.0)
+        assert not self.log.accept('r', 'tiny-1', 0.5, 1.0)
+        assert self.read_quality(1.0).weight == 1
+
+    def test_rating_of_an_unknown_answer_is_dropped(self):
+        assert not self.log.accept('other', 'tiny-1', 0.5, 1.0)
+        assert not self.log.accept('r', 'tiny-1', 7, 1.0)
+        assert not self.log.accept('r', 'tiny-1', None, 1.0)
+        assert self.read_quality(1.0).weight == 0
+
+    def test_late_rating_replaces_the_missing_one(self):
+        self.log.expire(ratings.MISSING_SECONDS - 1)
+        assert self.seen == []
+        self.log.expire(ratings.MISSING_SECONDS + 1)
+        self.log.expire(ratings.MISSING_SECONDS + 2)
+        assert self.seen == [None]
+        assert self.log.accept('r', 'tiny-1', 0.9, ratings.MISSING_SECONDS + 3)
+        assert self.seen == [None, 0.9]
+        cell = self.qualities._cells['tiny-1', 'faq']
+        assert cell.missing == 0
+        assert cell.weight == 1
+
+    def test_memory_is_released(self):
+        self.log.expire(ratings.FORGET_SECONDS + 1)
+        self.log.expire(ratings.FORGET_SECONDS + 2)
+        assert len(self.log) == 0
+
+
+class TestRaters:
+    """Guards against checks that fail or hold up a request."""
+
+    def test_unreachable_service_gives_no_rating(self):
+        async def check():
+            client = http_client.Client()
+            qualities = estimates.QualityEstimates()
+            raters = ratings.Raters(
+                f'http://127.0.0.1:{fleet.find_port()}',
+                client,
+                ratings.RatingLog(qualities),
+                qualities,
+                test_routing.make_view(),
+            )
+            for i in range(50):
+                answer = ratings.Answer(str(i), 'tiny-1', 'faq', 'a', b'')
+                found = await raters.check(answer, clock.make_deadline(10))
+                assert found is None
+            await client.close()
+            return raters
+
+        raters = anyio.run(check)
+        # The service counts as down, but for one try from time to time.
+        assert raters.estimate_success(1.0) == ratings.MIN_SUCCESS
+        assert raters.estimate_success(2.0) == 0
+
+
+@pytest.fixture(scope='module')
+def rated_fleet(tmp_path_factory):
+    """One gateway, one engine and a rating service."""
+    with fleet.Fleet(tmp_path_factory.mktemp('rated')) as started:
+        started.start_platform()
+        quality = json.dumps({'small-1': 0.2, 'large-1': 0.95})
+        started.start_fake('ratings', 'ratings', quality=quality)
+        started.wait_for_port('ratings')
+        started.start_gateway(
+            'gw-1',
+            'bkk-a',
+            'bkk',
+            ratings_url=started.members['ratings'].url(),
+        )
+        started.start_fake('lm-1-engine', 'engine')
+        started.start_agent(
+            'lm-1',
+            'bkk-a',
+            'bkk',
+            'lm-pool',
+            'lm-1-engine',
+            versions='small-1,large-1',
+        )
+        started.wait_for_port('gw-1')
+        conftest.declare_resources(started, 'gw-1')
+        for name, cost, quality in (
+            ('small', 1.0, 0.85),
+            ('large', 50.0, 0.95),
+        ):
+            started.put(
+                'gw-1',
+                'modelversion',
+                f'{name}-1',
+                model=name,
+                pool='lm-pool',
+                output_cost=cost,
+                quality={'faq': quality},
+            )
+        started.wait_until(
+            lambda: (
+                started.read_health('gw-1').get('servers') == 1
+                and started.read_health('lm-1').get('ready')
+                # An agent that is behind refuses.
+                and started.read_health('lm-1').get('revision')
+                == started.read_health('gw-1').get('revision')
+            ),
+            'gateway and agent are ready',
+        )
+        yield started
+
+
+def ask(started, **options):
+    url = started.members['gw-1'].url()
+    headers = {
+        'authorization': 'Bearer temple-key',
+        'x-request-class': 'faq',
+        **options,
+    }
+    return fleet.call_json(
+        'POST',
+        f'{url}/v1/chat/completions',
+        {'model': 'auto', 'messages': QUESTION},
+        headers,
+    )
+
+
+class TestRatedPath:
+    """Guards against a gateway that does not act on ratings."""
+
+    def test_bad_cheap_answer_is_replaced(self, rated_fleet):
+        status, body = ask(rated_fleet)
+        assert status == 200
+        assert body['model'] == 'large-1'
+        engine = rated_fleet.members['lm-1-engine'].url()
+        runs = fleet.call_json('GET', f'{engine}/runs')[1]
+        assert [r['version'] for r in runs] == ['small-1', 'large-1']
+        log = rated_fleet.members['gw-1'].log.read_text().splitlines()
+        lines = [json.loads(line) for line in log]
+        bills = [x for x in lines if x.get('decision') == 'bill']
+        assert len(bills) == 1
+        assert [s['version'] for s in bills[0]['steps']] == [
+            'small-1',
+            'large-1',
+        ]
+
+    def test_answers_come_while_the_rating_service_is_down(self, rated_fleet):
+        url = rated_fleet.members['ratings'].url()
+        fleet.call_json('PUT', f'{url}/faults', {'down': True})
+        try:
+            for _ in range(3):
+                status, body = ask(rated_fleet)
+                assert status == 200
+                assert body['model'] == 'large-1'
+        finally:
+            fleet.call_json('PUT', f'{url}/faults', {'down': False})
