--- a/chivejunction/coordination/routing.py
+++ b/chivejunction/coordination/routing.py
@@ -185,6 +185,13 @@
     )
 
 
+def find_promise(candidate: Candidate, plan: Plan) -> float:
+    """Returns how much a version may save, weighted by how likely it is."""
+    quality = candidate.quality
+    likely = (quality.upper - plan.target) / (quality.upper - quality.lower)
+    return likely * max(plan.expected_cost - candidate.cost, 1e-6)
+
+
 class Router:
     """Chooses versions by allowance, state, quality and cost.
 
@@ -433,7 +440,7 @@
         if not uncertain:
             return
         self._credit -= 1
-        chosen = min(uncertain, key=lambda c: c.quality.weight)
+        chosen = max(uncertain, key=lambda c: find_promise(c, plan))
         checked = self._checks is not None
         plan.steps = (
             [chosen.version, *plan.steps] if checked else [chosen.version]
--- a/chivejunction/state/estimates.py
+++ b/chivejunction/state/estimates.py
@@ -26,8 +26,10 @@
 # Standard deviation of one rating where too few are known to measure it.
 PRIOR_DEVIATION = 0.25
 CONFIDENCE_Z = 1.64
-# How much worse an answer without a rating is taken to be in lower bounds.
-MISSING_DISCOUNT = 0.1
+# How much worse an answer without a rating is taken to be in lower bounds. It
+# applies to the share above the usual one: what goes missing of all versions
+# alike moves the rater's offset instead.
+MISSING_DISCOUNT = 0.2
 # One version alone never moves the estimate of the rater's offset: it may
 # have turned bad itself.
 MIN_OFFSET_CELLS = 3
@@ -128,6 +130,7 @@
     own: Cell | None,
     offset: float,
     target: float,
+    usual_missing: float = 0.0,
 ) -> Quality:
     """Combines prior, ratings of a class and those of an organisation.
 
@@ -138,6 +141,7 @@
         own: The part of them that comes from the organisation.
         offset: What the rater adds to the true quality.
         target: Quality that an answer has to reach.
+        usual_missing: Share of ratings that are missing of most versions.
     """
     base, base_weight = prior
     weight, mean, variance = cell.summarise() if cell else (0.0, 0.0, 0.0)
@@ -159,13 +163,13 @@
         )
     centre = min(max(centre, 0.0), 1.0)
     radius = CONFIDENCE_Z * math.sqrt(spread / effective)
-    missing = cell.missing / (weight + cell.missing) if weight else 0.0
+    missing = find_missing(cell, weight + base_weight) - usual_missing
     passing, passing_quality = _estimate_passing(
         cell, weight, centre, spread, offset, target, base_weight
     )
     return Quality(
         mean=centre,
-        lower=max(0.0, centre - radius - MISSING_DISCOUNT * missing),
+        lower=max(0.0, centre - radius - MISSING_DISCOUNT * max(0.0, missing)),
         upper=min(1.0, centre + radius),
         weight=weight,
         passing=passing,
@@ -173,6 +177,18 @@
     )
 
 
+def find_missing(cell: Cell | None, weight: float) -> float:
+    """Returns the share of ratings that are missing, 0 to 1.
+
+    Args:
+        cell: Ratings, or None.
+        weight: Weight of the ratings that came.
+    """
+    if cell is None or not cell.missing:
+        return 0.0
+    return cell.missing / (weight + cell.missing)
+
+
 def _estimate_passing(
     cell, weight, centre, spread, offset, target, base_weight
 ) -> tuple[float, float]:
@@ -213,6 +229,7 @@
             collections.OrderedDict()
         )
         self._offset = 0.0
+        self._usual_missing = 0.0
         self._cache: dict[tuple, tuple[float, Quality]] = {}
 
     def add_rating(
@@ -281,7 +298,12 @@
             if item is not None:
                 item.decay(now)
         value = estimate_quality(
-            find_prior(version, request_class), cell, own, self._offset, target
+            find_prior(version, request_class),
+            cell,
+            own,
+            self._offset,
+            target,
+            self._usual_missing,
         )
         # Spread, so that no single decision renews all estimates.
         until = now + CACHE_SECONDS * (0.5 + random.random())
@@ -298,7 +320,9 @@
         versions: dict[str, resources.ModelVersion],
         untrusted: frozenset[str] = frozenset(),
     ) -> None:
-        """Estimates the rater's offset from versions with a declared quality.
+        """Estimates the rater's offset and the usual share of missing ones.
+
+        The offset comes from versions with a declared quality.
 
         The median over versions and classes is used, so that a version that
         has turned bad does not shift the others.
@@ -309,15 +333,22 @@
                 rollout introduces.
         """
         residuals = []
+        missing = []
         for (name, request_class), cell in self._cells.items():
             version = versions.get(name)
             if version is None or name in untrusted:
                 continue
-            if request_class not in version.quality:
-                continue
             weight, mean, _ = cell.summarise()
-            if weight >= MIN_OFFSET_RATINGS:
+            if weight < MIN_OFFSET_RATINGS:
+                continue
+            missing.append(find_missing(cell, weight))
+            if request_class in version.quality:
                 residuals.append(mean - version.quality[request_class])
+        self._usual_missing = (
+            statistics.median(missing)
+            if len(missing) >= MIN_OFFSET_CELLS
+            else 0.0
+        )
         if len(residuals) < MIN_OFFSET_CELLS:
             self._offset = 0.0
             return
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -102,6 +102,21 @@
         assert abs(found.passing - 0.3) < 0.02
         assert abs(found.passing_quality - 0.9) < 0.02
 
+    def test_usual_missing_ratings_do_not_lower_the_bound(self):
+        table = estimates.QualityEstimates()
+        versions = {f'v{i}': make_version(f'v{i}') for i in range(4)}
+        for name in versions:
+            rate(table, name, [0.85] * 100)
+            for _ in range(200 if name == 'v0' else 50):
+                table.add_missing(name, 'faq', 'a', 0.0)
+        table.update_offset(versions)
+        found = {
+            name: table.estimate(version, 'faq', 'a', 0.8, 1.0).lower
+            for name, version in versions.items()
+        }
+        assert found['v1'] > 0.81
+        assert found['v0'] < found['v1'] - 0.05
+
 
 class TestCostEstimates:
     """Guards against costs that ignore the tokens used."""
