--- a/bench/quality.py
+++ b/bench/quality.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import itertools
 import json
 import random
 import statistics
@@ -170,6 +171,7 @@
                     quality,
                     0.0,
                     len(passing) / len(drawn),
+                    len(passing) / len(drawn),
                     statistics.fmean(passing) if passing else TARGET,
                 ),
             )
@@ -177,6 +179,32 @@
     return found
 
 
+def find_oracle(candidates: list) -> tuple[list[str], float]:
+    """Returns the cheapest of all plans that meet the target, and its cost.
+
+    Unlike the router it tries every order of up to MAX_STEPS versions. When
+    no plan meets the target, the best version runs alone.
+    """
+    best = None
+    for length in range(1, routing.MAX_STEPS + 1):
+        for steps in itertools.permutations(candidates, length):
+            cost = steps[-1].cost
+            quality = steps[-1].quality.mean
+            for step in reversed(steps[:-1]):
+                passing = step.quality.passing
+                cost = step.cost + CHECK_COST + (1 - passing) * cost
+                quality = (
+                    passing * step.quality.passing_quality
+                    + (1 - passing) * quality
+                )
+            if quality >= TARGET and (best is None or cost < best[1]):
+                best = ([step.version for step in steps], cost)
+    if best is None:
+        last = max(candidates, key=lambda c: c.quality.mean)
+        best = ([last.version], last.cost)
+    return best
+
+
 @dataclasses.dataclass
 class Result:
     """Sums over the requests of one policy."""
@@ -320,8 +348,7 @@
     for name in CLASSES:
         candidates = true_candidates(world, name)
         best[name] = [max(candidates, key=lambda c: c.quality.mean).version]
-        chosen = routing.choose_steps(candidates, TARGET, CHECK_COST, 1.0)
-        oracle[name], expected[name] = chosen[0], round(chosen[1], 4)
+        oracle[name], expected[name] = find_oracle(candidates)
     fixed = dict.fromkeys(CLASSES, ['v0', 'v4', 'v8'])
     results = {
         'always_best': run_fixed(world, count, seed, best),
--- a/chivejunction/coordination/routing.py
+++ b/chivejunction/coordination/routing.py
@@ -143,7 +143,7 @@
                 best, best_cost = candidate, total
         if best is None:
             break
-        passing = best.quality.passing * check_success
+        passing = best.quality.passing_lower * check_success
         quality = (
             passing * best.quality.passing_quality + (1 - passing) * quality
         )
@@ -152,6 +152,44 @@
     return steps, cost, quality
 
 
+def _choose_pair(candidates, target, check_cost, check_success, best):
+    """Returns the cheapest plan of two or three steps, or the given one.
+
+    All pairs are tried: the pair with the lowest cost may miss the target
+    where a slightly dearer one meets it.
+    """
+    firsts = [
+        (
+            candidate,
+            candidate.cost + check_cost,
+            candidate.quality.passing * check_success,
+            candidate.quality.passing_lower * check_success,
+        )
+        for candidate in candidates
+    ]
+    for last in candidates:
+        last_cost, last_quality = last.cost, last.quality.lower
+        for first, first_cost, passing, sure in firsts:
+            cost = first_cost + (1 - passing) * last_cost
+            if best is not None and cost >= best[1]:
+                continue
+            quality = (
+                sure * first.quality.passing_quality
+                + (1 - sure) * last_quality
+            )
+            if quality >= target and first is not last:
+                best = ([first.version, last.version], cost, quality)
+    if best is None:
+        return None
+    steps, cost, quality = found = best
+    for first, first_cost, passing, sure in firsts:
+        total = first_cost + (1 - passing) * cost
+        level = sure * first.quality.passing_quality + (1 - sure) * quality
+        if total < found[1] and level >= target and first.version not in steps:
+            found = ([first.version, *steps], total, level)
+    return found
+
+
 def choose_steps(
     candidates: list[Candidate],
     target: float,
@@ -172,10 +210,10 @@
             best is None or last.cost < best[1]
         ):
             best = ([last.version], last.cost, last.quality.lower)
-        if check_success > 0:
-            found = extend_plan(last, candidates, check_cost, check_success)
-            if found[2] >= target and (best is None or found[1] < best[1]):
-                best = found
+    if check_success > 0:
+        best = _choose_pair(
+            candidates, target, check_cost, check_success, best
+        )
     if best is not None:
         return (*best, 'cheapest')
     last = max(candidates, key=lambda c: (c.quality.lower, -c.cost))
--- a/chivejunction/state/estimates.py
+++ b/chivejunction/state/estimates.py
@@ -13,7 +13,7 @@
 
 from chivejunction.protocol import resources
 
-BINS = 21
+BINS = 101
 HALF_LIFE_SECONDS = 6 * 3600.0
 # Decay within a step is below 0.2% and not worth its time.
 DECAY_STEP_SECONDS = 60.0
@@ -54,6 +54,7 @@
         upper: Upper confidence bound of the mean.
         weight: Ratings behind the estimate after decay, without the prior.
         passing: Share of answers whose rating reaches the target.
+        passing_lower: Lower confidence bound of this share.
         passing_quality: Mean quality of these answers.
     """
 
@@ -62,6 +63,7 @@
     upper: float
     weight: float
     passing: float
+    passing_lower: float
     passing_quality: float
 
 
@@ -173,6 +175,11 @@
         upper=min(1.0, centre + radius),
         weight=weight,
         passing=passing,
+        passing_lower=max(
+            0.0,
+            passing
+            - CONFIDENCE_Z * math.sqrt(passing * (1 - passing) / total),
+        ),
         passing_quality=passing_quality,
     )
 
@@ -201,8 +208,11 @@
     if not weight:
         return expected, level
     scale = BINS - 1
-    start = max(0, math.ceil((target + offset) * scale - 0.5))
+    position = min(max((target + offset) * scale, 0.0), float(scale))
+    start = int(position + 0.5)
+    # A bin holds ratings from both sides of its centre.
     above = cell.counts[start:]
+    above[0] *= min(max(start + 0.5 - position, 0.0), 1.0)
     count = sum(above)
     if count > 0:
         seen = sum((start + i) * c for i, c in enumerate(above))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -180,6 +180,27 @@
         assert entry['lower'] < entry['quality'] < entry['upper']
         assert fields['expected_cost'] == 1.2
 
+    def test_dearer_pair_is_found_when_the_cheapest_misses_the_target(self):
+        def make(name, cost, mean, passing):
+            quality = estimates.Quality(
+                mean, mean, mean, 9, passing, passing, 0.85
+            )
+            return routing.Candidate(name, cost, quality)
+
+        candidates = [
+            make('a', 1.0, 0.60, 0.50),
+            make('b', 1.2, 0.70, 0.60),
+            make('c', 1.5, 0.74, 0.50),
+            make('d', 20.0, 0.95, 0.99),
+        ]
+        steps, cost, quality, _ = routing.choose_steps(
+            candidates, 0.8, 0.0, 1.0
+        )
+        # 'a' before 'c' costs 1.75 but reaches only 0.795.
+        assert steps == ['b', 'c']
+        assert quality >= 0.8
+        assert abs(cost - 1.8) < 1e-9
+
 
 class TestSessionPlan:
     """Guards against sessions that change their version."""
