Test the share of passing answers close to the target

Cause: the weighting of the bin at the target had no test of its own. Seen failing with the bin dropped, with the bin counted whole, and without the lower bound.

--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -117,6 +117,15 @@
         assert found['v1'] > 0.81
         assert found['v0'] < found['v1'] - 0.05
 
+    def test_ratings_around_the_target_are_not_all_passing(self):
+        rng = random.Random(7)
+        table = estimates.QualityEstimates()
+        ratings = [rng.uniform(0.79, 0.81) for _ in range(4000)]
+        rate(table, 'v1', ratings)
+        found = table.estimate(make_version(), 'faq', 'a', 0.8, 1.0)
+        assert 0.46 < found.passing < 0.54
+        assert found.passing_lower < found.passing - 0.01
+
 
 class TestCostEstimates:
     """Guards against costs that ignore the tokens used."""
