Look again for a pin after the store has answered

Cause: two concurrent first requests of a session could be placed on two versions (the bound of unrated answers lets only one move), which violated session_version. The new test was seen failing before the change.

--- a/chivejunction/coordination/pins.py
+++ b/chivejunction/coordination/pins.py
@@ -98,7 +98,10 @@
                 logs.LOG.warning('pins not read: %s', exc)
             # After a failure too: an outage must not delay each request.
             self._buckets[name] = (clock.make_deadline(FRESH_SECONDS), pins)
-        return pins.get(name_pin(key), '')
+        # A concurrent request of the session may have been placed meanwhile.
+        return self._table.lookup(key, clock.now()) or pins.get(
+            name_pin(key), ''
+        )
 
     def save(
         self, call: calls.Call, version: str, may_change: bool = False
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -163,6 +163,25 @@
 
         anyio.run(check)
 
+    def test_pin_made_during_a_lookup_is_found(self):
+        async def check():
+            store = MemoryStore()
+            keeper = self.make(store)
+            found = []
+
+            async def look_up():
+                found.append(await keeper.lookup(self.make_call()))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(look_up)
+                await lowlevel.checkpoint()
+                assert store.reads == 1
+                # Another request of the session was placed meanwhile.
+                keeper.save(self.make_call(), 'small-1')
+            assert found == ['small-1']
+
+        anyio.run(check)
+
     def test_pins_wait_while_the_store_is_down(self):
         async def check():
             store = MemoryStore()
