Halt a bad rollout in processes; refusals before a run are no errors

Cause: a refusal with NOT_RUN (no server, outdated agent) counted as an error of the version in the test of its rollout. Seen failing: the new test of the table before the change; the test over processes without the observer of ratings or without the keeper. At first the latter got 503 from an agent behind the configuration and waits for it now. Conclusion: the halt of a bad version reaches the store by itself.

--- a/chivejunction/coordination/cascades.py
+++ b/chivejunction/coordination/cascades.py
@@ -14,6 +14,7 @@
 from chivejunction.coordination import ratings
 from chivejunction.coordination import routing
 from chivejunction.protocol import messages
+from chivejunction.protocol import verdicts
 from chivejunction.state import calls
 from chivejunction.state import estimates
 from chivejunction.state import views
@@ -81,7 +82,12 @@
     started: float = 0.0
 
 
-StepObserver = Callable[[calls.Call, str, float | None, bool], None]
+StepObserver = Callable[[calls.Call, str, float | None, bool | None], None]
+
+
+def has_failed(refusal: errors.RefusalError) -> bool | None:
+    """Returns True for a failed step, None for one that did not run."""
+    return None if refusal.verdict is verdicts.Verdict.NOT_RUN else True
 
 
 class CascadeRunner:
@@ -95,7 +101,8 @@
         costs: Estimates of cost.
         on_bill: Called exactly once for each request that ran.
         on_step: Called with the call, the version, the seconds to the first
-            data (None without data) and whether the step failed.
+            data (None without data) and whether the step failed (None when
+            it did not run).
         make_headers: Returns more response headers for the call and the
             version that answers.
     """
@@ -227,7 +234,7 @@
                         )
                 events.append(event)
         except errors.RefusalError as exc:
-            self._on_step(call, version, first, True)
+            self._on_step(call, version, first, has_failed(exc))
             if not exc.verdict.allows_retry(call.idempotent):
                 raise
             return None
@@ -314,9 +321,9 @@
                     self._bill_step(progress, version, content, event)
                     self._settle(progress, version)
                 yield event
-        except errors.RefusalError:
+        except errors.RefusalError as exc:
             if not ended:
-                self._on_step(call, version, first, True)
+                self._on_step(call, version, first, has_failed(exc))
             raise
         self._on_step(call, version, first, status >= 500)
         if status < 400 and len(content) <= ratings.MAX_ANSWER_BYTES:
--- a/chivejunction/coordination/rollouts.py
+++ b/chivejunction/coordination/rollouts.py
@@ -385,13 +385,16 @@
         call: calls.Call,
         version: str,
         first_token: float | None,
-        failed: bool,
+        failed: bool | None,
     ) -> None:
-        """Takes the outcome of a step over."""
+        """Takes the outcome of a step over; failed is None if it never ran."""
         for test in self._find_tests(version):
-            if failed:
+            if failed or failed is None:
                 # No answer, so no rating will come.
                 self._release(test, call.id)
+            if failed is None:
+                # A full or outdated server is no fault of the version.
+                continue
             test.add_step(version, first_token, failed)
             self._check(test)
 
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -1,5 +1,6 @@
 """Plans that run step by step, and ratings."""
 
+from concurrent import futures
 import json
 
 import anyio
@@ -233,7 +234,7 @@
     """One gateway, one engine and a rating service."""
     with fleet.Fleet(tmp_path_factory.mktemp('rated')) as started:
         started.start_platform()
-        quality = json.dumps({'small-1': 0.2, 'large-1': 0.95})
+        quality = json.dumps({'small-1': 0.2, 'large-1': 0.95, 'large-2': 0.1})
         started.start_fake('ratings', 'ratings', quality=quality)
         started.wait_for_port('ratings')
         started.start_gateway(
@@ -249,7 +250,7 @@
             'bkk',
             'lm-pool',
             'lm-1-engine',
-            versions='small-1,large-1',
+            versions='small-1,large-1,large-2',
         )
         started.wait_for_port('gw-1')
         conftest.declare_resources(started, 'gw-1')
@@ -279,7 +280,7 @@
         yield started
 
 
-def ask(started, **options):
+def ask(started, model='auto', **options):
     url = started.members['gw-1'].url()
     headers = {
         'authorization': 'Bearer temple-key',
@@ -289,7 +290,7 @@
     return fleet.call_json(
         'POST',
         f'{url}/v1/chat/completions',
-        {'model': 'auto', 'messages': QUESTION},
+        {'model': model, 'messages': QUESTION},
         headers,
     )
 
@@ -323,3 +324,59 @@
                 assert body['model'] == 'large-1'
         finally:
             fleet.call_json('PUT', f'{url}/faults', {'down': False})
+
+    def wait_for_agent(self, rated_fleet):
+        # An agent that is behind refuses.
+        rated_fleet.wait_until(
+            lambda: (
+                rated_fleet.read_health('lm-1').get('revision')
+                == rated_fleet.read_health('gw-1').get('revision')
+            ),
+            'the agent has the newest configuration',
+        )
+
+    def test_bad_version_of_a_rollout_is_halted(self, rated_fleet):
+        rated_fleet.put(
+            'gw-1',
+            'modelversion',
+            'large-2',
+            model='large',
+            pool='lm-pool',
+            output_cost=50.0,
+        )
+        rated_fleet.put(
+            'gw-1',
+            'rollout',
+            'r',
+            model='large',
+            from_version='large-1',
+            to_version='large-2',
+            stages=[1.0],
+            share=1.0,
+        )
+
+        def read_rollout():
+            url = rated_fleet.members['gw-1'].url('admin')
+            return fleet.call_json(
+                'GET',
+                f'{url}/api/v1/rollout/r',
+                headers={'authorization': f'Bearer {fleet.OPERATOR_TOKEN}'},
+            )[1]['resource']
+
+        def ask_until_halted():
+            ask(rated_fleet, 'large')
+            return read_rollout().get('state') == 'halted'
+
+        self.wait_for_agent(rated_fleet)
+        with futures.ThreadPoolExecutor(8) as pool:
+            list(pool.map(lambda _: ask(rated_fleet, 'large-1'), range(80)))
+        rated_fleet.wait_until(ask_until_halted, 'the rollout is halted', 30)
+        assert read_rollout().get('share', 0) == 0
+        assert 'large-2' in read_rollout()['reason']
+        self.wait_for_agent(rated_fleet)
+        status, body = ask(rated_fleet, 'large')
+        assert (status, body['model']) == (200, 'large-1')
+        engine = rated_fleet.members['lm-1-engine'].url()
+        runs = fleet.call_json('GET', f'{engine}/runs')[1]
+        bad = [r for r in runs if r['version'] == 'large-2']
+        assert 1 <= len(bad) <= 40
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -212,6 +212,18 @@
         table.add_step(call, 'small-2', None, True)
         assert table.move('small-1', 'k', 'q9', 0.0)[1] == 'r'
 
+    def test_refusal_before_a_run_is_no_error_of_the_version(self):
+        view = make_view(share=1.0)
+        table = make_table(view, rated=0)
+        call = test_routing.make_call(id='q0')
+        for _ in range(100):
+            table.add_step(call, 'small-1', 0.1, False)
+        assert table.move('small-1', 'k', 'q0', 0.0)[1] == 'r'
+        for _ in range(100):
+            table.add_step(call, 'small-2', None, None)
+        assert table.halts == {}
+        assert table._unrated['r'] == {}
+
     def test_next_stage_is_saved_before_it_moves(self):
         table = make_table(make_view(share=0.01))
         covered = [i for i in range(1000) if table.find_range(f'a/{i}')]
