--- a/chivejunction/coordination/cascades.py
+++ b/chivejunction/coordination/cascades.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
-import json
 import math
 
 from chivejunction import clock
@@ -13,6 +12,7 @@
 from chivejunction.coordination import execution
 from chivejunction.coordination import ratings
 from chivejunction.coordination import routing
+from chivejunction.protocol import chat
 from chivejunction.protocol import messages
 from chivejunction.protocol import verdicts
 from chivejunction.state import calls
@@ -68,7 +68,6 @@
     Attributes:
         call: The call.
         plan: The plan.
-        body: Body of the caller as a JSON value.
         bill: Bill record so far.
         is_billed: Whether the bill was passed on.
         started: Monotonic start of the present step in seconds.
@@ -76,7 +75,6 @@
 
     call: calls.Call
     plan: routing.Plan
-    body: dict
     bill: Bill
     is_billed: bool = False
     started: float = 0.0
@@ -144,7 +142,7 @@
             RefusalError: The last step that could run failed.
         """
         bill = Bill(call.id, call.organisation)
-        progress = Progress(call, plan, json.loads(call.body), bill)
+        progress = Progress(call, plan, bill)
         try:
             # A non-idempotent request runs at most once, whatever the plan.
             steps = plan.steps if call.idempotent else plan.steps[:1]
@@ -182,9 +180,8 @@
     def _dispatch(self, progress: Progress, version: str):
         call = progress.call
         progress.started = clock.now()
-        body = {**progress.body, 'model': version}
         step = dataclasses.replace(
-            call, body=json.dumps(body, ensure_ascii=False).encode()
+            call, body=chat.write_chat(call.body, version)
         )
         pool = self._view.versions[version].pool
         return self._dispatcher.run(step, pool, version)
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -16,6 +16,7 @@
 from chivejunction.coordination import cascades
 from chivejunction.coordination import configuration
 from chivejunction.coordination import dispatch
+from chivejunction.coordination import idempotency
 from chivejunction.coordination import membership
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
@@ -65,6 +66,11 @@
     data_port: settings.Port = pydantic.Field(
         description='TCP port on which agents send answers.'
     )
+    data_address: str = pydantic.Field(
+        '',
+        description='Address that agents dial to send answers, '
+        'tcp://ip:port; the own address and data port by default.',
+    )
     control_port: settings.Port = pydantic.Field(
         description='TCP port of the control exchange.'
     )
@@ -113,9 +119,8 @@
         self.view = views.ConfigView()
         self.table = servers.ServerTable()
         self.client = http_client.Client()
-        self.source = configuration.Configuration(
-            store_client.StoreClient(config.store_url, self.client)
-        )
+        store = store_client.StoreClient(config.store_url, self.client)
+        self.source = configuration.Configuration(store)
         self.membership = membership.Membership(
             self.table, self.client, config.hosts_url, self._make_peer
         )
@@ -123,6 +128,7 @@
             selection.Selector(self.table, self.view, config.failure_domain),
             self.membership.peers,
             self.view,
+            idempotency.KeyStore(store, config.host),
         )
         self.qualities = estimates.QualityEstimates()
         self.costs = estimates.CostEstimates()
@@ -191,8 +197,8 @@
         return peers.AgentPeer(
             gateway=self.config.host,
             incarnation=self.incarnation,
-            reply_address=f'tcp://{self.config.address}:'
-            f'{self.config.data_port}',
+            reply_address=self.config.data_address
+            or f'tcp://{self.config.address}:{self.config.data_port}',
             server=server,
             address=address,
             codec=self.codec,
@@ -231,7 +237,7 @@
         ) as signals:
             async for _ in signals:
                 logs.LOG.info('leaving')
-                self.callers.leaving = True
+                await self.callers.leave()
                 self.stop.set()
                 return
 
