Merge the choice of versions, cascades, sessions and rollouts

Callers check the rate limit, find the session, plan and run the plan through the cascade runner. The number of gateways that test a rollout comes from membership.

--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -9,9 +9,11 @@
 from chivejunction import logs
 from chivejunction.coordination import affinity
 from chivejunction.coordination import answers
+from chivejunction.coordination import cascades
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import idempotency
 from chivejunction.coordination import limits
+from chivejunction.coordination import pins
 from chivejunction.coordination import routing
 from chivejunction.protocol import chat
 from chivejunction.protocol import headers as http_headers
@@ -41,6 +43,8 @@
         router: Chooses versions.
         dispatcher: Runs calls.
         limiter: Applies the rate limits of organisations.
+        runner: Runs plans.
+        sessions: Finds the sessions of requests.
     """
 
     def __init__(
@@ -49,9 +53,13 @@
         router: routing.Router,
         dispatcher: dispatch.Dispatcher,
         limiter: limits.Limiter,
+        runner: cascades.CascadeRunner,
+        sessions: pins.Sessions,
     ):
         self._view = view
         self._router = router
+        self._runner = runner
+        self._sessions = sessions
         self._dispatcher = dispatcher
         self._limiter = limiter
         self.leaving = False
@@ -161,8 +169,18 @@
         )
         expected = limits.expect_tokens(body, request.max_tokens)
         self._limiter.check(organisation.name, expected)
+        call.headers.pop('x-session-token', None)
+        token = headers.get('x-session-token', '')
+        await self._sessions.find_session(call, token)
         plan = self._plan(call)
-        await self._run_plan(call, plan, body, receive, response, expected)
+        self._sessions.keep_session(
+            call, plan.steps[0], plan.excluded, bool(token)
+        )
+        call.body = body
+        events = self._limiter.follow(
+            call.organisation, expected, self._runner.run(call, plan)
+        )
+        await relay(call, events, receive, response)
 
     def _plan(self, call: calls.Call) -> routing.Plan:
         plan = self._router.plan(call)
@@ -170,27 +188,11 @@
             'version',
             request=call.id,
             organisation=call.organisation,
-            choice=plan.steps[0],
-            excluded=plan.excluded,
-            expected_cost=plan.expected_cost,
             revision=self._view.revision,
+            **plan.describe(),
         )
         return plan
 
-    async def _run_plan(
-        self, call, plan, body, receive, response, expected
-    ) -> None:
-        version = plan.steps[0]
-        call.body = chat.write_chat(body, version)
-        pool = self._view.versions[version].pool
-        response.add_header('x-model-version', version)
-        events = self._limiter.follow(
-            call.organisation,
-            expected,
-            self._dispatcher.run(call, pool, version),
-        )
-        await relay(call, events, receive, response)
-
     async def _service(
         self, scope, receive, organisation, headers, response
     ) -> None:
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -14,6 +14,7 @@
 from chivejunction import logs
 from chivejunction import settings
 from chivejunction.coordination import callers
+from chivejunction.coordination import cascades
 from chivejunction.coordination import configuration
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import idempotency
@@ -21,11 +22,16 @@
 from chivejunction.coordination import membership
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
+from chivejunction.coordination import pins
+from chivejunction.coordination import ratings
+from chivejunction.coordination import rollouts
 from chivejunction.coordination import routing
 from chivejunction.coordination import selection
 from chivejunction.coordination import spread
 from chivejunction.protocol import codecs
+from chivejunction.state import estimates
 from chivejunction.state import servers
+from chivejunction.state import sessions
 from chivejunction.state import views
 from chivejunction.transport import exchanges
 from chivejunction.transport import http_client
@@ -76,6 +82,20 @@
     hosts_url: str = pydantic.Field(
         description="URL of the platform's host list."
     )
+    ratings_url: str = pydantic.Field(
+        '', description="URL of the platform's rating service."
+    )
+    session_key: str = pydantic.Field(
+        '',
+        description='Key of session tokens, the same at all gateways; '
+        "derived from the operators' credential by default.",
+    )
+    previous_session_key: str = pydantic.Field(
+        '', description='Key whose session tokens are accepted too.'
+    )
+    check_cost: float = pydantic.Field(
+        0.0, description='Cost of one rating in cost units.', ge=0
+    )
     operator_token: str = pydantic.Field(
         description='Credential of the operators.', min_length=6
     )
@@ -128,11 +148,60 @@
             time.time_ns() // 1_000_000,
             lambda: self.membership.gateway_count,
         )
+        self.qualities = estimates.QualityEstimates()
+        self.costs = estimates.CostEstimates()
+        self.raters = ratings.Raters(
+            config.ratings_url,
+            self.client,
+            ratings.RatingLog(self.qualities),
+            self.qualities,
+            self.view,
+            config.check_cost,
+        )
+        self.rollouts = rollouts.RolloutTable(
+            self.view,
+            on_halt=lambda name: self.router.forget_plans(),
+            count_gateways=lambda: self.membership.gateway_count,
+        )
+        self.raters.log.add_observer(self.rollouts.add_rating)
+        self.rollout_keeper = rollouts.RolloutKeeper(
+            self.view,
+            self.rollouts,
+            rollouts.RolloutControl(self.source),
+            needs_ratings=bool(config.ratings_url),
+        )
+        self.pins = pins.PinKeeper(sessions.PinTable(), self.rollouts, store)
+        self.sessions = pins.Sessions(
+            sessions.TokenSigner(
+                config.session_key
+                or sessions.derive_key(config.operator_token),
+                config.previous_session_key,
+            ),
+            self.pins,
+        )
+        self.router = routing.Router(
+            self.view,
+            self.qualities,
+            self.costs,
+            self.rollouts,
+            self.raters,
+        )
+        self.runner = cascades.CascadeRunner(
+            self.dispatcher,
+            self.view,
+            self.raters,
+            self.qualities,
+            self.costs,
+            on_step=self.rollouts.add_step,
+            make_headers=self.sessions.make_headers,
+        )
         self.callers = callers.CallersApp(
             self.view,
-            routing.Router(self.view),
+            self.router,
             self.dispatcher,
             self.limiter,
+            self.runner,
+            self.sessions,
         )
         self.operators = operators.OperatorsApi(
             self.view, self.source, config.operator_token
@@ -212,6 +281,9 @@
             group.start_soon(self._receive)
             group.start_soon(control.run)
             group.start_soon(self.membership.run)
+            group.start_soon(self.raters.run)
+            group.start_soon(self.pins.run)
+            group.start_soon(self.rollout_keeper.run)
             group.start_soon(spread.poll_store, self.view, self.source)
             group.start_soon(
                 http_server.serve, admin, admin_socket, anyio.Event(), 1
--- a/chivejunction/state/calls.py
+++ b/chivejunction/state/calls.py
@@ -26,6 +26,7 @@
         affinity: Key of the prompt prefix for cache affinity.
         key: Idempotency key, empty without one.
         request_hash: Hash of what the caller sent, to compare repeats.
+        pin: Version that the session has had so far, empty if unknown.
     """
 
     id: str
@@ -46,3 +47,4 @@
     affinity: str = ''
     key: str = ''
     request_hash: str = ''
+    pin: str = ''
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,12 +10,20 @@
 
 from chivejunction.coordination import attempt_streams
 from chivejunction.coordination import callers
+from chivejunction.coordination import cascades
 from chivejunction.coordination import limits
+from chivejunction.coordination import pins
+from chivejunction.coordination import ratings
+from chivejunction.coordination import rollouts
 from chivejunction.coordination import routing
 from chivejunction.protocol import messages
 from chivejunction.protocol import resources
 from chivejunction.protocol import sse
+from chivejunction.state import estimates
+from chivejunction.state import sessions
 from chivejunction.state import views
+from chivejunction.transport import http_client
+from tests import stores
 from tests import test_attempts
 
 THAI = 'มีเครื่องขยายเสียงไหม een geluidsinstallatie, één stuk'
@@ -61,6 +69,39 @@
     return view
 
 
+def make_app(view, dispatcher):
+    """Returns the application without ratings and with a store in memory."""
+    qualities = estimates.QualityEstimates()
+    costs = estimates.CostEstimates()
+    table = rollouts.RolloutTable(view)
+    raters = ratings.Raters(
+        '',
+        http_client.Client(),
+        ratings.RatingLog(qualities),
+        qualities,
+        view,
+        0.0,
+    )
+    keeper = pins.PinKeeper(sessions.PinTable(), table, stores.MemoryStore())
+    found = pins.Sessions(sessions.TokenSigner('key-of-tests', ''), keeper)
+    return callers.CallersApp(
+        view,
+        routing.Router(view, qualities, costs, table, raters),
+        dispatcher,
+        limits.Limiter(view, 'gw-1', 1),
+        cascades.CascadeRunner(
+            dispatcher,
+            view,
+            raters,
+            qualities,
+            costs,
+            on_step=table.add_step,
+            make_headers=found.make_headers,
+        ),
+        found,
+    )
+
+
 class Caller:
     """Makes requests to an application over a scripted agent."""
 
@@ -68,12 +109,7 @@
         self.view = make_view()
         self.peer = test_attempts.ScriptedPeer(answer)
         self.dispatcher = test_attempts.make_dispatcher(self.peer)
-        self.app = callers.CallersApp(
-            self.view,
-            routing.Router(self.view),
-            self.dispatcher,
-            limits.Limiter(self.view, 'gw-1', 1),
-        )
+        self.app = make_app(self.view, self.dispatcher)
 
     def request(
         self,
