Make configuration changes atomic across resources

Cause: only single resources could be changed, references between resources were not checked, a lost answer followed by an outage was reported as store_unavailable (NOT_RUN) although the write may have taken effect, and names of deleted resources stayed in the document.

Ruled out: guessing from the status of the answer; a 5xx answer says nothing about the write, so only the change id in the document counts. A retry expects the same or a newer store revision than the pending write, so at most one of the two takes effect.

--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -1,13 +1,77 @@
 """Reads and changes of the configuration document in the store."""
 
+from collections.abc import Iterable
+import copy
+import dataclasses
+from typing import Literal
 import uuid
 
+import anyio
+
+from chivejunction import clock
 from chivejunction import errors
+from chivejunction.protocol import references
 from chivejunction.protocol import resources
+from chivejunction.protocol import verdicts
 from chivejunction.transport import store_client
 
 CONFIG_KEY = 'chivejunction/config'
-MAX_TRIES = 8
+# Longest time that one change is tried and its outcome is looked for.
+CHANGE_SECONDS = 8.0
+RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One resource to put or delete.
+
+    Attributes:
+        action: ``put`` or ``delete``.
+        kind: Kind of the resource.
+        name: Name of the resource.
+        value: The resource; empty for a deletion.
+        expected: Revision of its last change that the operator has seen; 0
+            if it must not exist, None to change it whatever it is.
+        merge: Whether the value holds only the fields to replace.
+    """
+
+    action: Literal['put', 'delete']
+    kind: str
+    name: str
+    value: dict = dataclasses.field(default_factory=dict)
+    expected: int | None = None
+    merge: bool = False
+
+
+class StateConflict(errors.RefusalError):
+    """A change was refused because of the present state.
+
+    Args:
+        code: Refusal code.
+        detail: Explanation.
+        current: Present state, shown to the operator.
+    """
+
+    def __init__(self, code: str, detail: str, current: dict):
+        super().__init__(code, detail)
+        self.current = current
+
+
+def describe_resource(
+    document: resources.Document, kind: str, name: str
+) -> dict:
+    """Returns a resource with the revision of its last change.
+
+    ``resource`` is None and ``changed_at`` is 0 if it does not exist.
+    """
+    return {
+        'kind': kind,
+        'name': name,
+        'resource': document.resources.get(kind, {}).get(name),
+        'changed_at': document.revision_of(kind, name),
+        'revision': document.revision,
+    }
 
 
 class Configuration:
@@ -29,82 +93,214 @@
         entry = await self._store.get(CONFIG_KEY)
         if entry is None:
             return resources.Document(), 0
-        return (
-            resources.Document.model_validate_json(entry.value),
-            entry.revision,
-        )
+        return resources.parse_document(entry.value), entry.revision
 
     async def put(
         self, kind: str, value: dict, expected: int | None = None
     ) -> resources.Document:
-        """Creates or replaces a resource.
+        """Creates or replaces a resource; see apply for the errors."""
+        name = resources.parse_resource(kind, value).name
+        return await self.apply([Change('put', kind, name, value, expected)])
+
+    async def delete(
+        self, kind: str, name: str, expected: int | None = None
+    ) -> resources.Document:
+        """Deletes a resource; see apply for the errors."""
+        return await self.apply([Change('delete', kind, name, {}, expected)])
+
+    async def apply(
+        self,
+        changes: Iterable[Change],
+        expected: int | None = None,
+        change_id: str = '',
+    ) -> resources.Document:
+        """Makes several changes as one revision: all of them or none.
 
         Args:
-            kind: Kind of the resource.
-            value: The resource.
-            expected: Revision of its last change that the caller has seen;
-                None to replace whatever is there, 0 for a new resource.
+            changes: The changes, made in order.
+            expected: Revision that the whole document must have; None for
+                any.
+            change_id: Unique id of this request. Repeating a request with
+                its id makes the changes once.
 
         Returns:
-            The document with the change.
+            A document that contains the changes.
 
         Raises:
-            RefusalError: The resource is not valid or was changed meanwhile.
-            StoreError: The store is down; nothing or the whole change took
-                effect.
+            RefusalError: A change is not valid or its resource was changed
+                meanwhile; nothing was changed. With ``result_unknown`` and
+                MAY_HAVE_RUN a write was sent and its outcome could not be
+                read in time.
+            StoreError: The store is down; nothing was changed.
         """
-        parsed = resources.parse_resource(kind, value)
+        changes = list(changes)
+        change_id = change_id or uuid.uuid4().hex
+        deadline = clock.make_deadline(CHANGE_SECONDS)
+        # A write whose answer was lost, and that a read has not yet shown to
+        # be made or overtaken.
+        is_pending = False
+        delay = RETRY_SECONDS
+        while True:
+            try:
+                document, store_revision = await self.read()
+                if change_id in document.changes:
+                    return document
+                changed = make_changes(document, changes, expected, change_id)
+                # The pending write expects the same store revision, or an
+                # older one. At most one of the two can take effect.
+                await self._store.swap(
+                    CONFIG_KEY,
+                    resources.dump_document(changed),
+                    store_revision,
+                )
+                return changed
+            except errors.StoreConflict:
+                # Another change came first. The document that the next read
+                # returns tells whether a pending write was made.
+                pass
+            except errors.StoreResultUnknown:
+                is_pending = True
+            except errors.StoreError:
+                if not is_pending:
+                    raise
+            if clock.has_passed(deadline):
+                raise self._make_timeout(is_pending, change_id)
+            await anyio.sleep(clock.jitter(delay))
+            delay = min(2 * delay, MAX_RETRY_SECONDS)
 
-        def change(document: resources.Document) -> None:
-            entries = document.resources.setdefault(kind, {})
-            entries[parsed.name] = parsed.model_dump(
-                mode='json', exclude_defaults=True
+    @staticmethod
+    def _make_timeout(is_pending: bool, change_id: str) -> errors.Error:
+        if not is_pending:
+            return errors.StoreError(
+                f'other changes came first for {CHANGE_SECONDS} s'
             )
+        return errors.RefusalError(
+            'result_unknown',
+            f'the store has not told whether change {change_id} was made; '
+            'repeat the request with this Change-Id',
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
 
-        return await self._change(kind, parsed.name, change, expected)
 
-    async def delete(
-        self, kind: str, name: str, expected: int | None = None
-    ) -> resources.Document:
-        """Deletes a resource; see put for arguments and errors."""
-
-        def change(document: resources.Document) -> None:
-            if name not in document.resources.get(kind, {}):
-                raise errors.RefusalError('not_found', f'no {kind} {name}')
-            del document.resources[kind][name]
-
-        return await self._change(kind, name, change, expected)
-
-    async def _change(self, kind, name, change, expected):
-        change_id = uuid.uuid4().hex
-        key = f'{kind}/{name}'
-        for _ in range(MAX_TRIES):
-            document, store_revision = await self.read()
-            if change_id in document.changes:
-                return document
-            if expected is not None and (
-                document.changed.get(key, 0) != expected
-            ):
-                raise errors.RefusalError(
-                    'conflict',
-                    f'{key} was changed at {document.changed.get(key, 0)}',
-                )
-            change(document)
-            document.revision += 1
-            document.changed[key] = document.revision
-            document.changes = [
+def make_changes(
+    document: resources.Document,
+    changes: list[Change],
+    expected: int | None,
+    change_id: str,
+) -> resources.Document:
+    """Returns the next revision of a document.
+
+    Args:
+        document: Present document; it is left as it is.
+        changes: The changes, made in order.
+        expected: Revision that the document must have, or None.
+        change_id: Id that is recorded in the document.
+
+    Raises:
+        RefusalError: A change cannot be made.
+    """
+    if expected is not None and document.revision != expected:
+        raise StateConflict(
+            'conflict',
+            f'the configuration is at revision {document.revision}',
+            {'revision': document.revision},
+        )
+    found = document.model_copy(
+        update={
+            'revision': document.revision + 1,
+            'resources': {k: dict(v) for k, v in document.resources.items()},
+            'changed': dict(document.changed),
+            'changes': [
                 *document.changes[-resources.MAX_CHANGE_IDS + 1 :],
                 change_id,
-            ]
-            data = document.model_dump_json().encode()
-            if len(data) > resources.MAX_DOCUMENT_BYTES:
-                raise errors.RefusalError(
-                    'too_large', 'the configuration exceeds 1 MB'
-                )
-            try:
-                await self._store.swap(CONFIG_KEY, data, store_revision)
-                return document
-            except (errors.StoreConflict, errors.StoreResultUnknown):
-                # The next read tells whether the change took effect.
-                continue
-        raise errors.StoreError(f'no change of {key} after {MAX_TRIES} tries')
+            ],
+        }
+    )
+    for change in changes:
+        _check_expected(document, change)
+        ACTIONS[change.action](found, change)
+        found.changed[f'{change.kind}/{change.name}'] = found.revision
+    known = set(references.find_problems(document.resources))
+    problems = references.find_problems(found.resources)
+    # A problem that an older program let in must not block other changes.
+    new = [problem for problem in problems if problem not in known]
+    if new:
+        _check_deletions(document, found, changes)
+        raise errors.RefusalError('invalid_resource', '; '.join(new))
+    found.forget_deletions()
+    if len(resources.dump_document(found)) > resources.MAX_DOCUMENT_BYTES:
+        raise errors.RefusalError(
+            'too_large',
+            f'the configuration exceeds {resources.MAX_DOCUMENT_BYTES} bytes',
+        )
+    return found
+
+
+def _check_expected(document: resources.Document, change: Change) -> None:
+    current = document.revision_of(change.kind, change.name)
+    if change.expected is not None and change.expected != current:
+        key = f'{change.kind}/{change.name}'
+        raise StateConflict(
+            'conflict',
+            f'{key} was last changed at revision {current}, '
+            f'not {change.expected}',
+            describe_resource(document, change.kind, change.name),
+        )
+
+
+def _check_deletions(
+    before: resources.Document,
+    after: resources.Document,
+    changes: list[Change],
+) -> None:
+    for change in changes:
+        if change.action != 'delete':
+            continue
+        referrers = references.find_referrers(
+            after.resources, change.kind, change.name
+        )
+        if referrers:
+            raise StateConflict(
+                'referenced',
+                f'{change.kind} {change.name} is used by '
+                f'{", ".join(referrers)}',
+                {
+                    **describe_resource(before, change.kind, change.name),
+                    'referrers': referrers,
+                },
+            )
+
+
+def _put(document: resources.Document, change: Change) -> None:
+    entries = document.resources.setdefault(change.kind, {})
+    value = change.value
+    if change.merge:
+        if change.name not in entries:
+            raise errors.RefusalError(
+                'not_found', f'no {change.kind} {change.name}'
+            )
+        value = {**copy.deepcopy(entries[change.name]), **value}
+    parsed = resources.parse_resource(change.kind, value)
+    if parsed.name != change.name:
+        raise errors.RefusalError(
+            'invalid_request', f'the resource must be named {change.name}'
+        )
+    entries[parsed.name] = parsed.model_dump(
+        mode='json', exclude_defaults=True
+    )
+
+
+def _delete(document: resources.Document, change: Change) -> None:
+    if change.kind not in resources.KINDS:
+        raise errors.RefusalError(
+            'unknown_kind', f'unknown kind {change.kind!r}'
+        )
+    entries = document.resources.get(change.kind, {})
+    if change.name not in entries:
+        raise errors.RefusalError(
+            'not_found', f'no {change.kind} {change.name}'
+        )
+    del entries[change.name]
+
+
+ACTIONS = {'put': _put, 'delete': _delete}
--- a/chivejunction/coordination/operators.py
+++ b/chivejunction/coordination/operators.py
@@ -1,7 +1,11 @@
 """The operators' HTTP API."""
 
 import hmac
+import json
+from typing import Annotated
+from typing import Literal
 
+import pydantic
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -13,6 +17,29 @@
 from chivejunction.protocol import resources
 from chivejunction.state import views
 
+# A request holds at most one document and what surrounds it.
+MAX_BODY_BYTES = 2 * resources.MAX_DOCUMENT_BYTES
+
+
+class ApplyItem(pydantic.BaseModel):
+    """One change of an apply request; see configuration.Change."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    action: Literal['put', 'delete'] = 'put'
+    kind: str
+    name: str = ''
+    resource: dict = {}
+    expected: int | None = None
+
+
+class ApplyRequest(pydantic.BaseModel):
+    """Changes that are made as one revision."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    items: Annotated[list[ApplyItem], pydantic.Field(min_length=1)]
+
 
 class OperatorsApi:
     """Lets operators read and change resources.
@@ -36,6 +63,7 @@
     def routes(self) -> list[routing.Route]:
         """Returns the routes of the API."""
         return [
+            routing.Route('/api/v1/apply', self._apply, methods=['POST']),
             routing.Route('/api/v1/{kind}', self._list, methods=['GET']),
             routing.Route('/api/v1/{kind}/{name}', self._get, methods=['GET']),
             routing.Route('/api/v1/{kind}/{name}', self._put, methods=['PUT']),
@@ -56,21 +84,14 @@
             raise errors.RefusalError('unknown_kind', f'unknown kind {kind!r}')
         return self._view.document.resources.get(kind, {})
 
-    def _describe(self, kind: str, name: str, value: dict) -> dict:
-        key = f'{kind}/{name}'
-        return {
-            'kind': kind,
-            'resource': value,
-            'changed_at': self._view.document.changed.get(key, 0),
-            'revision': self._view.revision,
-        }
+    def _describe(self, kind: str, name: str) -> dict:
+        return configuration.describe_resource(self._view.document, kind, name)
 
     async def _list(self, request: requests.Request):
         self._authenticate(request)
         kind = request.path_params['kind']
         items = [
-            self._describe(kind, name, value)
-            for name, value in sorted(self._entries(kind).items())
+            self._describe(kind, name) for name in sorted(self._entries(kind))
         ]
         return responses.JSONResponse({'items': items})
 
@@ -80,9 +101,7 @@
         entries = self._entries(kind)
         if name not in entries:
             raise errors.RefusalError('not_found', f'no {kind} {name}')
-        return responses.JSONResponse(
-            self._describe(kind, name, entries[name])
-        )
+        return responses.JSONResponse(self._describe(kind, name))
 
     @staticmethod
     def _expected(request: requests.Request) -> int | None:
@@ -96,40 +115,109 @@
                 'invalid_request', 'If-Match must be a revision'
             ) from exc
 
-    async def _put(self, request: requests.Request):
-        self._authenticate(request)
-        kind, name = request.path_params['kind'], request.path_params['name']
+    @staticmethod
+    async def _read_json(request: requests.Request):
+        size = 0
+        chunks = []
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise errors.RefusalError(
+                    'too_large', f'the body exceeds {MAX_BODY_BYTES} bytes'
+                )
+            chunks.append(chunk)
         try:
-            value = await request.json()
+            return json.loads(b''.join(chunks))
         except ValueError as exc:
             raise errors.RefusalError(
                 'invalid_request', f'body is not JSON: {exc}'
             ) from exc
+
+    async def _change(
+        self,
+        request: requests.Request,
+        changes: list[configuration.Change],
+        expected: int | None = None,
+    ) -> resources.Document:
+        document = await self._source.apply(
+            changes, expected, request.headers.get('change-id', '')
+        )
+        self._view.apply(document)
+        return document
+
+    async def _put(self, request: requests.Request):
+        self._authenticate(request)
+        kind, name = request.path_params['kind'], request.path_params['name']
+        value = await self._read_json(request)
         if not isinstance(value, dict) or value.setdefault('name', name) != (
             name
         ):
             raise errors.RefusalError(
                 'invalid_request', f'the resource must be named {name}'
             )
-        document = await self._source.put(kind, value, self._expected(request))
-        self._view.apply(document)
+        document = await self._change(
+            request,
+            [
+                configuration.Change(
+                    'put', kind, name, value, self._expected(request)
+                )
+            ],
+        )
         return responses.JSONResponse(
-            self._describe(kind, name, self._entries(kind)[name])
+            configuration.describe_resource(document, kind, name)
         )
 
     async def _delete(self, request: requests.Request):
         self._authenticate(request)
         kind, name = request.path_params['kind'], request.path_params['name']
-        document = await self._source.delete(
-            kind, name, self._expected(request)
+        document = await self._change(
+            request,
+            [
+                configuration.Change(
+                    'delete', kind, name, expected=self._expected(request)
+                )
+            ],
         )
-        self._view.apply(document)
         return responses.JSONResponse({'revision': document.revision})
 
+    async def _apply(self, request: requests.Request):
+        self._authenticate(request)
+        body = await self._read_json(request)
+        try:
+            parsed = ApplyRequest.model_validate(body)
+        except pydantic.ValidationError as exc:
+            raise errors.RefusalError(
+                'invalid_request', resources.describe_problems(exc, 'body')
+            ) from exc
+        changes = [
+            configuration.Change(
+                item.action,
+                item.kind,
+                item.name or str(item.resource.get('name', '')),
+                item.resource,
+                item.expected,
+            )
+            for item in parsed.items
+        ]
+        document = await self._change(
+            request, changes, self._expected(request)
+        )
+        return responses.JSONResponse(
+            {
+                'revision': document.revision,
+                'items': [
+                    configuration.describe_resource(document, c.kind, c.name)
+                    for c in changes
+                ],
+            }
+        )
+
 
 async def handle_refusal(request: requests.Request, exc: Exception):
     """Renders a refusal."""
     status, headers, body = refusals.render_refusal(exc)
+    if isinstance(exc, configuration.StateConflict):
+        body = json.dumps({**json.loads(body), 'current': exc.current})
     return responses.Response(body, status, headers)
 
 
--- a/chivejunction/protocol/refusals.py
+++ b/chivejunction/protocol/refusals.py
@@ -33,6 +33,7 @@
     'request_timeout': Refusal(408),
     'conflict': Refusal(409),
     'duplicate': Refusal(409),
+    'referenced': Refusal(409),
     'version_withdrawn': Refusal(410),
     'too_large': Refusal(413),
     'key_reused': Refusal(422),
--- a/chivejunction/protocol/resources.py
+++ b/chivejunction/protocol/resources.py
@@ -11,6 +11,8 @@
 
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_CHANGE_IDS = 200
+# Deletions that a peer with an older revision can still be told one by one.
+MAX_DELETIONS = 200
 
 Name = Annotated[
     str,
@@ -200,8 +202,10 @@
     """The whole configuration under one revision.
 
     ``resources`` maps kind to name to resource; ``changed`` maps
-    ``kind/name`` to the revision of its last change; ``changes`` lists the
-    ids of the latest changes, newest last.
+    ``kind/name`` to the revision of its last change, also for the latest
+    deleted resources; ``changes`` lists the ids of the latest changes,
+    newest last. Deletions up to the revision ``forgotten`` are no longer in
+    ``changed``.
     """
 
     model_config = pydantic.ConfigDict(extra='forbid')
@@ -210,6 +214,50 @@
     resources: dict[str, dict[str, dict]] = {}
     changed: dict[str, int] = {}
     changes: list[str] = []
+    forgotten: int = 0
+
+    def revision_of(self, kind: str, name: str) -> int:
+        """Returns the revision of a resource, 0 if it does not exist."""
+        if name not in self.resources.get(kind, {}):
+            return 0
+        return self.changed.get(f'{kind}/{name}', 0)
+
+    def forget_deletions(self) -> None:
+        """Drops the oldest deletions, so that they cannot fill the limit."""
+        deleted = sorted(
+            (revision, key)
+            for key, revision in self.changed.items()
+            if key.split('/', 1)[1]
+            not in self.resources.get(key.split('/', 1)[0], {})
+        )
+        for revision, key in deleted[:-MAX_DELETIONS]:
+            del self.changed[key]
+            self.forgotten = max(self.forgotten, revision)
+
+
+def parse_document(data: bytes | str) -> Document:
+    """Returns the document of its JSON form.
+
+    Raises:
+        ProtocolError: The data is not a document.
+    """
+    try:
+        return Document.model_validate_json(data)
+    except pydantic.ValidationError as exc:
+        raise errors.ProtocolError(f'malformed document: {exc}') from exc
+
+
+def dump_document(document: Document) -> bytes:
+    """Returns the JSON form of a document."""
+    return document.model_dump_json().encode()
+
+
+def describe_problems(exc: pydantic.ValidationError, subject: str) -> str:
+    """Returns the fields that were not accepted, with the reasons."""
+    return '; '.join(
+        f'{".".join(map(str, e["loc"])) or subject}: {e["msg"]}'
+        for e in exc.errors()
+    )
 
 
 def parse_resource(kind: str, value: dict) -> Resource:
@@ -227,8 +275,6 @@
     try:
         return cls.model_validate(value)
     except pydantic.ValidationError as exc:
-        problems = '; '.join(
-            f'{".".join(map(str, e["loc"])) or kind}: {e["msg"]}'
-            for e in exc.errors()
-        )
-        raise errors.RefusalError('invalid_resource', problems) from exc
+        raise errors.RefusalError(
+            'invalid_resource', describe_problems(exc, kind)
+        ) from exc
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -32,7 +32,8 @@
 
     Faults (``POST /faults``): ``down`` answers 503 to everything,
     ``lose_answers`` is the share of writes that take effect but whose answer
-    is lost, ``delay`` slows each call by seconds.
+    is lost, ``down_after_write`` takes the store down after the next write,
+    ``delay`` slows each call by seconds.
     """
 
     def __init__(self):
@@ -145,6 +146,8 @@
                 return responses.JSONResponse({'error': 'down'}, 503)
             store.expire_leases()
             answer = handler(json.loads(await request.body()))
+            if path == 'kv/txn' and store.faults.pop('down_after_write', 0):
+                store.faults['down'] = True
             if path != 'kv/range' and self._loses_answer():
                 return responses.JSONResponse({'error': 'lost'}, 504)
             return responses.JSONResponse(answer)
