Spread the configuration by watches, held exchanges and deltas

Cause: each gateway read the whole document twice a second, agents asked every gateway, membership was the host list, and nothing told whether a revision was in force. A bare asyncio.CancelledError of pynng (a timed out or abandoned operation) ended exchange tasks without a word: after SIGSTOP and SIGCONT of the gateways agents stayed missing for ever.

Now two watchers for each region watch a small head key written in the same transaction as the document (a watch of the document itself costs 1.33 MB x 3,700 / 86,400 s = 57 KB/s); peers hold requests open and send deltas; a digest guards them; ages of freshness travel along, and a process that is not fresh for 11 s reads the store within a budget. Gateways pass on two rows each about their hosts, which give the status. Actions (drain, reopen, withdraw, rollouts) are changes of one resource.

Ruled out: a full mesh of reports; polling the document; hashing resources by revision alone (a lost race has other content); forgetting a silent host as soon as another row shows it (two gateways forgot a host that left at the same time; it was missing instead of gone).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -208,6 +208,7 @@
             pool=pool,
             kind=kind,
             server_url=self.members[server].url(),
+            store_url=self.members['store'].url(),
             hosts_url=self.members['hosts'].url(),
             log_level=self.log_level,
             **{f'{key}_port': port for key, port in numbers.items()},
--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -1,6 +1,7 @@
 """chivejunction-agent: guards one backend server."""
 
 import signal
+import time
 from typing import Literal
 import uuid
 
@@ -9,21 +10,27 @@
 from starlette import responses
 from starlette import routing as web_routing
 
+from chivejunction import clock
 from chivejunction import logs
 from chivejunction import settings
 from chivejunction.coordination import admission
+from chivejunction.coordination import configuration
 from chivejunction.coordination import execution
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
 from chivejunction.coordination import spread
+from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
 from chivejunction.protocol import messages
 from chivejunction.state import attempts
 from chivejunction.state import views
 from chivejunction.transport import exchanges
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
+from chivejunction.transport import store_client
+from chivejunction.transport import traffic
 
 HELP = """Guards one backend server.
 
@@ -60,6 +67,11 @@
     hosts_url: str = pydantic.Field(
         description="URL of the platform's host list."
     )
+    store_url: str = pydantic.Field(
+        '',
+        description="URL of the platform's key-value store, read when no "
+        'gateway has a fresh configuration; empty for never.',
+    )
     versions: str = pydantic.Field(
         '', description='Model versions loaded at the start, comma-separated.'
     )
@@ -84,6 +96,26 @@
         self.codec = codecs.CODECS.get(config.codec)
         self.view = views.ConfigView()
         self.client = http_client.Client()
+        self.directory = host_list.HostDirectory(self.client, config.hosts_url)
+        self.reader = watching.StoreReader(
+            self.view,
+            configuration.Configuration(
+                store_client.StoreClient(config.store_url, self.client)
+            ),
+        )
+        self.spread = spread.Spread(
+            spread.Identity(
+                config.host,
+                'agent',
+                self.incarnation,
+                time.time_ns() // 1_000_000,
+                config.failure_domain,
+            ),
+            self.view,
+            self.reader,
+            self.directory,
+            self._make_exchange,
+        )
         self.table = attempts.AttemptTable()
         self.gate = admission.Admission(
             self.view, config.pool, config.failure_domain
@@ -148,7 +180,7 @@
         return peer
 
     async def _check_health(self, request):
-        ready = self.view.revision > 0 and not self.gate.leaving
+        ready = self.view.is_ready and not self.gate.leaving
         return responses.JSONResponse(
             {
                 'host': self.config.host,
@@ -156,6 +188,7 @@
                 'leaving': self.gate.leaving,
                 'revision': self.view.revision,
                 'running': self.gate.running,
+                'control': traffic.CONTROL.describe(),
             },
             200 if ready else 503,
         )
@@ -172,6 +205,7 @@
             async for _ in signals:
                 logs.LOG.info('leaving')
                 self.gate.leaving = True
+                self.spread.leave()
                 while self.gate.running or self.gate.queued:
                     await anyio.sleep(0.1)
                 # Lets the links carry the last frames and the heartbeat
@@ -189,13 +223,13 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._receive)
-            group.start_soon(
-                spread.pull_from_gateways,
-                self.view,
-                self.client,
-                self.config.hosts_url,
-                self._make_exchange,
-            )
+            group.start_soon(self.directory.run)
+            group.start_soon(self.spread.run)
+            if self.config.store_url:
+                group.start_soon(
+                    self.reader.run,
+                    clock.jitter(2 * watching.START_SECONDS, 0.5),
+                )
             group.start_soon(
                 http_server.serve, admin, admin_socket, anyio.Event(), 1
             )
--- a/chivejunction/coordination/admission.py
+++ b/chivejunction/coordination/admission.py
@@ -42,6 +42,7 @@
             RefusalError: The attempt is refused and has not run.
         """
         view = self._view
+        view.check_ready()
         if view.revision < start.revision:
             raise errors.RefusalError(
                 'stale_config', f'agent is at revision {view.revision}'
--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -105,6 +105,7 @@
             raise errors.RefusalError('not_found', 'no such path')
 
     def _authenticate(self, headers: dict[str, str]):
+        self._view.check_ready()
         scheme, _, key = headers.get('authorization', '').partition(' ')
         found = None
         if scheme.lower() == 'bearer':
--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -1,8 +1,11 @@
 """Reads and changes of the configuration document in the store."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import copy
 import dataclasses
+import json
 from typing import Literal
 import uuid
 
@@ -10,12 +13,18 @@
 
 from chivejunction import clock
 from chivejunction import errors
+from chivejunction.protocol import deltas
 from chivejunction.protocol import references
 from chivejunction.protocol import resources
 from chivejunction.protocol import verdicts
+from chivejunction.state import views
 from chivejunction.transport import store_client
 
 CONFIG_KEY = 'chivejunction/config'
+# Small companion of the document, written in the same transaction, so that
+# watching and checking do not transfer up to 1 MB for each change.
+HEAD_KEY = 'chivejunction/config-head'
+MAX_HEAD_DELTA_BYTES = 64_000
 # Longest time that one change is tried and its outcome is looked for.
 CHANGE_SECONDS = 8.0
 RETRY_SECONDS = 0.05
@@ -33,7 +42,8 @@
         value: The resource; empty for a deletion.
         expected: Revision of its last change that the operator has seen; 0
             if it must not exist, None to change it whatever it is.
-        merge: Whether the value holds only the fields to replace.
+        update: Returns the changed fields of the present resource, in place
+            of a value.
     """
 
     action: Literal['put', 'delete']
@@ -41,7 +51,7 @@
     name: str
     value: dict = dataclasses.field(default_factory=dict)
     expected: int | None = None
-    merge: bool = False
+    update: Callable[[dict], dict] | None = None
 
 
 class StateConflict(errors.RefusalError):
@@ -74,15 +84,100 @@
     }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """What the companion key tells about the document.
+
+    Attributes:
+        revision: Revision of the document.
+        digest: Digest of the document.
+        delta: Changes since the revision before, None if they are large.
+        store_revision: Modification revision in the store, which document
+            and head have in common.
+    """
+
+    revision: int
+    digest: int
+    delta: dict | None
+    store_revision: int
+
+
+def parse_head(entry: store_client.Entry) -> Head:
+    """Returns the head of a store entry.
+
+    Raises:
+        ProtocolError: The entry is not a head.
+    """
+    try:
+        value = json.loads(entry.value)
+        return Head(
+            value['revision'],
+            value['digest'],
+            value.get('delta'),
+            entry.revision,
+        )
+    except (ValueError, KeyError, TypeError) as exc:
+        raise errors.ProtocolError(f'malformed head: {exc!r}') from exc
+
+
 class Configuration:
     """The configuration document in the platform's store.
 
     Args:
         store: Client of the store.
+        view: Configuration of this process. A change starts from it when it
+            is the store's, which saves reading the whole document.
     """
 
-    def __init__(self, store: store_client.StoreClient):
+    def __init__(
+        self,
+        store: store_client.StoreClient,
+        view: views.ConfigView | None = None,
+    ):
         self._store = store
+        self._view = view
+        self._digester = deltas.Digester()
+
+    async def read_head(self, is_local: bool = False) -> Head | None:
+        """Returns the head, or None before the first change.
+
+        Args:
+            is_local: See StoreClient.get.
+
+        Raises:
+            StoreError: The store cannot be read.
+            ProtocolError: The key holds something else.
+        """
+        entry = await self._store.get(HEAD_KEY, is_local)
+        return None if entry is None else parse_head(entry)
+
+    async def watch_heads(self, start: int, seconds: float):
+        """Yields the heads that are written.
+
+        Args:
+            start: First store revision of interest.
+            seconds: Longest silence before the watch is given up.
+
+        Raises:
+            StoreError: The watch ended or fell silent.
+            ProtocolError: The key holds something else.
+        """
+        async with contextlib.aclosing(
+            self._store.watch(HEAD_KEY, start, seconds)
+        ) as entries:
+            async for entry in entries:
+                yield parse_head(entry)
+
+    async def _read_base(self) -> tuple[resources.Document, int]:
+        head = await self.read_head()
+        view = self._view
+        if (
+            view is not None
+            and head is not None
+            and (head.revision, head.digest) == (view.revision, view.digest)
+        ):
+            return view.document, head.store_revision
+        return await self.read()
 
     async def read(self) -> tuple[resources.Document, int]:
         """Returns the document and its modification revision in the store.
@@ -142,7 +237,7 @@
         delay = RETRY_SECONDS
         while True:
             try:
-                document, store_revision = await self.read()
+                document, store_revision = await self._read_base()
                 if change_id in document.changes:
                     return document
                 changed = make_changes(document, changes, expected, change_id)
@@ -152,6 +247,7 @@
                     CONFIG_KEY,
                     resources.dump_document(changed),
                     store_revision,
+                    also={HEAD_KEY: self._make_head(changed)},
                 )
                 return changed
             except errors.StoreConflict:
@@ -168,6 +264,15 @@
             await anyio.sleep(clock.jitter(delay))
             delay = min(2 * delay, MAX_RETRY_SECONDS)
 
+    def _make_head(self, document: resources.Document) -> bytes:
+        digest = self._digester.compute(document)
+        head = {'revision': document.revision, 'digest': digest}
+        delta = deltas.make_delta(document, document.revision - 1, digest)
+        data = json.dumps({**head, 'delta': delta}).encode()
+        if delta is None or len(data) > MAX_HEAD_DELTA_BYTES:
+            return json.dumps(head).encode()
+        return data
+
     @staticmethod
     def _make_timeout(is_pending: bool, change_id: str) -> errors.Error:
         if not is_pending:
@@ -274,12 +379,13 @@
 def _put(document: resources.Document, change: Change) -> None:
     entries = document.resources.setdefault(change.kind, {})
     value = change.value
-    if change.merge:
+    if change.update is not None:
         if change.name not in entries:
             raise errors.RefusalError(
                 'not_found', f'no {change.kind} {change.name}'
             )
-        value = {**copy.deepcopy(entries[change.name]), **value}
+        present = entries[change.name]
+        value = {**present, **change.update(copy.deepcopy(present))}
     parsed = resources.parse_resource(change.kind, value)
     if parsed.name != change.name:
         raise errors.RefusalError(
--- a/chivejunction/coordination/operators.py
+++ b/chivejunction/coordination/operators.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 from typing import Literal
 
+import anyio
 import pydantic
 from starlette import applications
 from starlette import requests
@@ -12,11 +13,14 @@
 from starlette import routing
 
 from chivejunction import errors
+from chivejunction.coordination import actions
 from chivejunction.coordination import configuration
 from chivejunction.protocol import refusals
 from chivejunction.protocol import resources
+from chivejunction.state import members
 from chivejunction.state import views
 
+WATCH_SECONDS = 0.2
 # A request holds at most one document and what surrounds it.
 MAX_BODY_BYTES = 2 * resources.MAX_DOCUMENT_BYTES
 
@@ -47,6 +51,7 @@
     Args:
         view: Configuration of the gateway.
         source: The document in the store.
+        table: Members and the revisions that they have applied.
         token: Credential of the operators.
     """
 
@@ -54,16 +59,23 @@
         self,
         view: views.ConfigView,
         source: configuration.Configuration,
+        table: members.MemberTable,
         token: str,
     ):
         self._view = view
         self._source = source
+        self._table = table
         self._token = token
 
     def routes(self) -> list[routing.Route]:
         """Returns the routes of the API."""
         return [
             routing.Route('/api/v1/apply', self._apply, methods=['POST']),
+            routing.Route('/api/v1/watch', self._watch, methods=['GET']),
+            routing.Route(
+                '/api/v1/{kind}/{name}/{action}', self._act, methods=['POST']
+            ),
+            routing.Route('/api/v1/status', self._status, methods=['GET']),
             routing.Route('/api/v1/{kind}', self._list, methods=['GET']),
             routing.Route('/api/v1/{kind}/{name}', self._get, methods=['GET']),
             routing.Route('/api/v1/{kind}/{name}', self._put, methods=['PUT']),
@@ -87,6 +99,54 @@
     def _describe(self, kind: str, name: str) -> dict:
         return configuration.describe_resource(self._view.document, kind, name)
 
+    async def _status(self, request: requests.Request):
+        self._authenticate(request)
+        return responses.JSONResponse(
+            self._table.describe(self._view.revision)
+        )
+
+    async def _watch(self, request: requests.Request):
+        self._authenticate(request)
+
+        async def stream():
+            last = None
+            while True:
+                status = self._table.describe(self._view.revision)
+                if status != last:
+                    last = status
+                    yield json.dumps(status) + '\n'
+                await anyio.sleep(WATCH_SECONDS)
+
+        return responses.StreamingResponse(
+            stream(), media_type='application/jsonl'
+        )
+
+    async def _act(self, request: requests.Request):
+        self._authenticate(request)
+        kind, name = request.path_params['kind'], request.path_params['name']
+        arguments = await self._read_json(request, default={})
+        if not isinstance(arguments, dict):
+            raise errors.RefusalError(
+                'invalid_request', 'the body must be an object'
+            )
+        document = await self._change(
+            request,
+            [
+                configuration.Change(
+                    'put',
+                    kind,
+                    name,
+                    expected=self._expected(request),
+                    update=actions.find_update(
+                        kind, request.path_params['action'], arguments
+                    ),
+                )
+            ],
+        )
+        return responses.JSONResponse(
+            configuration.describe_resource(document, kind, name)
+        )
+
     async def _list(self, request: requests.Request):
         self._authenticate(request)
         kind = request.path_params['kind']
@@ -116,7 +176,7 @@
             ) from exc
 
     @staticmethod
-    async def _read_json(request: requests.Request):
+    async def _read_json(request: requests.Request, default=None):
         size = 0
         chunks = []
         async for chunk in request.stream():
@@ -126,6 +186,8 @@
                     'too_large', f'the body exceeds {MAX_BODY_BYTES} bytes'
                 )
             chunks.append(chunk)
+        if not size and default is not None:
+            return default
         try:
             return json.loads(b''.join(chunks))
         except ValueError as exc:
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -1,6 +1,7 @@
 """chivejunction-gateway: serves callers and operators on an entry host."""
 
 import signal
+import time
 from typing import Literal
 import uuid
 
@@ -22,14 +23,18 @@
 from chivejunction.coordination import routing
 from chivejunction.coordination import selection
 from chivejunction.coordination import spread
+from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
+from chivejunction.state import members
 from chivejunction.state import servers
 from chivejunction.state import views
 from chivejunction.transport import exchanges
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
 from chivejunction.transport import store_client
+from chivejunction.transport import traffic
 
 HELP = """Serves callers and operators on an entry host.
 
@@ -77,6 +82,11 @@
     operator_token: str = pydantic.Field(
         description='Credential of the operators.', min_length=6
     )
+    max_links: int = pydantic.Field(
+        90,
+        ge=1,
+        description='Agents above which only a subset of each pool is linked.',
+    )
     codec: Literal['msgpack', 'cbor'] = pydantic.Field(
         'msgpack', description='Codec between gateways and agents.'
     )
@@ -100,9 +110,36 @@
         self.table = servers.ServerTable()
         self.client = http_client.Client()
         store = store_client.StoreClient(config.store_url, self.client)
-        self.source = configuration.Configuration(store)
+        self.source = configuration.Configuration(store, self.view)
+        self.directory = host_list.HostDirectory(self.client, config.hosts_url)
+        born = time.time_ns() // 1_000_000
+        self.members = members.MemberTable(config.host, born)
+        self.reader = watching.StoreReader(
+            self.view, self.source, lambda: self.spread.is_watcher()
+        )
+        self.spread = spread.Spread(
+            spread.Identity(
+                config.host,
+                'gateway',
+                self.incarnation,
+                born,
+                config.failure_domain,
+            ),
+            self.view,
+            self.reader,
+            self.directory,
+            lambda address: exchanges.Exchange(
+                address, config.host, self.incarnation, self.codec
+            ),
+            self.members,
+        )
         self.membership = membership.Membership(
-            self.table, self.client, config.hosts_url, self._make_peer
+            config.host,
+            self.table,
+            self.directory,
+            self._make_peer,
+            self.members.is_leaving,
+            config.max_links,
         )
         self.dispatcher = dispatch.Dispatcher(
             selection.Selector(self.table, self.view, config.failure_domain),
@@ -114,7 +151,7 @@
             self.view, routing.Router(self.view), self.dispatcher
         )
         self.operators = operators.OperatorsApi(
-            self.view, self.source, config.operator_token
+            self.view, self.source, self.members, config.operator_token
         )
         self.stop = anyio.Event()
 
@@ -135,7 +172,7 @@
         )
 
     async def _check_health(self, request):
-        ready = self.view.revision > 0 and not self.callers.leaving
+        ready = self.view.is_ready and not self.callers.leaving
         return responses.JSONResponse(
             {
                 'host': self.config.host,
@@ -143,6 +180,8 @@
                 'leaving': self.callers.leaving,
                 'revision': self.view.revision,
                 'servers': sum(s.connected for s in self.table),
+                'leaving_servers': [s.host for s in self.table if s.leaving],
+                'control': traffic.CONTROL.describe(),
             },
             200 if ready else 503,
         )
@@ -164,6 +203,7 @@
         ) as signals:
             async for _ in signals:
                 logs.LOG.info('leaving')
+                self.spread.leave()
                 await self.callers.leave()
                 self.stop.set()
                 return
@@ -173,7 +213,7 @@
         config = self.config
         control = exchanges.ExchangeServer(
             f'tcp://{config.address}:{config.control_port}',
-            lambda message: spread.answer_exchange(self.view, message),
+            self.spread.answer,
             self.codec,
         )
         admin = operators.make_app(
@@ -191,7 +231,10 @@
             group.start_soon(self._receive)
             group.start_soon(control.run)
             group.start_soon(self.membership.run)
-            group.start_soon(spread.poll_store, self.view, self.source)
+            group.start_soon(self.directory.run)
+            group.start_soon(self.spread.run)
+            group.start_soon(self.reader.run, 0)
+            group.start_soon(self.reader.run_watcher)
             group.start_soon(
                 http_server.serve, admin, admin_socket, anyio.Event(), 1
             )
--- a/chivejunction/protocol/resources.py
+++ b/chivejunction/protocol/resources.py
@@ -230,7 +230,7 @@
             if key.split('/', 1)[1]
             not in self.resources.get(key.split('/', 1)[0], {})
         )
-        for revision, key in deleted[:-MAX_DELETIONS]:
+        for revision, key in deleted[: max(0, len(deleted) - MAX_DELETIONS)]:
             del self.changed[key]
             self.forgotten = max(self.forgotten, revision)
 
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -21,6 +21,7 @@
         sent: Attempts sent by this gateway and not ended.
         connected: Whether the data link works.
         leaving: Whether the host announced that it leaves.
+        announced_leaving: Whether the host list or an exchange says so.
         ready: Whether the agent takes work.
         ejected_until: Deadline of an outlier ejection.
     """
@@ -37,6 +38,7 @@
     sent: int = 0
     connected: bool = False
     leaving: bool = False
+    announced_leaving: bool = False
     ready: bool = True
     ejected_until: float = 0.0
 
@@ -46,7 +48,7 @@
         self.queued = load.get('q', self.queued)
         self.window = load.get('w', self.window)
         self.first_token = load.get('t', self.first_token * 1000) / 1000
-        self.leaving = load.get('s', '') == 'leaving'
+        self.leaving = self.announced_leaving or load.get('s', '') == 'leaving'
         self.ready = load.get('s', 'ready') == 'ready'
         if 'v' in load:
             self.versions = frozenset(load['v'])
--- a/chivejunction/state/views.py
+++ b/chivejunction/state/views.py
@@ -5,6 +5,7 @@
 import anyio
 
 from chivejunction import errors
+from chivejunction.protocol import deltas
 from chivejunction.protocol import resources
 
 
@@ -12,11 +13,17 @@
     """Newest configuration known to this process, with its indexes.
 
     The revision never falls. ``apply`` replaces the document and wakes all
-    that wait for a change.
+    that wait for a change. ``is_starting`` is set while a process that has
+    just started does not know enough to serve.
     """
 
     def __init__(self):
         self.document = resources.Document()
+        self.digest = 0
+        self.is_starting = False
+        self._floor = 0
+        self._digester = deltas.Digester()
+        self._parsed: dict[str, tuple[dict, resources.Resource]] = {}
         self._changed = anyio.Event()
         self._index()
 
@@ -25,40 +32,116 @@
         """Revision of the applied document; 0 before the first one."""
         return self.document.revision
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether work may be taken under this configuration."""
+        return self.revision > 0 and not self.is_starting
+
+    def check_ready(self) -> None:
+        """Refuses work while there is no configuration to judge it by.
+
+        Raises:
+            RefusalError: The process is not ready.
+        """
+        if not self.is_ready:
+            raise errors.RefusalError(
+                'not_ready', 'this process has no configuration yet'
+            )
+
     def apply(self, document: resources.Document) -> bool:
         """Applies a document unless it is older than the present one.
 
         Returns:
             Whether the view changed.
+
+        Raises:
+            InvariantViolation: The applied revision has fallen.
         """
         if document.revision <= self.revision:
+            self._check_floor()
             return False
-        before = self.revision
-        self.document = document
-        self._index()
-        if self.revision < before:
+        self._replace(document, self._digester.compute(document))
+        return True
+
+    def apply_delta(self, delta: dict) -> bool:
+        """Applies the changes since the present revision.
+
+        Returns:
+            Whether the view changed.
+
+        Raises:
+            ProtocolError: The delta starts at another revision, or the
+                result is not the sender's document.
+            InvariantViolation: The applied revision has fallen.
+        """
+        if delta['revision'] <= self.revision:
+            return False
+        document = deltas.apply_delta(self.document, delta)
+        digest = self._digester.compute(document)
+        if digest != delta['digest']:
+            raise errors.ProtocolError(
+                f'delta to revision {document.revision} gives another digest'
+            )
+        self._replace(document, digest)
+        return True
+
+    def check_digest(self, revision: int, digest: int) -> None:
+        """Compares the content of a peer's revision with the own one.
+
+        Raises:
+            InvariantViolation: Two documents have the same revision.
+        """
+        if revision == self.revision and digest != self.digest:
             raise errors.InvariantViolation(
-                'config_in_force', f'revision fell from {before}'
+                'config_in_force', f'revision {revision} has two contents'
             )
+
+    def _replace(self, document: resources.Document, digest: int) -> None:
+        self.document = document
+        self.digest = digest
+        self._check_floor()
+        self._floor = self.revision
+        self._index()
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
-        return True
+
+    def _check_floor(self) -> None:
+        if self.revision < self._floor:
+            raise errors.InvariantViolation(
+                'config_in_force',
+                f'revision fell from {self._floor} to {self.revision}',
+            )
 
     async def wait_newer(self, revision: int) -> None:
         """Waits until the applied revision is above a revision."""
         while self.revision <= revision:
             await self._changed.wait()
 
+    def _parse(self, key: str, cls, value: dict) -> resources.Resource:
+        old = self._parsed.get(key)
+        # Validation of an unchanged resource would hold up requests.
+        if old is not None and (old[0] is value or old[0] == value):
+            return old[1]
+        return cls.model_validate(value)
+
     def _index(self) -> None:
         parsed = {
             kind: {
-                name: cls.model_validate(value)
+                name: self._parse(f'{kind}/{name}', cls, value)
                 for name, value in self.document.resources.get(
                     kind, {}
                 ).items()
             }
             for kind, cls in resources.KINDS.items()
         }
+        self._parsed = {
+            f'{kind}/{name}': (
+                self.document.resources[kind][name],
+                resource,
+            )
+            for kind, entries in parsed.items()
+            for name, resource in entries.items()
+        }
         self.organisations = parsed['organisation']
         self.models = parsed['model']
         self.versions = parsed['modelversion']
--- a/chivejunction/transport/store_client.py
+++ b/chivejunction/transport/store_client.py
@@ -8,6 +8,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.transport import http_client
+from chivejunction.transport import traffic
 
 CALL_SECONDS = 2.0
 
@@ -62,9 +63,18 @@
         self._url = url.rstrip('/')
         self._client = client
 
-    async def get(self, key: str) -> Entry | None:
-        """Returns the entry of a key, or None."""
-        answer = await self._post('kv/range', {'key': _encode(key)})
+    async def get(self, key: str, is_local: bool = False) -> Entry | None:
+        """Returns the entry of a key, or None.
+
+        Args:
+            key: Key to read.
+            is_local: Whether one member of the store may answer alone. It
+                does so without a quorum, with a value that may be old.
+        """
+        request = {'key': _encode(key)}
+        if is_local:
+            request['serializable'] = True
+        answer = await self._post('kv/range', request)
         found = answer.get('kvs', [])
         return _parse_entry(found[0]) if found else None
 
@@ -77,7 +87,12 @@
         return [_parse_entry(item) for item in answer.get('kvs', [])]
 
     async def swap(
-        self, key: str, value: bytes, expected: int, lease: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease: int = 0,
+        also: dict[str, bytes] | None = None,
     ) -> int:
         """Writes a key if its modification revision is the expected one.
 
@@ -86,6 +101,7 @@
             value: New value.
             expected: Expected modification revision; 0 for a new key.
             lease: Lease that removes the key when it expires, or 0.
+            also: Further keys and values, written in the same transaction.
 
         Returns:
             The new modification revision.
@@ -101,7 +117,18 @@
             'kv/txn',
             {
                 'compare': [self._compare(key, expected)],
-                'success': [{'request_put': put}],
+                'success': [
+                    {'request_put': put},
+                    *(
+                        {
+                            'request_put': {
+                                'key': _encode(other),
+                                'value': _encode(text),
+                            }
+                        }
+                        for other, text in (also or {}).items()
+                    ),
+                ],
             },
             is_write=True,
         )
@@ -177,6 +204,7 @@
                 pending = b''
                 async for chunk in response.aiter_stream():
                     *lines, pending = (pending + chunk).split(b'\n')
+                    traffic.CONTROL.count('watch', 0, len(chunk))
                     for line in filter(None, lines):
                         for entry in self._parse_events(line):
                             yield entry
@@ -188,7 +216,13 @@
 
     @staticmethod
     def _parse_events(line: bytes) -> list[Entry]:
-        events = json.loads(line)['result'].get('events', [])
+        result = json.loads(line)['result']
+        if result.get('canceled'):
+            raise errors.StoreError(
+                f'watch canceled: {result.get("cancel_reason", "")}, '
+                f'compacted to {result.get("compact_revision", 0)}'
+            )
+        events = result.get('events', [])
         return [
             _parse_entry(event['kv'])
             for event in events
@@ -213,15 +247,24 @@
         self, path: str, value: dict, is_write: bool = False
     ) -> dict:
         lost = errors.StoreResultUnknown if is_write else errors.StoreError
+        body = json.dumps(value).encode()
         try:
-            status, answer = await self._client.call_json(
+            status, _, content = await self._client.call(
                 'POST',
                 f'{self._url}/v3/{path}',
                 clock.make_deadline(CALL_SECONDS),
-                value,
+                {'content-type': 'application/json'},
+                body,
             )
+            traffic.CONTROL.count('store', len(body), len(content))
+            answer = json.loads(content) if status < 400 else None
         except errors.TransportError as exc:
+            if is_write and not exc.connected:
+                # No byte of the write was sent.
+                raise errors.StoreError(f'{path}: {exc}') from exc
             raise lost(f'{path}: {exc}') from exc
+        except ValueError as exc:
+            raise lost(f'{path}: answer is not JSON') from exc
         if status >= 500 and is_write:
             raise lost(f'store answered {status} to {path}')
         self._check_status(status, path)
--- /dev/null
+++ b/chivejunction/transport/traffic.py
@@ -0,0 +1,29 @@
+"""Counts of the control traffic of this process."""
+
+import collections
+
+
+class Traffic:
+    """Bytes and calls of each kind since the process started."""
+
+    def __init__(self):
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def count(self, kind: str, sent: int, received: int) -> None:
+        """Adds one call with the bytes of its payloads."""
+        self.calls[kind] += 1
+        self.sent[kind] += sent
+        self.received[kind] += received
+
+    def describe(self) -> dict[str, dict[str, int]]:
+        """Returns the counts by direction and kind."""
+        return {
+            'sent': dict(self.sent),
+            'received': dict(self.received),
+            'calls': dict(self.calls),
+        }
+
+
+CONTROL = Traffic()
--- a/fakes/hosts.py
+++ b/fakes/hosts.py
@@ -1,11 +1,16 @@
 """The platform's lagging list of hosts."""
 
+import json
 import time
+import zlib
 
+import anyio
 from starlette import applications
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette.middleware import gzip
 
 from fakes import programs
 
@@ -14,6 +19,8 @@
     """List of hosts that shows changes after a lag.
 
     ``PUT /v1/hosts/{host}`` and ``DELETE /v1/hosts/{host}`` change it.
+    Faults (``POST /faults``): ``down`` answers 503, ``empty`` answers a list
+    without hosts, ``delay`` slows each read by seconds.
 
     Args:
         lag: Seconds until a change is visible.
@@ -23,10 +30,12 @@
         self._lag = lag
         self._changes: list[tuple[float, str, dict | None]] = []
         self._visible: dict[str, dict] = {}
+        self._faults = {'down': False, 'empty': False, 'delay': 0.0}
 
     def routes(self) -> list[routing.Route]:
         """Returns the routes."""
         return [
+            routing.Route('/faults', self._set_faults, methods=['POST']),
             routing.Route('/v1/hosts', self._list, methods=['GET']),
             routing.Route('/v1/hosts/{host}', self._put, methods=['PUT']),
             routing.Route(
@@ -45,7 +54,22 @@
                 self._visible.pop(host, None)
             else:
                 self._visible[host] = value
-        return responses.JSONResponse({'hosts': list(self._visible.values())})
+        if self._faults['delay']:
+            await anyio.sleep(self._faults['delay'])
+        if self._faults['down']:
+            return responses.JSONResponse({'error': 'down'}, 503)
+        shown = [] if self._faults['empty'] else list(self._visible.values())
+        content = json.dumps({'hosts': shown}).encode()
+        tag = f'"{zlib.crc32(content):08x}"'
+        if request.headers.get('if-none-match') == tag:
+            return responses.Response(status_code=304, headers={'etag': tag})
+        return responses.Response(
+            content, media_type='application/json', headers={'etag': tag}
+        )
+
+    async def _set_faults(self, request: requests.Request):
+        self._faults.update(await request.json())
+        return responses.JSONResponse(self._faults)
 
     async def _put(self, request: requests.Request):
         host = request.path_params['host']
@@ -59,7 +83,10 @@
 
 def make_app(lag: float = 0.0) -> applications.Starlette:
     """Returns the host list as an application."""
-    return applications.Starlette(routes=HostList(lag).routes())
+    return applications.Starlette(
+        routes=HostList(lag).routes(),
+        middleware=[middleware.Middleware(gzip.GZipMiddleware)],
+    )
 
 
 if __name__ == '__main__':
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -14,6 +14,7 @@
 from fakes import programs
 
 MAX_VALUE_BYTES = 1_000_000
+MAX_EVENTS = 500
 
 
 @dataclasses.dataclass
@@ -33,7 +34,10 @@
     Faults (``POST /faults``): ``down`` answers 503 to everything,
     ``lose_answers`` is the share of writes that take effect but whose answer
     is lost, ``down_after_write`` takes the store down after the next write,
-    ``delay`` slows each call by seconds.
+    ``delay`` slows each call by seconds, ``watch_down`` refuses and ends
+    watches, ``watch_silent`` keeps them open without events, ``stale``
+    answers serializable reads as of the time it was set, as a member without
+    a quorum does, and ``reads_per_second`` refuses reads above a rate (429).
     """
 
     def __init__(self):
@@ -41,9 +45,20 @@
         self.values: dict[bytes, StoredValue] = {}
         self.leases: dict[int, tuple[float, int]] = {}
         self.calls: dict[str, int] = {}
-        self.faults = {'down': False, 'lose_answers': 0.0, 'delay': 0.0}
+        self.faults = {
+            'down': False,
+            'lose_answers': 0.0,
+            'delay': 0.0,
+            'watch_down': False,
+            'watch_silent': False,
+            'stale': False,
+            'reads_per_second': 0,
+        }
+        self.read_times: list[float] = []
         self.changed = anyio.Event()
         self.history: list[dict] = []
+        self.compacted = 0
+        self.snapshot: dict[bytes, dict] | None = None
 
     def describe(self, key: bytes) -> dict:
         """Returns an entry as the protocol shows it."""
@@ -87,10 +102,16 @@
     def record(self, kind: str, entry: dict) -> None:
         """Adds an event to the history and wakes the watches."""
         self.history.append({'type': kind, 'kv': entry})
-        del self.history[:-10_000]
+        self._compact()
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
 
+    def _compact(self) -> None:
+        dropped = self.history[:-MAX_EVENTS]
+        del self.history[:-MAX_EVENTS]
+        if dropped:
+            self.compacted = int(dropped[-1]['kv']['mod_revision'])
+
     def expire_leases(self) -> None:
         """Removes the keys of leases that have run out."""
         now = time.monotonic()
@@ -144,6 +165,8 @@
                 await anyio.sleep(store.faults['delay'])
             if store.faults['down']:
                 return responses.JSONResponse({'error': 'down'}, 503)
+            if path == 'kv/range' and self._exceeds_rate():
+                return responses.JSONResponse({'error': 'rate'}, 429)
             store.expire_leases()
             answer = handler(json.loads(await request.body()))
             if path == 'kv/txn' and store.faults.pop('down_after_write', 0):
@@ -154,6 +177,18 @@
 
         return serve
 
+    def _exceeds_rate(self) -> bool:
+        store = self.store
+        limit = store.faults['reads_per_second']
+        if not limit:
+            return False
+        now = time.monotonic()
+        store.read_times = [t for t in store.read_times if t > now - 1]
+        if len(store.read_times) >= limit:
+            return True
+        store.read_times.append(now)
+        return False
+
     def _loses_answer(self) -> bool:
         faults = self.store.faults
         faults['count'] = faults.get('count', 0.0) + faults['lose_answers']
@@ -163,7 +198,12 @@
         return False
 
     async def _set_faults(self, request: requests.Request):
-        self.store.faults.update(await request.json())
+        store = self.store
+        store.faults.update(await request.json())
+        if not store.faults['stale']:
+            store.snapshot = None
+        elif store.snapshot is None:
+            store.snapshot = {k: store.describe(k) for k in store.values}
         return responses.JSONResponse(self.store.faults)
 
     async def _counts(self, request: requests.Request):
@@ -172,6 +212,9 @@
     def _range(self, body: dict) -> dict:
         store = self.store
         key = base64.b64decode(body['key'])
+        if body.get('serializable') and store.snapshot is not None:
+            found = [store.snapshot[key]] if key in store.snapshot else []
+            return {'header': store.header(), 'kvs': found}
         if 'range_end' in body:
             end = base64.b64decode(body['range_end'])
             keys = sorted(k for k in store.values if key <= k < end)
@@ -236,7 +279,7 @@
     async def _watch(self, request: requests.Request):
         store = self.store
         store.calls['watch'] = store.calls.get('watch', 0) + 1
-        if store.faults['down']:
+        if store.faults['down'] or store.faults['watch_down']:
             return responses.JSONResponse({'error': 'down'}, 503)
         create = (await request.json())['create_request']
         key = create['key']
@@ -245,7 +288,18 @@
         async def stream():
             seen = start - 1
             yield json.dumps({'result': {'created': True}}) + '\n'
-            while not store.faults['down']:
+            if 0 < start <= store.compacted:
+                canceled = {
+                    'canceled': True,
+                    'compact_revision': str(store.compacted + 1),
+                    'cancel_reason': 'required revision has been compacted',
+                }
+                yield json.dumps({'result': canceled}) + '\n'
+                return
+            while not (store.faults['down'] or store.faults['watch_down']):
+                if store.faults['watch_silent']:
+                    await anyio.sleep(0.2)
+                    continue
                 changed = store.changed
                 events = [
                     e
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,91 @@
+"""Control exchange between processes."""
+
+import anyio
+import pytest
+
+from bench import fleet
+from chivejunction import errors
+from chivejunction.protocol import codecs
+from chivejunction.transport import exchanges
+
+CODEC = codecs.CODECS.get('msgpack')
+
+
+def make_exchange(port: int) -> exchanges.Exchange:
+    return exchanges.Exchange(f'tcp://127.0.0.1:{port}', 'me', 'i', CODEC)
+
+
+def run_with_server(handler, work):
+    """Runs work with an exchange whose server uses a handler."""
+
+    async def start():
+        port = fleet.find_port()
+        server = exchanges.ExchangeServer(
+            f'tcp://127.0.0.1:{port}', handler, CODEC
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            exchange = make_exchange(port)
+            result = await work(exchange)
+            exchange.close()
+            group.cancel_scope.cancel()
+        server.close()
+        return result
+
+    return anyio.run(start, backend_options={'use_uvloop': True})
+
+
+class TestExchange:
+    def test_silent_peer_is_an_error_and_not_the_end_of_the_task(self):
+        """Guards against pynng's bare CancelledError at a timeout."""
+
+        async def work():
+            exchange = make_exchange(fleet.find_port())
+            with pytest.raises(errors.TransportError):
+                await exchange.call('sync', {}, 0.2)
+            return True
+
+        assert anyio.run(work, backend_options={'use_uvloop': True})
+
+    def test_close_during_a_call_is_an_error(self):
+        """Guards the held call when another call closes the socket."""
+        seen = []
+
+        async def handler(message):
+            await anyio.sleep(5)
+            return {}
+
+        async def work(exchange):
+            async def call():
+                try:
+                    await exchange.call('sync', {}, 3)
+                except errors.TransportError:
+                    seen.append('error')
+
+            with anyio.fail_after(2):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(call)
+                    await anyio.sleep(0.3)
+                    exchange.close()
+
+        run_with_server(handler, work)
+        assert seen == ['error']
+
+    def test_many_held_requests_do_not_block_another(self):
+        """Guards against a fixed number of contexts."""
+
+        async def handler(message):
+            if message['kind'] == 'held':
+                await anyio.sleep(5)
+            return {'kind': message['kind']}
+
+        async def work(exchange):
+            async with anyio.create_task_group() as group:
+                for _ in range(40):
+                    group.start_soon(exchange.call, 'held', {}, 6)
+                await anyio.sleep(0.3)
+                answer = await exchange.call('now', {}, 1)
+                group.cancel_scope.cancel()
+            return answer
+
+        assert run_with_server(handler, work) == {'kind': 'now'}
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,205 @@
+"""Members, their status and the links of a gateway."""
+
+import pytest
+
+from chivejunction import clock
+from chivejunction.coordination import membership
+from chivejunction.coordination import spread
+from chivejunction.state import members
+from chivejunction.transport import host_list
+
+
+@pytest.fixture
+def now(monkeypatch):
+    """Time of the process; a list with one number, to be changed."""
+    value = [1000.0]
+    monkeypatch.setattr(clock, 'make_deadline', lambda s: value[0] + s)
+    monkeypatch.setattr(clock, 'has_passed', lambda d: value[0] >= d)
+    return value
+
+
+def make_table(host='gw-1', born=1, listed=()) -> members.MemberTable:
+    table = members.MemberTable(host, born)
+    table.set_listed(listed)
+    table.refresh(1, members.LIVE)
+    return table
+
+
+def report(table, host, revision, born=1, state=members.LIVE, hold=4):
+    body = {'a': 'a', 'b': born, 't': state, 'r': revision, 'h': hold}
+    return table.hear(host, f'{host}-{born}', body)
+
+
+def copy_rows(source, target):
+    target.merge_rows(source.list_rows(0, target.host))
+
+
+class TestStatus:
+    def test_lagging_host_of_another_gateway_is_named(self, now):
+        first, second = make_table('gw-1'), make_table('gw-2')
+        report(second, 'lm-1', 1)
+        second.refresh(2, members.LIVE)
+        first.refresh(2, members.LIVE)
+        copy_rows(second, first)
+        assert first.describe(2)['lagging'] == ['lm-1']
+        report(second, 'lm-1', 2)
+        second.refresh(2, members.LIVE)
+        copy_rows(second, first)
+        assert first.describe(2)['in_force']
+
+    def test_host_without_a_report_is_missing(self, now):
+        table = make_table(listed=['gw-1', 'lm-1'])
+        status = table.describe(1)
+        assert status['missing'] == ['lm-1']
+        assert not status['in_force']
+
+    def test_hosts_of_a_silent_gateway_are_missing(self, now):
+        """Guards against an old confirmation across a partition."""
+        listed = ['gw-1', 'gw-2', 'lm-1']
+        first = make_table('gw-1', listed=listed)
+        second = make_table('gw-2', listed=listed)
+        report(second, 'lm-1', 1)
+        second.refresh(1, members.LIVE)
+        copy_rows(second, first)
+        assert first.describe(1)['in_force']
+        now[0] += 60
+        first.refresh(1, members.LIVE)
+        assert first.describe(1)['missing'] == ['gw-2', 'lm-1']
+
+    def test_more_laggards_than_are_named_confirm_nothing(self, now):
+        first, second = make_table('gw-1'), make_table('gw-2')
+        names = [f'lm-{n}' for n in range(members.MAX_LAGGING + 5)]
+        for name in names:
+            report(second, name, 1)
+        second.refresh(2, members.LIVE)
+        first.refresh(2, members.LIVE)
+        copy_rows(second, first)
+        assert first.describe(2)['lagging'] == sorted(names)
+
+    def test_new_incarnation_replaces_the_one_that_left(self, now):
+        table = make_table(listed=['gw-1', 'lm-1'])
+        report(table, 'lm-1', 1, born=1, state=members.LEAVING)
+        now[0] += 20
+        table.refresh(1, members.LIVE)
+        assert table.describe(1)['gone'] == ['lm-1']
+        assert report(table, 'lm-1', 1, born=2)
+        assert not report(table, 'lm-1', 1, born=1, state=members.LEAVING)
+        table.refresh(1, members.LIVE)
+        assert table.describe(1)['gone'] == []
+        assert not table.is_leaving('lm-1')
+
+    def test_leaving_is_not_taken_back_by_the_same_process(self, now):
+        table = make_table()
+        report(table, 'lm-1', 1, state=members.LEAVING)
+        report(table, 'lm-1', 1, state=members.LIVE)
+        assert table.is_leaving('lm-1')
+
+    def test_host_that_moved_to_another_gateway_is_not_missing(self, now):
+        first, second = make_table('gw-1'), make_table('gw-2')
+        report(first, 'lm-1', 1)
+        now[0] += 20
+        report(second, 'lm-1', 1)
+        second.refresh(1, members.LIVE)
+        copy_rows(second, first)
+        first.refresh(1, members.LIVE)
+        assert first.describe(1)['in_force']
+
+    def test_host_that_left_two_gateways_at_once_is_gone(self, now):
+        first, second = make_table('gw-1'), make_table('gw-2')
+        for table in (first, second):
+            report(table, 'lm-1', 1, state=members.LEAVING)
+            table.refresh(1, members.LIVE)
+        copy_rows(first, second)
+        copy_rows(second, first)
+        now[0] += 9
+        for table in (first, second):
+            table.refresh(1, members.LIVE)
+        copy_rows(second, first)
+        assert first.describe(1)['gone'] == ['lm-1']
+
+    def test_rows_without_news_are_not_sent_again(self, now):
+        table, peer = make_table('gw-1'), make_table('gw-2')
+        copy_rows(table, peer)
+        cursor = table.counter
+        assert not table.refresh(1, members.LIVE)
+        assert table.list_rows(cursor, 'gw-2') == []
+
+    def test_gateway_with_a_clock_set_back_is_believed(self, now):
+        peer = make_table('gw-2')
+        copy_rows(make_table('gw-1', born=100), peer)
+        new = make_table('gw-1', born=50)
+        body = {'a': 'g', 'b': 50, 't': members.LIVE, 'r': 2, 'h': 4}
+        peer.hear('gw-1', 'new', body)
+        copy_rows(peer, new)
+        new.refresh(2, members.LIVE)
+        copy_rows(new, peer)
+        peer.refresh(2, members.LIVE)
+        assert peer.describe(2)['in_force']
+
+
+AGENTS = {
+    'lm-pool': [f'lm-{n}' for n in range(300)],
+    'hire-desk': [f'hire-{n}' for n in range(4)],
+}
+
+
+class TestLinks:
+    def test_all_agents_up_to_the_limit(self):
+        assert len(membership.choose_links('gw-1', AGENTS, 304)) == 304
+
+    def test_each_pool_is_covered_above_the_limit(self):
+        chosen = membership.choose_links('gw-1', AGENTS, 90)
+        assert len(chosen & set(AGENTS['lm-pool'])) == 88
+        assert len(chosen & set(AGENTS['hire-desk'])) == 3
+
+    def test_gateways_reach_all_servers_together(self):
+        reached = set().union(
+            *(
+                membership.choose_links(f'gw-{n}', AGENTS, 90)
+                for n in range(52)
+            )
+        )
+        assert len(reached) == 304
+
+    def test_choice_changes_little_when_a_server_leaves(self):
+        fewer = {**AGENTS, 'lm-pool': AGENTS['lm-pool'][1:]}
+        before = membership.choose_links('gw-1', AGENTS, 90)
+        after = membership.choose_links('gw-1', fewer, 90)
+        assert len(before ^ after) <= 4
+
+
+def make_host(name: str, region: str, leaving: bool = False):
+    return host_list.ListedHost(
+        name, 'gateway', region, region, '', f'tcp://{name}', '', leaving
+    )
+
+
+GATEWAYS = [make_host(f'a-{n}', 'a') for n in range(5)] + [
+    make_host(f'b-{n}', 'b') for n in range(5)
+]
+
+
+class TestPartners:
+    def test_most_are_in_the_own_region(self):
+        chosen = spread.choose_partners('lm-1', 'a', GATEWAYS, set())
+        assert [name[0] for name in chosen] == ['a', 'a', 'b']
+
+    def test_silent_and_leaving_gateways_are_replaced(self):
+        first = spread.choose_partners('lm-1', 'a', GATEWAYS, set())
+        second = spread.choose_partners('lm-1', 'a', GATEWAYS, {first[0]})
+        assert first[0] not in second
+        assert len(second) == 3
+        leaving = [
+            make_host(g.host, g.region, g.host == first[0]) for g in GATEWAYS
+        ]
+        third = spread.choose_partners('lm-1', 'a', leaving, set())
+        assert third == second
+
+    def test_all_silent_gateways_are_still_tried(self):
+        down = {g.host for g in GATEWAYS}
+        assert len(spread.choose_partners('lm-1', 'a', GATEWAYS, down)) == 3
+
+    def test_other_region_fills_up(self):
+        few = [GATEWAYS[0], *GATEWAYS[5:]]
+        chosen = spread.choose_partners('lm-1', 'a', few, set())
+        assert [name[0] for name in chosen] == ['a', 'b', 'b']
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,150 @@
+"""The operators' API of a gateway process."""
+
+import json
+import urllib.request
+
+import pytest
+
+from bench import fleet
+
+TOKEN = {'authorization': f'Bearer {fleet.OPERATOR_TOKEN}'}
+
+
+@pytest.fixture(scope='module')
+def gateway(tmp_path_factory):
+    """A gateway without agents; returns the URL of its operators' API."""
+    with fleet.Fleet(tmp_path_factory.mktemp('operators')) as started:
+        started.start_platform()
+        member = started.start_gateway('gw-1', 'bkk-a', 'bkk')
+        started.wait_for_port('gw-1')
+        url = f'{member.url("admin")}/api/v1'
+        items = [
+            {'kind': 'failuredomain', 'resource': make('bkk-a', region='bkk')},
+            {'kind': 'pool', 'resource': make('p')},
+            {'kind': 'model', 'resource': make('m')},
+            {'kind': 'modelversion', 'resource': make_version('m-1')},
+            {'kind': 'modelversion', 'resource': make_version('m-2')},
+            {
+                'kind': 'rollout',
+                'resource': make(
+                    'r',
+                    model='m',
+                    from_version='m-1',
+                    to_version='m-2',
+                    stages=[0.1, 0.5, 1.0],
+                ),
+            },
+        ]
+        status, body = call(url, 'POST', 'apply', {'items': items})
+        assert (status, body['revision']) == (200, 1)
+        yield url
+
+
+def make(name: str, **value) -> dict:
+    return {'name': name, **value}
+
+
+def make_version(name: str) -> dict:
+    return make(name, model='m', pool='p')
+
+
+def call(url, method, path, value=None, headers=None):
+    return fleet.call_json(
+        method, f'{url}/{path}', value, {**TOKEN, **(headers or {})}
+    )
+
+
+class TestOperatorsApi:
+    def test_wrong_credential_is_refused(self, gateway):
+        for path in ('pool', 'pool/p', 'status', 'watch'):
+            status, body = call(
+                gateway, 'GET', path, headers={'authorization': 'Bearer no'}
+            )
+            assert status == 401
+            assert body['error']['verdict'] == 'not_run'
+
+    def test_apply_is_all_or_nothing(self, gateway):
+        before = call(gateway, 'GET', 'status')[1]['revision']
+        items = [
+            {'kind': 'pool', 'resource': make('half')},
+            {'kind': 'limit', 'resource': make('x', organisation='no')},
+        ]
+        status, _ = call(gateway, 'POST', 'apply', {'items': items})
+        assert status == 400
+        assert call(gateway, 'GET', 'pool/half')[0] == 404
+        assert call(gateway, 'GET', 'status')[1]['revision'] == before
+
+    def test_loser_of_a_race_sees_the_current_state(self, gateway):
+        _, seen = call(gateway, 'PUT', 'pool/raced', {'queue_length': 1})
+        match = {'if-match': f'"{seen["changed_at"]}"'}
+        call(gateway, 'PUT', 'pool/raced', {'queue_length': 2}, match)
+        status, body = call(gateway, 'PUT', 'pool/raced', {}, match)
+        assert status == 409
+        assert body['error']['code'] == 'conflict'
+        assert body['current']['resource']['queue_length'] == 2
+
+    def test_repeated_change_id_makes_one_revision(self, gateway):
+        header = {'change-id': 'operator-1'}
+        first = call(gateway, 'PUT', 'pool/once', {}, header)[1]
+        second = call(gateway, 'PUT', 'pool/once', {}, header)[1]
+        assert first['changed_at'] == second['changed_at']
+
+    def test_referenced_resource_is_not_deleted(self, gateway):
+        status, body = call(gateway, 'DELETE', 'pool/p')
+        assert status == 409
+        assert body['current']['referrers'] == [
+            'modelversion/m-1',
+            'modelversion/m-2',
+        ]
+
+    def test_watch_streams_the_status(self, gateway):
+        request = urllib.request.Request(f'{gateway}/watch', headers=TOKEN)
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            before = json.loads(answer.readline())['revision']
+            call(gateway, 'PUT', 'pool/watched', {})
+            after = json.loads(answer.readline())
+        assert after['revision'] == before + 1
+        assert after['in_force']
+
+
+class TestActions:
+    @pytest.mark.parametrize(
+        ('path', 'state'),
+        [
+            ('failuredomain/bkk-a/drain', 'closed'),
+            ('modelversion/m-1/withdraw', 'withdrawn'),
+            ('modelversion/m-1/drain', 'draining'),
+            ('rollout/r/pause', 'paused'),
+            ('rollout/r/halt', 'halted'),
+        ],
+    )
+    def test_sets_the_state(self, gateway, path, state):
+        status, body = call(gateway, 'POST', path)
+        assert status == 200
+        assert body['resource']['state'] == state
+
+    def test_reopen_takes_the_default_state_back(self, gateway):
+        for name in ('failuredomain/bkk-a', 'modelversion/m-1'):
+            status, body = call(gateway, 'POST', f'{name}/reopen')
+            assert status == 200
+            assert 'state' not in body['resource']
+
+    def test_rollout_moves_through_its_stages(self, gateway):
+        shares = [
+            call(gateway, 'POST', f'rollout/r/{action}')[1]['resource']
+            for action in ('start', 'advance', 'advance')
+        ]
+        assert [r['share'] for r in shares] == [0.1, 0.5, 1.0]
+        assert shares[-1]['state'] == 'complete'
+        assert call(gateway, 'POST', 'rollout/r/advance')[0] == 409
+
+    @pytest.mark.parametrize(
+        ('path', 'value'),
+        [
+            ('pool/p/drain', {}),
+            ('modelversion/m-1/drain', {'seconds': -1}),
+            ('modelversion/m-1/drain', {'minutes': 1}),
+        ],
+    )
+    def test_wrong_action_is_refused(self, gateway, path, value):
+        assert call(gateway, 'POST', path, value)[0] == 400
