--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,107 @@
+"""The operators' command line against a gateway process."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from bench import fleet
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.fixture(scope='module')
+def gateway_url(tmp_path_factory):
+    with fleet.Fleet(tmp_path_factory.mktemp('ctl')) as started:
+        started.start_platform()
+        member = started.start_gateway('gw-1', 'bkk-a', 'bkk')
+        started.wait_for_port('gw-1')
+        yield member.url('admin')
+
+
+def run_ctl(url, *arguments, token=fleet.OPERATOR_TOKEN):
+    environment = {
+        **os.environ,
+        'CHIVEJUNCTION_GATEWAY_URL': url,
+        'CHIVEJUNCTION_OPERATOR_TOKEN': token,
+    }
+    return subprocess.run(
+        [sys.executable, '-m', 'chivejunction.ctl', *arguments],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env=environment,
+        cwd=ROOT,
+        check=False,
+    )
+
+
+class TestCommands:
+    @pytest.mark.parametrize('name', ['siamsound', 'raamwerk'])
+    def test_example_is_applied_as_one_revision(self, gateway_url, name):
+        before = fleet.call_json('GET', f'{gateway_url}/healthz')[1]
+        done = run_ctl(gateway_url, 'apply', '-f', f'examples/{name}.yaml')
+        assert done.returncode == 0, done.stderr
+        after = f'revision {before["revision"] + 1}'
+        assert done.stdout.splitlines()[-1] == after
+
+    def test_next_gateway_is_tried(self, gateway_url):
+        down = f'http://127.0.0.1:{fleet.find_port()}'
+        done = run_ctl(f'{down},{gateway_url}', 'get', 'Pool', 'lm-pool')
+        assert done.returncode == 0, done.stderr
+        assert json.loads(done.stdout)['resource']['name'] == 'lm-pool'
+
+    def test_watch_ends_when_in_force(self, gateway_url):
+        done = run_ctl(gateway_url, 'watch')
+        assert done.returncode == 0, done.stderr
+        assert json.loads(done.stdout.splitlines()[-1])['in_force']
+
+    def test_domain_is_drained_and_reopened(self, gateway_url):
+        done = run_ctl(gateway_url, 'drain', 'failuredomain', 'bkk-a')
+        assert json.loads(done.stdout)['resource']['state'] == 'closed'
+        done = run_ctl(gateway_url, 'reopen', 'failuredomain', 'bkk-a')
+        assert 'state' not in json.loads(done.stdout)['resource']
+
+    def test_rollout_is_halted(self, gateway_url):
+        done = run_ctl(gateway_url, 'rollout', 'halt', 'imkeradvies-large')
+        assert done.returncode == 0, done.stderr
+        assert json.loads(done.stdout)['resource']['state'] == 'halted'
+
+    def test_explain_prints_the_decisions_in_order(self, tmp_path):
+        log = tmp_path / 'log'
+        lines = [
+            {'time': 2, 'decision': 'server', 'request': 'r-1'},
+            {'time': 1, 'decision': 'version', 'request': 'r-1'},
+            {'time': 1, 'decision': 'version', 'request': 'r-12'},
+        ]
+        log.write_text('\n'.join(json.dumps(line) for line in lines))
+        done = run_ctl('http://x', 'explain', 'r-1', '--log', str(log))
+        shown = [json.loads(line) for line in done.stdout.splitlines()]
+        assert [line['decision'] for line in shown] == ['version', 'server']
+
+
+class TestExitStatus:
+    def test_refusal_is_1(self, gateway_url):
+        done = run_ctl(gateway_url, 'get', 'pool', 'no')
+        assert done.returncode == 1
+        assert 'not_found' in done.stderr
+
+    def test_no_gateway_is_1(self):
+        done = run_ctl(f'http://127.0.0.1:{fleet.find_port()}', 'status')
+        assert done.returncode == 1
+        assert 'no gateway answered' in done.stderr
+
+    def test_wrong_setting_is_2(self):
+        done = run_ctl('not-a-url', 'status')
+        assert done.returncode == 2
+        assert '--gateway-url' in done.stderr
+
+    def test_wrong_file_is_2(self, gateway_url, tmp_path):
+        path = tmp_path / 'x.yaml'
+        path.write_text('name: x')
+        done = run_ctl(gateway_url, 'apply', '-f', str(path))
+        assert done.returncode == 2
+        assert 'entry 1 has no kind' in done.stderr
