--- /dev/null
+++ b/bench/inforce.py
@@ -0,0 +1,266 @@
+"""Time until a configuration is in force, and the cost of its spread.
+
+``python -m bench.inforce --seed N`` prints one JSON object. Daemons are real
+processes: a fifth are gateways, the others agents, in three regions. Control
+bytes are the payloads of exchanges, store calls, store watches and host list
+reads, sent and received.
+"""
+
+import json
+import random
+import signal
+import time
+
+import fire
+import numpy
+import psutil
+
+from bench import fleet
+
+REGIONS = ('bkk', 'cnx', 'hkt')
+TOKEN = {'authorization': f'Bearer {fleet.OPERATOR_TOKEN}'}
+START_SECONDS = 90
+# Changes a day at the target size.
+CHANGES_PER_DAY = 3700
+MAX_MEMORY_BYTES = 6e9
+
+
+class Deployment:
+    """Daemons of one size.
+
+    Args:
+        started: Fleet to start them in.
+        size: Number of daemons.
+        seed: Seed of the changes.
+    """
+
+    def __init__(self, started: fleet.Fleet, size: int, seed: int):
+        self.started = started
+        self.random = random.Random(seed)
+        gateways = max(2, size // 5)
+        self.gateways = [f'gw-{n}' for n in range(gateways)]
+        self.agents = [f'lm-{n}' for n in range(size - gateways)]
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all daemons."""
+        return self.gateways + self.agents
+
+    def start(self, resources: int) -> float:
+        """Starts all daemons; returns seconds until they are in force."""
+        started = self.started
+        started.start_platform()
+        started.start_fake('engine', 'engine')
+        for number, name in enumerate(self.gateways):
+            region = REGIONS[number % 3]
+            started.start_gateway(name, f'{region}-a', region)
+        for number, name in enumerate(self.agents):
+            region = REGIONS[number % 3]
+            started.start_agent(
+                name, f'{region}-a', region, 'lm-pool', 'engine'
+            )
+        started.wait_for_port(self.gateways[0], START_SECONDS)
+        begin = time.monotonic()
+        items = [
+            {
+                'kind': 'model',
+                'resource': {'name': f'm-{n}', 'description': 'x' * 100},
+            }
+            for n in range(resources)
+        ]
+        items.append({'kind': 'pool', 'resource': {'name': 'lm-pool'}})
+        status, body = self.call(
+            self.gateways[0], 'POST', 'apply', {'items': items}
+        )
+        if status != 200:
+            raise RuntimeError(f'apply: {status} {body}')
+        self.wait_in_force(self.gateways[0], 1, START_SECONDS)
+        return time.monotonic() - begin
+
+    def call(self, gateway: str, method: str, path: str, value=None):
+        """Calls the operators' API of a gateway."""
+        url = self.started.members[gateway].url('admin')
+        return fleet.call_json(method, f'{url}/api/v1/{path}', value, TOKEN)
+
+    def wait_in_force(self, gateway, revision, seconds=30.0) -> None:
+        """Waits until a gateway reports a revision as in force."""
+        deadline = time.monotonic() + seconds
+        while True:
+            status = self.call(gateway, 'GET', 'status')[1]
+            if status['in_force'] and status['revision'] >= revision:
+                return
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'not in force: {status}')
+            time.sleep(0.02)
+
+    def change(self) -> tuple[str, int]:
+        """Makes a change; returns the gateway used and the revision."""
+        gateway = self.random.choice(self.gateways)
+        value = {'queue_length': self.random.randrange(1_000_000)}
+        status, body = self.call(gateway, 'PUT', 'pool/lm-pool', value)
+        if status != 200:
+            raise RuntimeError(f'change: {status} {body}')
+        return gateway, body['revision']
+
+    def time_changes(self, count: int) -> list[float]:
+        """Returns the seconds from each accepted change to in force."""
+        found = []
+        for _ in range(count):
+            gateway, revision = self.change()
+            begin = time.monotonic()
+            self.wait_in_force(gateway, revision)
+            found.append(time.monotonic() - begin)
+            time.sleep(self.random.random())
+        return found
+
+    def read_cost(self) -> dict[str, dict]:
+        """Returns bytes, processor seconds and memory of each daemon."""
+        found = {}
+        for name in self.names:
+            control = self.started.read_health(name)['control']
+            process = psutil.Process(self.started.members[name].process.pid)
+            times = process.cpu_times()
+            found[name] = {
+                'sent': sum(control['sent'].values()),
+                'received': sum(control['received'].values()),
+                'cpu': times.user + times.system,
+                'memory': process.memory_info().rss,
+            }
+        return found
+
+    def read_store_calls(self) -> int:
+        """Returns the calls that the store has served."""
+        url = self.started.members['store'].url()
+        return sum(fleet.call_json('GET', f'{url}/counts')[1].values())
+
+    def measure_cost(self, seconds: float, changes: int) -> dict:
+        """Returns the cost for each second, with changes spread over it."""
+        before, calls = self.read_cost(), self.read_store_calls()
+        begin = time.monotonic()
+        for _ in range(changes):
+            self.change()
+            time.sleep(seconds / changes)
+        if not changes:
+            time.sleep(seconds)
+        after = self.read_cost()
+        took = time.monotonic() - begin
+        found = {
+            'store_calls_per_second': round(
+                (self.read_store_calls() - calls) / took, 2
+            )
+        }
+        for role, names in (
+            ('gateway', self.gateways),
+            ('agent', self.agents),
+        ):
+            for key in ('sent', 'received', 'cpu'):
+                rates = [
+                    (after[n][key] - before[n][key]) / took for n in names
+                ]
+                found[f'{role}_{key}_mean'] = round(numpy.mean(rates), 4)
+                found[f'{role}_{key}_worst'] = round(max(rates), 4)
+        found['memory_bytes_mean'] = int(
+            numpy.mean([cost['memory'] for cost in after.values()])
+        )
+        return found
+
+    def measure_stale_host(self) -> float:
+        """Returns seconds from the return of a stopped host to in force."""
+        name = self.agents[0]
+        self.started.signal(name, signal.SIGSTOP)
+        gateway, revision = self.change()
+        time.sleep(5)
+        if self.call(gateway, 'GET', 'status')[1]['in_force']:
+            raise AssertionError('in force without a stopped host')
+        self.started.signal(name, signal.SIGCONT)
+        begin = time.monotonic()
+        self.wait_in_force(gateway, revision)
+        return time.monotonic() - begin
+
+    def measure_start_in_outage(self) -> dict[str, float]:
+        """Returns seconds from a start without the store to ready."""
+        store = self.started.members['store'].url()
+        fleet.call_json('POST', f'{store}/faults', {'down': True})
+        found = {}
+        for role, name in (
+            ('gateway', self.gateways[-1]),
+            ('agent', self.agents[-1]),
+        ):
+            self.started.stop_gracefully(name)
+            begin = time.monotonic()
+            self.started.restart(name)
+            self.started.wait_until(
+                lambda name=name: self.started.read_health(name).get('ready'),
+                f'{name} is ready',
+                60,
+            )
+            found[role] = round(time.monotonic() - begin, 2)
+        fleet.call_json('POST', f'{store}/faults', {'down': False})
+        return found
+
+
+def measure_size(size: int, seed: int, changes: int, window: float) -> dict:
+    """Returns the measurements of one size."""
+    with fleet.Fleet(log_level='warning') as started:
+        deployment = Deployment(started, size, seed)
+        start = deployment.start(resources=200)
+        times = deployment.time_changes(changes)
+        result = {
+            'daemons': size,
+            'gateways': len(deployment.gateways),
+            'start_seconds': round(start, 2),
+            'in_force_seconds': {
+                'p50': round(float(numpy.percentile(times, 50)), 3),
+                'p99': round(float(numpy.percentile(times, 99)), 3),
+                'worst': round(max(times), 3),
+                'changes': changes,
+            },
+            'idle': deployment.measure_cost(window, 0),
+            'at_one_change_in_5_s': deployment.measure_cost(
+                window, max(1, int(window // 5))
+            ),
+            'stale_host_seconds': round(deployment.measure_stale_host(), 3),
+            'start_in_outage_seconds': deployment.measure_start_in_outage(),
+        }
+        used = result['idle']['memory_bytes_mean'] * size
+        if used > MAX_MEMORY_BYTES:
+            result['memory_warning'] = f'{used} bytes'
+        return result
+
+
+def fit_slopes(sizes: list[dict]) -> dict[str, float]:
+    """Returns the growth of the idle cost with each further daemon."""
+    count = [size['daemons'] for size in sizes]
+    return {
+        key: round(
+            float(numpy.polyfit(count, [s['idle'][key] for s in sizes], 1)[0]),
+            5,
+        )
+        for key in sizes[0]['idle']
+    }
+
+
+def main(
+    seed: int = 1,
+    sizes: tuple[int, ...] = (10, 30, 100),
+    changes: int = 30,
+    window: float = 20.0,
+) -> None:
+    """Measures each size and prints one JSON object.
+
+    Args:
+        seed: Seed of the changes.
+        sizes: Numbers of daemons.
+        changes: Timed changes for each size.
+        window: Length in seconds of each measurement of cost.
+    """
+    sizes = sizes if isinstance(sizes, tuple | list) else (sizes,)
+    results = [measure_size(n, seed, changes, window) for n in sizes]
+    report = {'seed': seed, 'sizes': results}
+    if len(results) > 1:
+        report['slopes_per_daemon'] = fit_slopes(results)
+    print(json.dumps(report))
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
