--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -44,15 +44,17 @@
 class AgentSettings(settings.Settings):
     """Settings of chivejunction-agent."""
 
-    host: str = pydantic.Field(description='Name of this host.')
-    failure_domain: str = pydantic.Field(
+    host: settings.HostName = pydantic.Field(description='Name of this host.')
+    failure_domain: settings.HostName = pydantic.Field(
         description='Failure domain of this host.'
     )
-    pool: str = pydantic.Field(description='Pool of the backend server.')
+    pool: settings.HostName = pydantic.Field(
+        description='Pool of the backend server.'
+    )
     kind: Literal['engine', 'service'] = pydantic.Field(
         'engine', description='Whether the server is a model engine.'
     )
-    address: str = pydantic.Field(
+    address: settings.Address = pydantic.Field(
         '127.0.0.1', description='IP address to listen on.'
     )
     data_port: settings.Port = pydantic.Field(
@@ -61,13 +63,13 @@
     admin_port: settings.Port = pydantic.Field(
         description='TCP port of metrics and health.'
     )
-    server_url: str = pydantic.Field(
+    server_url: settings.Url = pydantic.Field(
         description='URL of the engine or plain service.'
     )
-    hosts_url: str = pydantic.Field(
+    hosts_url: settings.Url = pydantic.Field(
         description="URL of the platform's host list."
     )
-    store_url: str = pydantic.Field(
+    store_url: Literal[''] | settings.Url = pydantic.Field(
         '',
         description="URL of the platform's key-value store, read when no "
         'gateway has a fresh configuration; empty for never.',
--- a/chivejunction/ctl.py
+++ b/chivejunction/ctl.py
@@ -24,7 +24,9 @@
         pattern=r'^https?://[^,\s]+(,https?://[^,\s]+)*$',
     )
     operator_token: str = pydantic.Field(
-        description='Credential of the operators.', min_length=6
+        description='Credential of the operators.',
+        min_length=6,
+        json_schema_extra=settings.SECRET,
     )
 
 
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -49,11 +49,11 @@
 class GatewaySettings(settings.Settings):
     """Settings of chivejunction-gateway."""
 
-    host: str = pydantic.Field(description='Name of this host.')
-    failure_domain: str = pydantic.Field(
+    host: settings.HostName = pydantic.Field(description='Name of this host.')
+    failure_domain: settings.HostName = pydantic.Field(
         description='Failure domain of this host.'
     )
-    address: str = pydantic.Field(
+    address: settings.Address = pydantic.Field(
         '127.0.0.1', description='IP address to listen on.'
     )
     listen_port: settings.Port = pydantic.Field(
@@ -73,14 +73,16 @@
     control_port: settings.Port = pydantic.Field(
         description='TCP port of the control exchange.'
     )
-    store_url: str = pydantic.Field(
+    store_url: settings.Url = pydantic.Field(
         description="URL of the platform's key-value store."
     )
-    hosts_url: str = pydantic.Field(
+    hosts_url: settings.Url = pydantic.Field(
         description="URL of the platform's host list."
     )
     operator_token: str = pydantic.Field(
-        description='Credential of the operators.', min_length=6
+        description='Credential of the operators.',
+        min_length=6,
+        json_schema_extra=settings.SECRET,
     )
     max_links: int = pydantic.Field(
         90,
--- a/chivejunction/settings.py
+++ b/chivejunction/settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import inspect
+import ipaddress
 import os
 import sys
 from typing import Annotated
@@ -15,6 +16,24 @@
 ENVIRONMENT_PREFIX = 'CHIVEJUNCTION_'
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+HostName = Annotated[str, pydantic.Field(min_length=1, max_length=253)]
+Url = Annotated[str, pydantic.Field(pattern=r'^https?://[^\s/]+(/\S*)?$')]
+
+
+def check_address(value: str) -> str:
+    """Returns an IP address.
+
+    Raises:
+        ValueError: The value is not an IP address.
+    """
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError as exc:
+        raise ValueError('must be an IP address, like 10.0.0.1') from exc
+
+
+Address = Annotated[str, pydantic.AfterValidator(check_address)]
+SECRET = {'secret': True}
 
 
 class Settings(pydantic.BaseModel):
@@ -24,7 +43,10 @@
     the help text. Flags go before environment variables.
     """
 
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+    # The command line parser turns a host named 7 into a number.
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, coerce_numbers_to_str=True
+    )
 
 
 def variable_name(field: str) -> str:
@@ -37,6 +59,11 @@
     return '--' + field.replace('_', '-')
 
 
+def _is_secret(cls: type[Settings], field: str) -> bool:
+    extra = cls.model_fields[field].json_schema_extra
+    return extra == SECRET
+
+
 def load_settings(cls: type[Settings], flags: dict) -> Settings:
     """Returns validated settings.
 
@@ -60,6 +87,8 @@
         for problem in exc.errors():
             field = str(problem['loc'][0]) if problem['loc'] else ''
             given = values.get(field, 'not set')
+            if field in values and _is_secret(cls, field):
+                given = '(hidden)'
             lines.append(
                 f'{flag_name(field)} ({variable_name(field)}) = {given!r}: '
                 f'{problem["msg"]}'
@@ -67,6 +96,36 @@
         raise errors.SettingError('\n'.join(lines)) from exc
 
 
+def check_flags(cls: type[Settings], arguments: list[str]) -> None:
+    """Refuses arguments that are no flags of a program.
+
+    fire would run the program first and complain when it has ended.
+
+    Raises:
+        SettingError: An argument is unknown.
+    """
+    known = {flag_name(field) for field in cls.model_fields}
+    known |= {f'--{field}' for field in cls.model_fields}
+    takes_value = False
+    for argument in arguments:
+        name, has_value, _ = argument.partition('=')
+        if argument in ('--', '--help', '-h'):
+            return
+        if name.startswith('--'):
+            if name not in known:
+                raise errors.SettingError(
+                    f'unknown flag {name}; accepted: '
+                    f'{", ".join(map(flag_name, cls.model_fields))}'
+                )
+            takes_value = not has_value
+        elif takes_value:
+            takes_value = False
+        else:
+            raise errors.SettingError(
+                f'unexpected argument {argument!r}; settings are flags'
+            )
+
+
 def run_program(
     cls: type[Settings], run: Callable[[Settings], None], help_text: str
 ) -> None:
@@ -79,6 +138,12 @@
         print(chivejunction.__version__)
         return
 
+    try:
+        check_flags(cls, sys.argv[1:])
+    except errors.SettingError as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(2) from exc
+
     def start(**flags):
         try:
             settings = load_settings(cls, flags)
