--- a/chivejunction/coordination/spread.py
+++ b/chivejunction/coordination/spread.py
@@ -199,6 +199,7 @@
     async def _watch_view(self) -> None:
         while True:
             await self._view.wait_newer(self._view.revision)
+            self._check_started()
             self._notify()
 
     async def _refresh_rows(self) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -54,6 +54,18 @@
     )
 
 
+class TestStart:
+    def test_gateway_serves_as_soon_as_it_has_a_configuration(self, tmp_path):
+        """Guards against callers refused for a second after a change."""
+        with fleet.Fleet(tmp_path) as started:
+            started.start_platform()
+            member = started.start_gateway('gw-1', 'bkk-a', 'bkk')
+            started.wait_for_port('gw-1')
+            started.put('gw-1', 'pool', 'p')
+            status, body = fleet.call_json('GET', f'{member.url()}/v1/models')
+        assert (status, body['error']['code']) == (401, 'unauthenticated')
+
+
 class TestOperatorsApi:
     def test_wrong_credential_is_refused(self, gateway):
         for path in ('pool', 'pool/p', 'status', 'watch'):
