--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -1,6 +1,7 @@
 """chivejunction-agent: guards one backend server."""
 
 import signal
+import time
 from typing import Annotated
 from typing import Literal
 import uuid
@@ -10,26 +11,32 @@
 from starlette import responses
 from starlette import routing as web_routing
 
+from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
 from chivejunction import settings
 from chivejunction.coordination import admission
+from chivejunction.coordination import configuration
 from chivejunction.coordination import draining
 from chivejunction.coordination import execution
 from chivejunction.coordination import load_reports
 from chivejunction.coordination import operators
 from chivejunction.coordination import peers
 from chivejunction.coordination import spread
+from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
 from chivejunction.protocol import messages
 from chivejunction.state import attempts
 from chivejunction.state import views
 from chivejunction.state import windows
 from chivejunction.transport import exchanges
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
+from chivejunction.transport import store_client
+from chivejunction.transport import traffic
 
 HELP = """Guards one backend server.
 
@@ -46,15 +53,17 @@
 class AgentSettings(settings.Settings):
     """Settings of chivejunction-agent."""
 
-    host: str = pydantic.Field(description='Name of this host.')
-    failure_domain: str = pydantic.Field(
+    host: settings.HostName = pydantic.Field(description='Name of this host.')
+    failure_domain: settings.HostName = pydantic.Field(
         description='Failure domain of this host.'
     )
-    pool: str = pydantic.Field(description='Pool of the backend server.')
+    pool: settings.HostName = pydantic.Field(
+        description='Pool of the backend server.'
+    )
     kind: Literal['engine', 'service'] = pydantic.Field(
         'engine', description='Whether the server is a model engine.'
     )
-    address: str = pydantic.Field(
+    address: settings.Address = pydantic.Field(
         '127.0.0.1', description='IP address to listen on.'
     )
     data_port: settings.Port = pydantic.Field(
@@ -63,12 +72,17 @@
     admin_port: settings.Port = pydantic.Field(
         description='TCP port of metrics and health.'
     )
-    server_url: str = pydantic.Field(
+    server_url: settings.Url = pydantic.Field(
         description='URL of the engine or plain service.'
     )
-    hosts_url: str = pydantic.Field(
+    hosts_url: settings.Url = pydantic.Field(
         description="URL of the platform's host list."
     )
+    store_url: Literal[''] | settings.Url = pydantic.Field(
+        '',
+        description="URL of the platform's key-value store, read when no "
+        'gateway has a fresh configuration; empty for never.',
+    )
     versions: str = pydantic.Field(
         '', description='Model versions loaded at the start, comma-separated.'
     )
@@ -134,6 +148,26 @@
         self.codec = codecs.CODECS.get(config.codec)
         self.view = views.ConfigView()
         self.client = http_client.Client()
+        self.directory = host_list.HostDirectory(self.client, config.hosts_url)
+        self.reader = watching.StoreReader(
+            self.view,
+            configuration.Configuration(
+                store_client.StoreClient(config.store_url, self.client)
+            ),
+        )
+        self.spread = spread.Spread(
+            spread.Identity(
+                config.host,
+                'agent',
+                self.incarnation,
+                time.time_ns() // 1_000_000,
+                config.failure_domain,
+            ),
+            self.view,
+            self.reader,
+            self.directory,
+            self._make_exchange,
+        )
         self.table = attempts.AttemptTable(config.buffer_bytes)
         self.window = windows.SlowStartWindow(
             config.first_token_target, self._get_window_limits
@@ -220,11 +254,12 @@
         return peer
 
     def _announce(self) -> None:
+        self.spread.leave()
         for gateway, peer in self._peers.items():
             peer.send(self._reports[gateway].make_heartbeat())
 
     async def _check_health(self, request):
-        ready = self.view.revision > 0 and not self.gate.leaving
+        ready = self.view.is_ready and not self.gate.leaving
         return responses.JSONResponse(
             {
                 'host': self.config.host,
@@ -232,6 +267,7 @@
                 'leaving': self.gate.leaving,
                 'revision': self.view.revision,
                 'running': self.gate.running,
+                'control': traffic.CONTROL.describe(),
             },
             200 if ready else 503,
         )
@@ -299,13 +335,13 @@
                 group.start_soon(self.executor.run)
                 if self.config.kind == 'engine':
                     group.start_soon(self.reports.run)
-                group.start_soon(
-                    spread.pull_from_gateways,
-                    self.view,
-                    self.client,
-                    self.config.hosts_url,
-                    self._make_exchange,
-                )
+                group.start_soon(self.directory.run)
+                group.start_soon(self.spread.run)
+                if self.config.store_url:
+                    group.start_soon(
+                        self.reader.run,
+                        clock.jitter(2 * watching.START_SECONDS, 0.5),
+                    )
                 group.start_soon(
                     http_server.serve, admin, admin_socket, anyio.Event(), 1
                 )
--- a/chivejunction/coordination/admission.py
+++ b/chivejunction/coordination/admission.py
@@ -113,6 +113,7 @@
         Raises:
             RefusalError: The attempt is refused and has not run.
         """
+        self._view.check_ready()
         if self._view.revision < start.revision:
             raise errors.RefusalError(
                 'stale_config', f'agent is at revision {self._view.revision}'
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -28,16 +28,20 @@
 from chivejunction.coordination import routing
 from chivejunction.coordination import selection
 from chivejunction.coordination import spread
+from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
 from chivejunction.state import estimates
+from chivejunction.state import members
 from chivejunction.state import servers
 from chivejunction.state import sessions
 from chivejunction.state import views
 from chivejunction.transport import exchanges
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
 from chivejunction.transport import store_client
+from chivejunction.transport import traffic
 
 HELP = """Serves callers and operators on an entry host.
 
@@ -52,11 +56,11 @@
 class GatewaySettings(settings.Settings):
     """Settings of chivejunction-gateway."""
 
-    host: str = pydantic.Field(description='Name of this host.')
-    failure_domain: str = pydantic.Field(
+    host: settings.HostName = pydantic.Field(description='Name of this host.')
+    failure_domain: settings.HostName = pydantic.Field(
         description='Failure domain of this host.'
     )
-    address: str = pydantic.Field(
+    address: settings.Address = pydantic.Field(
         '127.0.0.1', description='IP address to listen on.'
     )
     listen_port: settings.Port = pydantic.Field(
@@ -76,10 +80,10 @@
     control_port: settings.Port = pydantic.Field(
         description='TCP port of the control exchange.'
     )
-    store_url: str = pydantic.Field(
+    store_url: settings.Url = pydantic.Field(
         description="URL of the platform's key-value store."
     )
-    hosts_url: str = pydantic.Field(
+    hosts_url: settings.Url = pydantic.Field(
         description="URL of the platform's host list."
     )
     ratings_url: str = pydantic.Field(
@@ -97,7 +101,14 @@
         0.0, description='Cost of one rating in cost units.', ge=0
     )
     operator_token: str = pydantic.Field(
-        description='Credential of the operators.', min_length=6
+        description='Credential of the operators.',
+        min_length=6,
+        json_schema_extra=settings.SECRET,
+    )
+    max_links: int = pydantic.Field(
+        90,
+        ge=1,
+        description='Agents above which only a subset of each pool is linked.',
     )
     codec: Literal['msgpack', 'cbor'] = pydantic.Field(
         'msgpack', description='Codec between gateways and agents.'
@@ -127,9 +138,36 @@
         self.table = servers.ServerTable()
         self.client = http_client.Client()
         store = store_client.StoreClient(config.store_url, self.client)
-        self.source = configuration.Configuration(store)
+        self.source = configuration.Configuration(store, self.view)
+        self.directory = host_list.HostDirectory(self.client, config.hosts_url)
+        born = time.time_ns() // 1_000_000
+        self.members = members.MemberTable(config.host, born)
+        self.reader = watching.StoreReader(
+            self.view, self.source, lambda: self.spread.is_watcher()
+        )
+        self.spread = spread.Spread(
+            spread.Identity(
+                config.host,
+                'gateway',
+                self.incarnation,
+                born,
+                config.failure_domain,
+            ),
+            self.view,
+            self.reader,
+            self.directory,
+            lambda address: exchanges.Exchange(
+                address, config.host, self.incarnation, self.codec
+            ),
+            self.members,
+        )
         self.membership = membership.Membership(
-            self.table, self.client, config.hosts_url, self._make_peer
+            config.host,
+            self.table,
+            self.directory,
+            self._make_peer,
+            self.members.is_leaving,
+            config.max_links,
         )
         self.dispatcher = dispatch.Dispatcher(
             selection.Selector(
@@ -204,7 +242,7 @@
             self.sessions,
         )
         self.operators = operators.OperatorsApi(
-            self.view, self.source, config.operator_token
+            self.view, self.source, self.members, config.operator_token
         )
         self.stop = anyio.Event()
 
@@ -225,7 +263,7 @@
         )
 
     async def _check_health(self, request):
-        ready = self.view.revision > 0 and not self.callers.leaving
+        ready = self.view.is_ready and not self.callers.leaving
         return responses.JSONResponse(
             {
                 'host': self.config.host,
@@ -233,6 +271,8 @@
                 'leaving': self.callers.leaving,
                 'revision': self.view.revision,
                 'servers': sum(s.connected for s in self.table),
+                'leaving_servers': [s.host for s in self.table if s.leaving],
+                'control': traffic.CONTROL.describe(),
             },
             200 if ready else 503,
         )
@@ -254,6 +294,7 @@
         ) as signals:
             async for _ in signals:
                 logs.LOG.info('leaving')
+                self.spread.leave()
                 await self.callers.leave()
                 self.stop.set()
                 return
@@ -263,7 +304,7 @@
         config = self.config
         control = exchanges.ExchangeServer(
             f'tcp://{config.address}:{config.control_port}',
-            lambda message: spread.answer_exchange(self.view, message),
+            self.spread.answer,
             self.codec,
         )
         admin = operators.make_app(
@@ -284,7 +325,10 @@
             group.start_soon(self.raters.run)
             group.start_soon(self.pins.run)
             group.start_soon(self.rollout_keeper.run)
-            group.start_soon(spread.poll_store, self.view, self.source)
+            group.start_soon(self.directory.run)
+            group.start_soon(self.spread.run)
+            group.start_soon(self.reader.run, 0)
+            group.start_soon(self.reader.run_watcher)
             group.start_soon(
                 http_server.serve, admin, admin_socket, anyio.Event(), 1
             )
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -88,6 +88,7 @@
         busy_until: Deadline until which the server counts as full.
         connected: Whether the data link works.
         leaving: Whether the host announced that it leaves.
+        announced_leaving: Whether the host list or an exchange says so.
         ready: Whether the agent takes work.
         absent: Whether the server could not be chosen lately.
         ramp_until: Deadline until which it gets a reduced share.
@@ -115,6 +116,7 @@
     busy_until: float = 0.0
     connected: bool = False
     leaving: bool = False
+    announced_leaving: bool = False
     ready: bool = True
     absent: bool = False
     ramp_until: float = 0.0
@@ -135,7 +137,7 @@
         self.running = load.get('r', self.running)
         self.queued = load.get('q', self.queued)
         self.window = max(1, load.get('w', self.window))
-        self.leaving = load.get('s', '') == 'leaving'
+        self.leaving = self.announced_leaving or load.get('s', '') == 'leaving'
         self.ready = load.get('s', 'ready') == 'ready'
         self.engine = load.get('i', self.engine)
         self.reported_sent = self.sent
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -16,16 +16,17 @@
     """
 
     def __init__(self):
-        self.values: dict[str, store_client.Entry] = {}
+        self.entries: dict[str, store_client.Entry] = {}
         self.leases: set[int] = set()
         self.revision = 0
         self.lose_answers = 0
         self.down = False
         self.delay = 0.0
+        self.reads = 0
+        self.writes = 0
 
     async def _begin(self, error):
-        if self.delay:
-            await anyio.sleep(self.delay)
+        await anyio.sleep(self.delay)
         if self.down:
             raise error('down')
 
@@ -34,21 +35,26 @@
             self.lose_answers -= 1
             raise errors.StoreResultUnknown('answer lost')
 
-    async def get(self, key):
+    async def get(self, key, is_local=False):
+        self.reads += 1
         await self._begin(errors.StoreError)
-        return self.values.get(key)
+        return self.entries.get(key)
 
     async def list_prefix(self, prefix):
         await self._begin(errors.StoreError)
-        return [v for k, v in self.values.items() if k.startswith(prefix)]
+        return [v for k, v in self.entries.items() if k.startswith(prefix)]
 
-    async def swap(self, key, value, expected, lease=0):
+    async def swap(self, key, value, expected, lease=0, also=None):
         await self._begin(errors.StoreResultUnknown)
-        found = self.values.get(key)
+        found = self.entries.get(key)
         if (found.revision if found else 0) != expected:
             raise errors.StoreConflict(key)
         self.revision += 1
-        self.values[key] = store_client.Entry(key, value, self.revision, lease)
+        self.writes += 1
+        for name, content in {key: value, **(also or {})}.items():
+            self.entries[name] = store_client.Entry(
+                name, content, self.revision, lease if name == key else 0
+            )
         self._lose_answer()
         return self.revision
 
@@ -69,8 +75,8 @@
     def expire(self, lease):
         """Ends a lease and removes its keys."""
         self.leases.discard(lease)
-        for key in [k for k, v in self.values.items() if v.lease == lease]:
-            del self.values[key]
+        for key in [k for k, v in self.entries.items() if v.lease == lease]:
+            del self.entries[key]
 
 
 def run_async(test):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,8 +13,8 @@
 from chivejunction.protocol import resources
 from chivejunction.state import estimates
 from chivejunction.state import sessions
+from tests import stores
 from tests import test_routing
-from tests import test_sessions
 
 ROLLOUT = {
     'name': 'r',
@@ -243,7 +243,7 @@
     """Two gateways with one store."""
 
     def __init__(self):
-        self.store = test_sessions.MemoryStore()
+        self.store = stores.MemoryStore()
         self.sources = [
             configuration.Configuration(self.store) for _ in range(2)
         ]
@@ -251,6 +251,9 @@
 
     async def prepare(self):
         view = test_routing.make_view()
+        await self.sources[0].put('pool', {'name': 'p'})
+        for name in ('tiny', 'small', 'large'):
+            await self.sources[0].put('model', {'name': name})
         for name, value in view.document.resources['modelversion'].items():
             await self.sources[0].put('modelversion', value)
             assert name == value['name']
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -11,6 +11,7 @@
 from chivejunction import errors
 from chivejunction.coordination import pins
 from chivejunction.state import sessions
+from tests import stores
 from tests import test_routing
 
 KEY = ('a', 's1', 'auto')
@@ -66,35 +67,6 @@
         assert table.lookup(('a', '2', 'auto'), late) == ''
 
 
-class MemoryStore:
-    """Store in memory with compare-and-swap; fails while down."""
-
-    def __init__(self):
-        self.entries = {}
-        self.down = False
-        self.writes = 0
-        self.reads = 0
-
-    async def get(self, key):
-        self.reads += 1
-        await lowlevel.checkpoint()
-        if self.down:
-            raise errors.StoreError('down')
-        return self.entries.get(key)
-
-    async def swap(self, key, value, expected, lease=0):
-        await self.get(key)
-        entry = self.entries.get(key)
-        if (entry.revision if entry else 0) != expected:
-            raise errors.StoreConflict(key)
-        self.writes += 1
-        self.entries[key] = store_entry(key, value, expected + 1)
-
-
-def store_entry(key, value, revision):
-    return pins.store_client.Entry(key, value, revision, 0)
-
-
 class FakeRollouts:
     revision = 1
 
@@ -116,7 +88,7 @@
 
     def test_other_gateway_finds_a_saved_pin(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             first = self.make(store)
             first.save(self.make_call(), 'small-1')
             await first.flush()
@@ -127,7 +99,7 @@
 
     def test_sessions_outside_a_range_cost_no_store_call(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             keeper = self.make(store, name='')
             keeper.save(self.make_call(), 'small-1')
             await keeper.flush()
@@ -139,7 +111,7 @@
 
     def test_sessions_seen_before_the_rollout_are_saved(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             keeper = self.make(store, name='')
             keeper.save(self.make_call(), 'small-1')
             await keeper.flush()
@@ -153,7 +125,7 @@
 
     def test_first_saved_version_stays(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             for version in ('small-1', 'large-1'):
                 keeper = self.make(store)
                 keeper.save(self.make_call(), version)
@@ -165,7 +137,7 @@
 
     def test_pin_made_during_a_lookup_is_found(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             keeper = self.make(store)
             found = []
 
@@ -184,7 +156,7 @@
 
     def test_pins_wait_while_the_store_is_down(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             keeper = self.make(store)
             keeper.save(self.make_call(), 'small-1')
             store.down = True
@@ -198,7 +170,7 @@
 
     def test_many_pins_are_saved_in_few_writes(self):
         async def check():
-            store = MemoryStore()
+            store = stores.MemoryStore()
             keeper = self.make(store)
             for i in range(1000):
                 keeper.save(self.make_call(f's{i}'), 'small-1')
@@ -213,7 +185,7 @@
 
     def test_changed_choice_is_a_violation(self):
         keeper = pins.PinKeeper(
-            sessions.PinTable(), FakeRollouts(''), MemoryStore()
+            sessions.PinTable(), FakeRollouts(''), stores.MemoryStore()
         )
         desk = pins.Sessions(sessions.TokenSigner('key-one'), keeper)
         call = test_routing.make_call(session='s', pin='small-1')
