Wire billing, handover, placement orders and usage into the programs

Cause: billing and orders were tested alone, and nothing was billed or ordered. Agents send a record before the end of an answer, gateways save and announce watermarks, a gateway saves its records at the exit, an agent waits for its records to be saved, and GET /api/v1/usage shows them.

Ruled out: answering a repeated record at once with Saved, since the link may not have been accepted yet; the next flush announces it.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/flake8 chivejunction fakes bench tests
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --dist loadfile
 
 bench: setup
 	$(BIN)/python -m bench.report
--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -17,17 +17,21 @@
 from chivejunction import metrics
 from chivejunction import settings
 from chivejunction.coordination import admission
+from chivejunction.coordination import billing
 from chivejunction.coordination import configuration
 from chivejunction.coordination import draining
 from chivejunction.coordination import execution
 from chivejunction.coordination import load_reports
 from chivejunction.coordination import operators
+from chivejunction.coordination import orders
 from chivejunction.coordination import peers
+from chivejunction.coordination import placement
 from chivejunction.coordination import spread
 from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
 from chivejunction.protocol import messages
 from chivejunction.state import attempts
+from chivejunction.state import ledger
 from chivejunction.state import views
 from chivejunction.state import windows
 from chivejunction.transport import exchanges
@@ -49,6 +53,9 @@
 
 Seconds = Annotated[float, pydantic.Field(gt=0)]
 
+# Longest time at the exit for usage records to be saved.
+USAGE_SECONDS = 20.0
+
 
 class AgentSettings(settings.Settings):
     """Settings of chivejunction-agent."""
@@ -83,6 +90,11 @@
         description="URL of the platform's key-value store, read when no "
         'gateway has a fresh configuration; empty for never.',
     )
+    order_versions: bool = pydantic.Field(
+        False,
+        description='Whether the agent orders its engine to load and unload '
+        'versions; needs the URL of the store.',
+    )
     versions: str = pydantic.Field(
         '', description='Model versions loaded at the start, comma-separated.'
     )
@@ -196,6 +208,18 @@
                 config.answer_seconds,
                 config.gateway_gone_seconds,
             ),
+            self._record_usage,
+        )
+        self.billing = billing.AgentBilling(self.incarnation, self._get_links)
+        self.orderer = orders.Orderer(
+            store_client.StoreClient(config.store_url, self.client),
+            orders.EngineOrders(self.client, config.server_url),
+            config.host,
+            config.pool,
+            self.incarnation,
+            self._choose_versions,
+            self._get_permits,
+            self.gate.count_version,
         )
         self.reports = load_reports.LoadReports(
             config.server_url,
@@ -207,6 +231,45 @@
         self._peers: dict[str, peers.GatewayPeer] = {}
         self._reports: dict[str, Report] = {}
 
+    def _record_usage(
+        self, attempt: attempts.Attempt, start: messages.Start
+    ) -> None:
+        self.billing.add_record(
+            *attempt.owner,
+            ledger.UsageRecord(
+                request=attempt.request,
+                organisation=attempt.organisation,
+                target=start.version or self.config.pool,
+                prompt_tokens=attempt.usage.get('prompt_tokens', 0),
+                completion_tokens=attempt.usage.get('completion_tokens', 0),
+            ),
+        )
+
+    def _get_links(self) -> dict:
+        return {
+            (peer.gateway, peer.incarnation): peer.send
+            for peer in self._peers.values()
+            if not peer.closed
+        }
+
+    def _choose_versions(self) -> list[str]:
+        return placement.choose_versions(
+            self.view,
+            self.config.pool,
+            self.config.host,
+            [
+                listed.host
+                for listed in self.directory.hosts.values()
+                if listed.role == 'agent'
+                and listed.pool == self.config.pool
+                and not listed.leaving
+            ],
+        )
+
+    def _get_permits(self) -> int:
+        pool = self.view.pools.get(self.config.pool)
+        return pool.load_permits if pool else 1
+
     def _get_window_limits(self) -> tuple[int, int]:
         pool = self.view.pools.get(self.config.pool)
         return (pool.cold_window, pool.warm_window) if pool else (1, 1)
@@ -233,6 +296,8 @@
         for frame in frames:
             if isinstance(frame, messages.Heartbeat):
                 peer.revision = frame.revision
+            elif isinstance(frame, messages.SAVED_FRAMES):
+                self.billing.handle(frame)
             elif not isinstance(frame, messages.Hello):
                 try:
                     self.executor.handle(group, peer, frame)
@@ -251,6 +316,7 @@
         report = Report(self)
         self._reports[hello.gateway] = report
         group.start_soon(peer.run, report.describe, report.make_heartbeat)
+        self.billing.open_link(hello.gateway, hello.incarnation)
         return peer
 
     def _announce(self) -> None:
@@ -335,6 +401,9 @@
                 group.start_soon(self.executor.run)
                 if self.config.kind == 'engine':
                     group.start_soon(self.reports.run)
+                group.start_soon(self.billing.run)
+                if self.config.order_versions:
+                    group.start_soon(self.orderer.run)
                 group.start_soon(self.directory.run)
                 group.start_soon(self.spread.run)
                 if self.config.store_url:
@@ -346,9 +415,19 @@
                     http_server.serve, admin, admin_socket, anyio.Event(), 1
                 )
                 finished = await drain.run(signals)
+                await self._finish_billing()
                 group.cancel_scope.cancel()
         return finished
 
+    async def _finish_billing(self) -> None:
+        with anyio.move_on_after(USAGE_SECONDS):
+            while self.billing.ledger.count():
+                await anyio.sleep(0.1)
+            return
+        logs.LOG.warning(
+            'exit loses %d usage records', self.billing.ledger.count()
+        )
+
 
 class Report:
     """What one gateway is told about the server over one link.
--- a/chivejunction/coordination/admission.py
+++ b/chivejunction/coordination/admission.py
@@ -1,5 +1,6 @@
 """The agent's last check before a request reaches its engine."""
 
+import collections
 import dataclasses
 
 import anyio
@@ -85,6 +86,7 @@
         self.versions: frozenset[str] = frozenset()
         self.reachable = True
         self.running = 0
+        self._by_version: collections.Counter[str] = collections.Counter()
         self.run_seconds = 0.0
 
     @property
@@ -259,9 +261,14 @@
         """
         entry.granted = False
         self.running -= 1
+        self._by_version[entry.start.version] -= 1
         self._queue.charge(entry.start.organisation, run_seconds - entry.cost)
         self._serve()
 
+    def count_version(self, version: str) -> int:
+        """Returns the attempts that run on a version."""
+        return self._by_version[version]
+
     def record_run(self, seconds: float) -> None:
         """Takes the run time of a whole answer into the mean."""
         if not self.run_seconds:
@@ -279,6 +286,7 @@
                 entry.granted = True
                 entry.cost = self.run_seconds
                 self.running += 1
+                self._by_version[entry.start.version] += 1
                 entry.attempt.was_full = self.running >= self.window
             else:
                 self._queue.charge(place.flow, -self.run_seconds)
--- a/chivejunction/coordination/billing.py
+++ b/chivejunction/coordination/billing.py
@@ -91,6 +91,9 @@
         self._revision = 0
         self._flush = 0
         self._senders: dict[str, Send] = {}
+        # Streams whose agent has not been told the saved watermark since
+        # their latest record; a repeated record means that it was lost.
+        self._due: set[str] = set()
 
     def receive(self, frame: messages.Usage, send: Send) -> None:
         """Handles a usage record of an agent.
@@ -104,25 +107,38 @@
         """
         record = ledger.UsageRecord.unpack(frame.record)
         self._senders[frame.stream] = send
+        self._due.add(frame.stream)
         self.ledger.add(
             frame.stream,
             frame.number,
             record,
             price_record(self._view, record),
         )
-        saved = self.ledger.saved_watermarks.get(frame.stream, 0)
-        if frame.number <= saved:
-            # The agent sends it again: the earlier Saved was lost.
-            send(messages.Saved(frame.stream, saved))
 
     async def run(self) -> None:
         """Saves new records until cancelled."""
         while True:
             await anyio.sleep(clock.jitter(FLUSH_SECONDS))
-            try:
-                await self.flush()
-            except errors.StoreError as exc:
-                logs.LOG.warning('usage is not saved: %s', exc)
+            await self._try_flush()
+
+    async def _try_flush(self) -> None:
+        try:
+            await self.flush()
+        except errors.StoreError as exc:
+            logs.LOG.warning('usage is not saved: %s', exc)
+
+    async def finish(self, seconds: float) -> None:
+        """Saves all records before the gateway exits.
+
+        Args:
+            seconds: Longest time; after it the agents hand their records
+                over to another gateway.
+        """
+        deadline = clock.make_deadline(seconds)
+        await self._try_flush()
+        while self.ledger.pending and not clock.has_passed(deadline):
+            await anyio.sleep(FLUSH_SECONDS / 4)
+            await self._try_flush()
 
     async def flush(self) -> None:
         """Writes all pending records to the store and tells the agents.
@@ -133,6 +149,7 @@
         """
         book = self.ledger
         if book.watermarks == book.saved_watermarks and not book.pending:
+            self._announce()
             return
         self._flush += 1
         totals, count = book.totals(), len(book.pending)
@@ -153,7 +170,7 @@
                 return
         else:
             book.confirm_saved(totals, watermarks, count)
-        self._announce(watermarks)
+        self._announce()
 
     async def _reconcile(self, totals, watermarks, count: int) -> bool:
         """Finds out by reading whether a write took effect."""
@@ -176,15 +193,17 @@
             )
         return saved
 
-    def _announce(self, watermarks: dict[str, int]) -> None:
-        for stream, number in watermarks.items():
-            send = self._senders.get(stream)
-            if send is None:
+    def _announce(self) -> None:
+        """Tells agents the saved watermarks of their streams."""
+        for stream in list(self._due):
+            number = self.ledger.saved_watermarks.get(stream)
+            if number is None:
                 continue
             try:
-                send(messages.Saved(stream, number))
+                self._senders[stream](messages.Saved(stream, number))
             except errors.LinkClosed:
-                del self._senders[stream]
+                continue
+            self._due.discard(stream)
 
     async def take_over(self, frame: messages.Handover) -> int:
         """Saves the records of a gateway that has gone.
--- a/chivejunction/coordination/cascades.py
+++ b/chivejunction/coordination/cascades.py
@@ -180,7 +180,9 @@
         call = progress.call
         progress.started = clock.now()
         step = dataclasses.replace(
-            call, body=chat.write_chat(call.body, version)
+            call,
+            body=chat.write_chat(call.body, version),
+            contested=bool(progress.bill.steps),
         )
         pool = self._view.versions[version].pool
         return self._dispatcher.run(step, pool, version)
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -1,6 +1,7 @@
 """Attempts at the gateway: send, wait, resolve, re-attach, retry, hedge."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import math
 import uuid
 
@@ -126,6 +127,7 @@
         agent_peers: Links by host.
         view: Configuration of the gateway.
         keys: Claims idempotency keys; None refuses keyed calls.
+        on_contested: Called with a request that has several attempts.
     """
 
     def __init__(
@@ -134,11 +136,13 @@
         agent_peers: dict[str, peers.AgentPeer],
         view: views.ConfigView,
         keys: idempotency.KeyStore | None = None,
+        on_contested: Callable[[str], None] = lambda request: None,
     ):
         self._selector = selector
         self._peers = agent_peers
         self._view = view
         self._keys = keys
+        self._on_contested = on_contested
         self.budget = budgets.RetryBudget()
         self.first_tokens = budgets.FirstTokenTimes()
 
@@ -328,6 +332,8 @@
         if call.idempotent:
             stream.patience = IMPATIENCE_SECONDS
         trial.add(stream)
+        if call.contested or len(trial.streams) > 1:
+            self._on_contested(call.id)
         stream.start(self._make_start(trial, attempt))
         return stream
 
--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -1,5 +1,6 @@
 """Runs attempts at the agent: engine call, buffering, streaming back."""
 
+from collections.abc import Callable
 import dataclasses
 import string
 from urllib import parse
@@ -86,6 +87,7 @@
         client: HTTP client for the engine.
         is_engine: Whether the server is a model engine.
         limits: Time limits.
+        on_ran: Called with a whole answer before its end is sent.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         client: http_client.Client,
         is_engine: bool,
         limits: Limits,
+        on_ran: Callable[[attempts.Attempt, messages.Start], None],
     ):
         self._url = url.rstrip('/')
         self._incarnation = incarnation
@@ -107,6 +110,7 @@
         self._client = client
         self._is_engine = is_engine
         self._limits = limits
+        self._on_ran = on_ran
         # By attempt and gateway: a repeated call may follow an attempt at
         # another gateway than the first one.
         self._pumps: dict[str, dict[str, Pump]] = {}
@@ -178,6 +182,7 @@
         except errors.RefusalError as exc:
             peer.send(messages.Refused(start.attempt, exc.code, exc.detail, 0))
             return
+        attempt.owner = peer.gateway, peer.incarnation
         self._live[attempt.id] = attempt
         try:
             entry = self._gate.enter(attempt, start)
@@ -461,6 +466,7 @@
             self._finish(attempt, verdicts.Verdict.MAY_HAVE_RUN, error)
             return
         attempt.usage = call.usage
+        self._on_ran(attempt, call.start)
         self._window.record_end(
             call.started, call.measure_delay(), attempt.was_full
         )
--- a/chivejunction/coordination/operators.py
+++ b/chivejunction/coordination/operators.py
@@ -84,7 +84,12 @@
             ),
         ]
 
-    def _authenticate(self, request: requests.Request) -> None:
+    def authenticate(self, request: requests.Request) -> None:
+        """Checks the credential of an operator.
+
+        Raises:
+            RefusalError: The credential is missing or unknown.
+        """
         given = request.headers.get('authorization', '')
         if not hmac.compare_digest(
             given.encode(), f'Bearer {self._token}'.encode()
@@ -100,13 +105,13 @@
         return configuration.describe_resource(self._view.document, kind, name)
 
     async def _status(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         return responses.JSONResponse(
             self._table.describe(self._view.revision)
         )
 
     async def _watch(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
 
         async def stream():
             last = None
@@ -122,7 +127,7 @@
         )
 
     async def _act(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         kind, name = request.path_params['kind'], request.path_params['name']
         arguments = await self._read_json(request, default={})
         if not isinstance(arguments, dict):
@@ -148,7 +153,7 @@
         )
 
     async def _list(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         kind = request.path_params['kind']
         items = [
             self._describe(kind, name) for name in sorted(self._entries(kind))
@@ -156,7 +161,7 @@
         return responses.JSONResponse({'items': items})
 
     async def _get(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         kind, name = request.path_params['kind'], request.path_params['name']
         entries = self._entries(kind)
         if name not in entries:
@@ -208,7 +213,7 @@
         return document
 
     async def _put(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         kind, name = request.path_params['kind'], request.path_params['name']
         value = await self._read_json(request)
         if not isinstance(value, dict) or value.setdefault('name', name) != (
@@ -230,7 +235,7 @@
         )
 
     async def _delete(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         kind, name = request.path_params['kind'], request.path_params['name']
         document = await self._change(
             request,
@@ -243,7 +248,7 @@
         return responses.JSONResponse({'revision': document.revision})
 
     async def _apply(self, request: requests.Request):
-        self._authenticate(request)
+        self.authenticate(request)
         body = await self._read_json(request)
         try:
             parsed = ApplyRequest.model_validate(body)
--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -37,6 +37,7 @@
         get_revision: Returns the applied configuration revision.
         on_welcome: Called when a link has come up.
         on_heartbeat: Called with each heartbeat.
+        on_usage: Called with each usage record and handover.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         get_revision: Callable[[], int],
         on_welcome: Callable[['AgentPeer', messages.Welcome], None],
         on_heartbeat: Callable[['AgentPeer', messages.Heartbeat], None],
+        on_usage: Callable[['AgentPeer', messages.Frame], None],
     ):
         self.server = server
         self.address = address
@@ -61,6 +63,7 @@
         self._get_revision = get_revision
         self._on_welcome = on_welcome
         self._on_heartbeat = on_heartbeat
+        self._on_usage = on_usage
         # Epochs of a restarted gateway must lie above its earlier ones.
         self._epoch = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -160,6 +163,8 @@
             self._on_heartbeat(self, frame)
         elif isinstance(frame, messages.Welcome):
             self._accept_welcome(frame)
+        elif isinstance(frame, messages.USAGE_FRAMES):
+            self._on_usage(self, frame)
         else:
             attempt = getattr(frame, 'attempt', '')
             for handler in list(self._handlers.get(attempt, ())):
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -1,5 +1,6 @@
 """chivejunction-gateway: serves callers and operators on an entry host."""
 
+import contextlib
 import signal
 import time
 from typing import Literal
@@ -12,7 +13,9 @@
 
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction import settings
+from chivejunction.coordination import billing
 from chivejunction.coordination import callers
 from chivejunction.coordination import cascades
 from chivejunction.coordination import configuration
@@ -28,8 +31,10 @@
 from chivejunction.coordination import routing
 from chivejunction.coordination import selection
 from chivejunction.coordination import spread
+from chivejunction.coordination import usage_api
 from chivejunction.coordination import watching
 from chivejunction.protocol import codecs
+from chivejunction.protocol import messages
 from chivejunction.state import estimates
 from chivejunction.state import members
 from chivejunction.state import servers
@@ -52,6 +57,11 @@
     --hosts-url http://127.0.0.1:2400 --operator-token secret
 """
 
+# Longest time at the exit for usage to be saved; agents hand the rest over.
+USAGE_SECONDS = 10.0
+# Handovers that wait for the store; an agent repeats one that was dropped.
+MAX_HANDOVERS = 1000
+
 
 class GatewaySettings(settings.Settings):
     """Settings of chivejunction-gateway."""
@@ -138,6 +148,10 @@
         self.table = servers.ServerTable()
         self.client = http_client.Client()
         store = store_client.StoreClient(config.store_url, self.client)
+        self.store = store
+        self._handovers, self._taken = anyio.create_memory_object_stream(
+            MAX_HANDOVERS
+        )
         self.source = configuration.Configuration(store, self.view)
         self.directory = host_list.HostDirectory(self.client, config.hosts_url)
         born = time.time_ns() // 1_000_000
@@ -169,6 +183,9 @@
             self.members.is_leaving,
             config.max_links,
         )
+        self.billing = billing.GatewayBilling(
+            config.host, self.incarnation, store, self.view
+        )
         self.dispatcher = dispatch.Dispatcher(
             selection.Selector(
                 self.table,
@@ -179,6 +196,7 @@
             self.membership.peers,
             self.view,
             idempotency.KeyStore(store, config.host),
+            self.billing.ledger.mark_contested,
         )
         self.limiter = limits.Limiter(
             self.view,
@@ -260,8 +278,36 @@
             get_revision=lambda: self.view.revision,
             on_welcome=lambda peer, frame: None,
             on_heartbeat=lambda peer, frame: None,
+            on_usage=self._receive_usage,
         )
 
+    def _receive_usage(
+        self, peer: peers.AgentPeer, frame: messages.Frame
+    ) -> None:
+        if isinstance(frame, messages.Handover):
+            with contextlib.suppress(anyio.WouldBlock):
+                self._handovers.send_nowait((peer, frame))
+            return
+        try:
+            self.billing.receive(frame, peer.send)
+        except errors.ProtocolError as exc:
+            logs.LOG.warning('usage from %s dropped: %s', peer.name, exc)
+
+    async def _take_over(self) -> None:
+        async for peer, frame in self._taken:
+            try:
+                number = await self.billing.take_over(frame)
+                peer.send(messages.HandedOver(frame.stream, number))
+            except (errors.StoreError, errors.ProtocolError) as exc:
+                # The agent asks again within seconds.
+                logs.LOG.warning('handover is not saved: %s', exc)
+            except errors.LinkClosed:
+                continue
+
+    async def _render_metrics(self, request):
+        content, kind = metrics.render_metrics()
+        return responses.Response(content, media_type=kind)
+
     async def _check_health(self, request):
         ready = self.view.is_ready and not self.callers.leaving
         return responses.JSONResponse(
@@ -296,6 +342,7 @@
                 logs.LOG.info('leaving')
                 self.spread.leave()
                 await self.callers.leave()
+                await self.billing.finish(USAGE_SECONDS)
                 self.stop.set()
                 return
 
@@ -310,6 +357,10 @@
         admin = operators.make_app(
             [
                 web_routing.Route('/healthz', self._check_health),
+                web_routing.Route('/metrics', self._render_metrics),
+                *usage_api.UsageApi(
+                    self.store, self.operators.authenticate
+                ).routes(),
                 *self.operators.routes(),
             ]
         )
@@ -322,6 +373,8 @@
             group.start_soon(self._receive)
             group.start_soon(control.run)
             group.start_soon(self.membership.run)
+            group.start_soon(self.billing.run)
+            group.start_soon(self._take_over)
             group.start_soon(self.raters.run)
             group.start_soon(self.pins.run)
             group.start_soon(self.rollout_keeper.run)
--- a/chivejunction/protocol/messages.py
+++ b/chivejunction/protocol/messages.py
@@ -260,3 +260,7 @@
 
     stream: str
     number: int
+
+
+USAGE_FRAMES = (Usage, Handover)
+SAVED_FRAMES = (Saved, HandedOver)
--- a/chivejunction/state/attempts.py
+++ b/chivejunction/state/attempts.py
@@ -62,6 +62,7 @@
         was_full: Whether it took the last free place of the window.
         orphan_deadline: When it counts as abandoned by its gateway.
         sent: Whether its end was sent over a link.
+        owner: Name and incarnation of the gateway that sent it.
     """
 
     id: str
@@ -86,6 +87,7 @@
     was_full: bool = False
     orphan_deadline: float = NEVER
     sent: bool = False
+    owner: tuple[str, str] = ('', '')
 
     @property
     def length(self) -> int:
--- a/chivejunction/state/calls.py
+++ b/chivejunction/state/calls.py
@@ -26,6 +26,7 @@
         affinity: Key of the prompt prefix for cache affinity.
         key: Idempotency key, empty without one.
         request_hash: Hash of what the caller sent, to compare repeats.
+        contested: Whether an earlier step of a cascade has run.
         pin: Version that the session has had so far, empty if unknown.
     """
 
@@ -47,4 +48,5 @@
     affinity: str = ''
     key: str = ''
     request_hash: str = ''
+    contested: bool = False
     pin: str = ''
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -78,6 +78,7 @@
 
     def __init__(self, gateway='gw-1'):
         self.gateway = gateway
+        self.incarnation = 'a'
         self.frames = []
         self.closed = False
 
@@ -168,6 +169,7 @@
             self.view, 'lm-pool', 'bkk-a', self.window, 0.2
         )
         self.gate.versions = frozenset({'small-1'})
+        self.ran = []
         self.executor = execution.Executor(
             f'http://127.0.0.1:{port}',
             'agent-1',
@@ -177,6 +179,7 @@
             http_client.Client(),
             True,
             limits,
+            lambda attempt, start: self.ran.append(attempt.id),
         )
 
     def _get_limits(self):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -426,6 +426,7 @@
                 get_revision=lambda: 1,
                 on_welcome=lambda peer, frame: None,
                 on_heartbeat=lambda peer, frame: None,
+                on_usage=lambda peer, frame: None,
             )
             async with anyio.create_task_group() as group:
                 group.start_soon(peer.run)
