--- a/bench/report.py
+++ b/bench/report.py
@@ -51,6 +51,8 @@
     Measurement('domains', 'service while a failure domain leaves', 180),
     Measurement('overload', 'useful work at twice the load', 180),
     Measurement('faults', 'recovery from silent links and deaths', 180),
+    Measurement('slopes', 'cost of state by its size', 60),
+    Measurement('ratelimits', 'error of divided rate limits', 60),
     Measurement('inforce', 'time until a change is in force', 240),
 )
 
