--- a/bench/load.py
+++ b/bench/load.py
@@ -109,22 +109,97 @@
         gateway: Index of the gateway.
         started: Seconds from the start of the load.
         kind: ``answered``, ``refused``, ``cut``, ``crossed``,
-            ``wrong_version`` or ``unreachable``.
+            ``wrong_version``, ``lost`` (no answer) or ``unreachable``.
         code: ``code/verdict`` of a refusal.
         attempt: Attempt id that the answer names.
         size: Bytes of request and answer.
         first_token: Seconds to the first token of a stream, else None.
         total: Seconds to the end.
+        credential: Credential of the caller.
+        session: Session id that was sent, empty without one.
+        version: Version that the answer names.
+        resent: Refusals after which it was sent to another gateway.
     """
 
     gateway: int
     started: float
-    kind: str = 'cut'
+    kind: str = 'lost'
     code: str = ''
     attempt: str = ''
     size: int = 0
     first_token: float | None = None
     total: float = 0.0
+    credential: str = ''
+    session: str = ''
+    version: str = ''
+    resent: int = 0
+
+
+class Balancer:
+    """Chooses gateways as the platform's load balancer does.
+
+    Args:
+        urls: Base URLs of gateways.
+    """
+
+    def __init__(self, urls: list[str]):
+        self.urls = urls
+        self._open = list(range(len(urls)))
+
+    def pick(self, rng: random.Random, tried: frozenset[int]) -> int:
+        """Returns the index of an open gateway, one not tried if possible."""
+        fresh = [i for i in self._open if i not in tried]
+        found = fresh or self._open or list(range(len(self.urls)))
+        return found[rng.randrange(len(found))]
+
+    def close(self, url: str) -> None:
+        """Sends no more requests to a gateway."""
+        self._open.remove(self.urls.index(url))
+
+    def open(self, url: str) -> None:
+        """Sends requests to a gateway again."""
+        if self.urls.index(url) not in self._open:
+            self._open.append(self.urls.index(url))
+
+
+async def send_with_resend(
+    sample, balancer: Balancer, rng: random.Random, exchange
+) -> None:
+    """Sends a request, again elsewhere if a leaving gateway refused it.
+
+    A connection that was not established is tried elsewhere too, since
+    nothing was sent.
+
+    Args:
+        sample: Sample with ``kind``, ``code`` and ``resent``.
+        balancer: Gateways that take requests.
+        rng: Random source.
+        exchange: Called with the sample and the base URL; sets the kind,
+            ``cut`` from the head of the answer to its end.
+    """
+    tried: frozenset[int] = frozenset()
+    while True:
+        index = balancer.pick(rng, tried)
+        tried |= {index}
+        await _try_once(sample, balancer.urls[index], exchange)
+        moves = sample.kind == 'unreachable' or (
+            sample.kind == 'refused' and sample.code == 'leaving/not_run'
+        )
+        if not moves or len(tried) == len(balancer.urls):
+            return
+        sample.resent += 1
+        sample.code = ''
+
+
+async def _try_once(sample, url: str, exchange) -> None:
+    sample.kind = 'lost'
+    try:
+        await exchange(sample, url)
+    except (httpcore.ConnectError, httpcore.ConnectTimeout):
+        sample.kind = 'unreachable'
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        # The exchange has noted whether an answer had begun.
+        return
 
 
 def make_histogram() -> histogram.HdrHistogram:
@@ -228,13 +303,17 @@
 
     Args:
         workload: What to send.
+        balancer: Gateways that take requests, all by default.
     """
 
-    def __init__(self, workload: Workload):
+    def __init__(self, workload: Workload, balancer: Balancer | None = None):
         self.workload = workload
+        self._balancer = balancer or Balancer(workload.urls)
         self.samples: list[Sample] = []
         self.gaps = make_histogram()
         self._rng = random.Random(workload.seed)
+        # Of its own, so that the requests of a seed do not depend on time.
+        self._gateway_rng = random.Random(workload.seed)
         self._chats: list[Chat] = []
         self._made = 0
         self._pool = httpcore.AsyncConnectionPool(
@@ -280,7 +359,7 @@
                 messages.append({'role': 'assistant', 'content': answer})
         return messages
 
-    def _make_request(self) -> tuple[int, dict[str, str], dict]:
+    def _make_request(self) -> tuple[dict[str, str], dict]:
         load, rng = self.workload, self._rng
         chat = self._pick_chat()
         headers = {
@@ -298,7 +377,7 @@
             'max_tokens': max(2, int(rng.gauss(load.tokens, load.tokens / 4))),
             'stream': rng.random() < load.stream_share,
         }
-        return rng.randrange(len(load.urls)), headers, body
+        return headers, body
 
     async def run(self) -> None:
         """Sends all requests and waits for their ends."""
@@ -312,16 +391,24 @@
                 due += next(gaps)
             group.cancel_scope.deadline = anyio.current_time() + TAIL_SECONDS
 
-    async def _send(self, gateway: int, headers: dict, body: dict) -> None:
+    async def _send(self, headers: dict, body: dict) -> None:
         started = time.monotonic()
-        sample = Sample(gateway, started - self._start)
+        sample = Sample(
+            0,
+            started - self._start,
+            credential=headers['authorization'].removeprefix('Bearer '),
+            session=headers.get('x-session', ''),
+        )
         self.samples.append(sample)
-        try:
+
+        async def exchange(sample, url) -> None:
+            sample.gateway = self.workload.urls.index(url)
             await self._exchange(sample, headers, body, started)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            sample.kind = 'unreachable'
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            sample.kind = 'cut'
+
+        try:
+            await send_with_resend(
+                sample, self._balancer, self._gateway_rng, exchange
+            )
         finally:
             sample.total = time.monotonic() - started
 
@@ -336,8 +423,10 @@
             headers=list(headers.items()),
             content=content,
         ) as answer:
+            sample.kind = 'cut'
             named = {k.lower(): v for k, v in answer.headers}
             sample.attempt = named.get(b'x-request-id', b'').decode()
+            sample.version = named.get(b'x-model-version', b'').decode()
             if answer.status != 200:
                 sample.kind = 'refused'
                 sample.code = read_refusal(answer.status, await answer.aread())
