--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -41,6 +41,7 @@
         services: Number of servers of the plain service.
         organisations: Organisation to its weight.
         versions: Model versions.
+        denied: Organisation to the versions that it may not use.
     """
 
     name: str
@@ -51,6 +52,17 @@
     services: int
     organisations: dict[str, float]
     versions: tuple[VersionSpec, ...]
+    denied: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def allowed_versions(self) -> dict[str, frozenset[str]]:
+        """Returns the versions that each organisation may use."""
+        every = frozenset(v.name for v in self.versions)
+        return {
+            name: every - frozenset(self.denied.get(name, ()))
+            for name in self.organisations
+        }
 
     def key_of(self, organisation: str) -> str:
         """Returns the credential of an organisation."""
@@ -126,6 +138,7 @@
         'school': 1.0,
     },
     versions=_make_versions('siam'),
+    denied={'school': ('siam-large-1',)},
 )
 
 RAAMWERK = Deployment(
@@ -143,6 +156,7 @@
         'beekeeper': 1.0,
     },
     versions=_make_versions('raam'),
+    denied={'beekeeper': ('raam-large-1',)},
 )
 
 DEPLOYMENTS = {d.name: d for d in (SIAMSOUND, RAAMWERK)}
@@ -200,6 +214,7 @@
                 'name': name,
                 'key_hashes': [resources.hash_key(deployment.key_of(name))],
                 'models': models,
+                'denied_versions': list(deployment.denied.get(name, ())),
                 'services': [deployment.service],
                 'weight': weight,
             }
@@ -224,6 +239,7 @@
     engine_options: dict | None = None,
     gateway_options: dict | None = None,
     agent_options: dict | None = None,
+    service_options: dict | None = None,
 ) -> None:
     """Starts gateways, fakes and agents and declares the resources.
 
@@ -247,7 +263,9 @@
                 f'{name}-server', 'engine', **(engine_options or {})
             )
         else:
-            started.start_fake(f'{name}-server', 'service')
+            started.start_fake(
+                f'{name}-server', 'service', **(service_options or {})
+            )
         started.start_agent(
             name,
             domain,
