--- a/bench/tally.py
+++ b/bench/tally.py
@@ -30,6 +30,8 @@
         session: Id of the session, empty without one.
         version: Version that the answer names, empty for a plain service.
         first_token: Seconds to the first token of a stream, else None.
+        started: Seconds from the start of the load, None if unknown.
+        attempt: Attempt that the answer names.
     """
 
     organisation: str
@@ -39,6 +41,8 @@
     session: str = ''
     version: str = ''
     first_token: float | None = None
+    started: float | None = None
+    attempt: str = ''
 
 
 @dataclasses.dataclass
@@ -115,7 +119,10 @@
 
 def _describe(call: Call) -> str:
     name = call.key or call.session or 'chat'
-    return f'{name} of {call.organisation}'
+    text = f'{name} of {call.organisation}'
+    if call.started is not None:
+        text += f' sent at {call.started:.1f} s'
+    return f'{text}, attempt {call.attempt}' if call.attempt else text
 
 
 def _count_outcome(tally: Tally, call: Call) -> None:
@@ -222,6 +229,8 @@
         session=sample.session,
         version=sample.version,
         first_token=sample.first_token,
+        started=sample.started,
+        attempt=sample.attempt,
     )
 
 
@@ -232,6 +241,7 @@
         read_outcome(sample.kind, sample.code),
         key=sample.key,
         repeatable=sample.method == 'GET',
+        attempt=sample.attempt,
     )
 
 
