Check the invariants in a randomised run over real processes

make soak SEED=n MINUTES=m starts a deployment behind proxies, sends chats and plain-service calls through three gateways, injects planned faults in two lanes and checks the records. bench/invariants.py holds the checkers; each has a made-up record that it must find.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,9 @@
 
 demo: setup
 	$(BIN)/python -m bench.demo
+
+SEED ?= 1
+MINUTES ?= 1
+
+soak: setup
+	$(BIN)/python -m bench.soak --seed $(SEED) --minutes $(MINUTES)
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -240,9 +240,12 @@
     gateway_options: dict | None = None,
     agent_options: dict | None = None,
     service_options: dict | None = None,
+    proxied: bool = False,
 ) -> None:
     """Starts gateways, fakes and agents and declares the resources.
 
+    With ``proxied``, the data links go through a proxy for each agent.
+
     The platform of the fleet must run. Returns when every gateway has a link
     to every agent and every agent has a configuration.
     """
@@ -266,6 +269,7 @@
             started.start_fake(
                 f'{name}-server', 'service', **(service_options or {})
             )
+        proxy_port = fleet.find_port() if proxied else 0
         started.start_agent(
             name,
             domain,
@@ -273,9 +277,12 @@
             deployment.engine_pool if is_engine else deployment.service,
             f'{name}-server',
             'engine' if is_engine else 'service',
+            f'tcp://127.0.0.1:{proxy_port}' if proxied else '',
             **({'versions': versions} if is_engine else {}),
             **(agent_options or {}),
         )
+        if proxied:
+            started.start_proxy(f'{name}-proxy', name, proxy_port)
     for name in deployment.gateways():
         started.wait_for_port(name)
     declare(started, deployment, deployment.gateways()[0])
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -227,6 +227,24 @@
         )
         return member
 
+    def start_proxy(self, name: str, agent: str, port: int) -> Member:
+        """Starts a proxy in front of the data port of an agent.
+
+        Args:
+            name: Name of the proxy; its first port has the fault switches.
+            agent: Member name of the agent.
+            port: TCP port on loopback to listen on.
+        """
+        control = find_port()
+        return self.start(
+            name,
+            'fakes.proxy',
+            {'listen': control, 'data': port},
+            port=port,
+            control_port=control,
+            target_port=self.members[agent].ports['data'],
+        )
+
     def put(self, gateway: str, kind: str, name: str, /, **value) -> dict:
         """Declares a resource through the operators' API of a gateway."""
         url = f'{self.members[gateway].url("admin")}/api/v1/{kind}/{name}'
--- a/bench/load.py
+++ b/bench/load.py
@@ -119,6 +119,9 @@
         session: Session id that was sent, empty without one.
         version: Version that the answer names.
         resent: Refusals after which it was sent to another gateway.
+        began: Wall-clock seconds of the start.
+        looks_complete: Whether a caller who does not check the tokens takes
+            the answer for a whole one.
     """
 
     gateway: int
@@ -133,6 +136,8 @@
     session: str = ''
     version: str = ''
     resent: int = 0
+    began: float = 0.0
+    looks_complete: bool = False
 
 
 class Balancer:
@@ -284,6 +289,13 @@
             return 'wrong_version'
         return 'answered'
 
+    def looks_complete(self) -> bool:
+        """Tells whether the answer has the end of a whole one."""
+        try:
+            return bool(self._parse())
+        except (ValueError, IndexError):
+            return False
+
     def _parse(self) -> list[dict]:
         if not self._is_stream:
             return [json.loads(self._buffer)]
@@ -398,6 +410,7 @@
             started - self._start,
             credential=headers['authorization'].removeprefix('Bearer '),
             session=headers.get('x-session', ''),
+            began=time.time(),
         )
         self.samples.append(sample)
 
@@ -435,6 +448,7 @@
                 reader.feed(chunk)
                 sample.size = len(content) + reader.size
                 sample.first_token = reader.first_token
+        sample.looks_complete = reader.looks_complete()
         sample.kind = reader.judge(named, self.workload.versions)
 
     def summarise(self) -> dict:
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,613 @@
+"""Randomised run over real processes: ``python -m bench.soak --seed 1``.
+
+Starts a deployment, sends chats and plain-service calls through all its
+gateways, injects seeded faults two at a time, removes them and checks the
+invariants of section 1.1 of docs/design.md. Prints the seed, the faults with
+their times and one JSON object. The exit status is 1 after a violation.
+"""
+
+import collections
+import dataclasses
+import json
+import pathlib
+import random
+import re
+import signal
+import sys
+import threading
+import time
+import urllib.request
+
+import anyio
+from anyio import to_thread
+import fire
+import httpcore
+
+from bench import chaos
+from bench import deployments
+from bench import fleet
+from bench import invariants
+from bench import load
+
+POLL_SECONDS = 0.5
+WHOLE_SECONDS = 30.0
+# Usage is flushed and handed over in the background.
+BILL_SECONDS = 20.0
+# The last faults are removed before the load ends.
+QUIET_SECONDS = 4.0
+CHAT_RATE = 10.0
+CALL_RATE = 4.0
+DEADLINE_MS = 15_000
+HOST_LIST_LAG = 2.0
+GAUGE = re.compile(r'^chivejunction_config_revision (\S+)$', re.MULTILINE)
+VIOLATIONS = re.compile(
+    r'^\S*invariant_violations_total\{[^}]*\} (\S+)$', re.MULTILINE
+)
+
+
+def restrict(deployment: deployments.Deployment) -> dict[str, dict]:
+    """Returns fields that limit two organisations, by organisation."""
+    first, second = list(deployment.organisations)[-2:]
+    small = deployment.versions[0].model
+    denied = deployment.versions[1].name
+    return {
+        first: {'denied_versions': [denied]},
+        second: {'models': [small]},
+    }
+
+
+def list_allowed(
+    deployment: deployments.Deployment,
+) -> dict[str, frozenset[str]]:
+    """Returns the versions that each organisation may use."""
+    limits = restrict(deployment)
+    return {
+        name: frozenset(
+            v.name
+            for v in deployment.versions
+            if v.name not in limits.get(name, {}).get('denied_versions', ())
+            and v.model in limits.get(name, {}).get('models', [v.model])
+        )
+        for name in deployment.organisations
+    }
+
+
+class Callers:
+    """Sends plain-service calls, some of them twice under one key.
+
+    Args:
+        urls: Base URLs of the gateways.
+        deployment: Deployment with the service.
+        seed: Seed of all choices.
+        seconds: Time of arrivals.
+        rate: Calls per second.
+    """
+
+    def __init__(
+        self,
+        urls: list[str],
+        deployment: deployments.Deployment,
+        seed: int,
+        seconds: float,
+        rate: float = CALL_RATE,
+    ):
+        self.calls: list[invariants.ServiceCall] = []
+        self._urls = urls
+        self._deployment = deployment
+        self._seed = seed
+        self._seconds = seconds
+        self._rate = rate
+        self._rng = random.Random(f'calls-{seed}')
+        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+
+    async def run(self) -> None:
+        """Sends all calls and waits for their ends."""
+        due = start = time.monotonic()
+        async with self._pool, anyio.create_task_group() as group:
+            while due < start + self._seconds:
+                await anyio.sleep(max(0.0, due - time.monotonic()))
+                group.start_soon(self._call, *self._choose())
+                due += self._rng.expovariate(self._rate)
+            group.cancel_scope.deadline = (
+                anyio.current_time() + load.TAIL_SECONDS
+            )
+
+    def _choose(self) -> tuple[invariants.ServiceCall, list, dict]:
+        rng = self._rng
+        repeatable = rng.random() < 0.3
+        organisation = rng.choice(list(self._deployment.organisations))
+        call = invariants.ServiceCall(
+            f'call-{self._seed}-{len(self.calls)}', repeatable, organisation
+        )
+        self.calls.append(call)
+        key = self._deployment.key_of(organisation)
+        headers = {
+            'authorization': f'Bearer {key}',
+            'x-business-key': call.key,
+            'x-deadline-ms': str(DEADLINE_MS),
+        }
+        gateways = rng.sample(self._urls, 2)
+        if repeatable or rng.random() < 0.5:
+            return call, gateways[:1], headers
+        headers['idempotency-key'] = call.key
+        return call, gateways, headers
+
+    async def _call(self, call, gateways: list[str], headers: dict) -> None:
+        async with anyio.create_task_group() as group:
+            for gateway in gateways:
+                # Sends of one key overlap, as those of a hasty client do.
+                group.start_soon(self._send, call, gateway, headers)
+                await anyio.sleep(0.01)
+
+    async def _send(self, call, gateway: str, headers: dict) -> None:
+        index = len(call.outcomes)
+        call.outcomes.append('broken')
+        try:
+            answer = await self._pool.request(
+                'GET' if call.repeatable else 'POST',
+                f'{gateway}/services/{self._deployment.service}/deposits',
+                headers=list(headers.items()),
+                content=b'' if call.repeatable else b'{"amount": 100}',
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            call.outcomes[index] = 'unreachable'
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return
+        else:
+            call.outcomes[index] = judge_answer(
+                call, answer.status, answer.content
+            )
+
+
+def judge_answer(
+    call: invariants.ServiceCall, status: int, content: bytes
+) -> str:
+    """Returns the outcome of a send."""
+    if status != 200:
+        return load.read_refusal(status, content)
+    try:
+        return (
+            'answered' if json.loads(content)['key'] == call.key else 'crossed'
+        )
+    except (ValueError, KeyError):
+        return 'crossed'
+
+
+class Poller(threading.Thread):
+    """Reads the metrics of all programs until it is stopped.
+
+    Args:
+        started: Running processes.
+        members: Names of gateways and agents.
+        journal: Tells which processes are expected to end.
+    """
+
+    def __init__(
+        self,
+        started: fleet.Fleet,
+        members: list[str],
+        journal: chaos.Journal,
+    ):
+        super().__init__()
+        self.readings: list[invariants.Reading] = []
+        self.ended: dict[int, str] = {}
+        self._fleet = started
+        self._members = members
+        self._journal = journal
+        self._stopped = threading.Event()
+
+    def stop(self) -> None:
+        """Ends the thread after one more round."""
+        self._stopped.set()
+        self.join()
+        self.poll()
+
+    def run(self) -> None:
+        """Reads until stopped."""
+        while not self._stopped.wait(POLL_SECONDS):
+            self.poll()
+
+    def poll(self) -> None:
+        """Reads each process once."""
+        for member in list(self._fleet.members.values()):
+            pid, status = member.process.pid, member.process.poll()
+            if status is not None and pid not in self._journal.stopped:
+                self.ended[pid] = f'{member.name} ended with {status}'
+        for name in self._members:
+            self._read(name)
+
+    def _read(self, name: str) -> None:
+        member = self._fleet.members[name]
+        pid = member.process.pid
+        try:
+            with urllib.request.urlopen(
+                f'{member.url("admin")}/metrics', timeout=1
+            ) as answer:
+                text = answer.read().decode()
+        except OSError:
+            return
+        if self._fleet.members[name].process.pid != pid:
+            # The process was replaced while it was read.
+            return
+        revision = GAUGE.search(text)
+        self.readings.append(
+            invariants.Reading(
+                name,
+                pid,
+                int(float(revision[1])) if revision else 0,
+                sum(float(v) for v in VIOLATIONS.findall(text)),
+            )
+        )
+
+
+class Soak:
+    """One randomised run.
+
+    Args:
+        started: Fleet without processes.
+        deployment: Deployment to start.
+        seed: Seed of faults and requests.
+        seconds: Time of the load.
+        names: Faults to choose from, all by default.
+    """
+
+    def __init__(
+        self,
+        started: fleet.Fleet,
+        deployment: deployments.Deployment,
+        seed: int,
+        seconds: float,
+        names: list[str] | None = None,
+    ):
+        self.fleet = started
+        self.deployment = deployment
+        self.journal = chaos.Journal()
+        self.planned = chaos.plan_faults(
+            deployment, seed, seconds - QUIET_SECONDS, names
+        )
+        self.driver = chaos.Driver(
+            started, deployment, self.planned, self.journal
+        )
+        self.problems: list[str] = []
+        self.probes: dict[str, invariants.Bill] = {
+            name: invariants.Bill() for name in deployment.organisations
+        }
+        self._seed = seed
+        self._seconds = seconds
+
+    def run(self) -> invariants.Records:
+        """Starts the deployment, runs it and returns the records."""
+        self._start()
+        gateways = self.deployment.gateways()
+        urls = [self.fleet.members[g].url() for g in gateways]
+        chats = load.Load(self._make_workload(urls))
+        callers = Callers(urls, self.deployment, self._seed, self._seconds)
+        poller = Poller(
+            self.fleet, gateways + self.deployment.agents(), self.journal
+        )
+        poller.start()
+        try:
+            anyio.run(self._send, chats, callers)
+            self._wait_whole()
+        finally:
+            poller.stop()
+        records = invariants.Records(
+            allowed=list_allowed(self.deployment),
+            domains={
+                a: self.deployment.domain_of(a)
+                for a in self.deployment.agents()
+            },
+            gateways=gateways,
+            samples=chats.samples,
+            calls=callers.calls,
+            journal=self.journal,
+            readings=poller.readings,
+            ended=list(poller.ended.values()),
+            problems=self.problems + self.driver.problems,
+        )
+        self._collect(records)
+        return records
+
+    def _start(self) -> None:
+        self.fleet.start_platform(lag=HOST_LIST_LAG)
+        deployments.start(
+            self.fleet,
+            self.deployment,
+            engine_options={'cold_seconds': 3.0, 'cold_factor': 3.0},
+            proxied=True,
+        )
+        gateway = self.deployment.gateways()[0]
+        for item in deployments.list_resources(self.deployment):
+            limits = restrict(self.deployment).get(item['name'])
+            if item['kind'] == 'organisation' and limits:
+                value = {k: v for k, v in item.items() if k != 'kind'}
+                name = value.pop('name')
+                self.fleet.put(
+                    gateway, 'organisation', name, **{**value, **limits}
+                )
+        self.fleet.wait_until(self._is_in_force, 'the limits are in force')
+
+    def _make_workload(self, urls: list[str]) -> load.Workload:
+        return load.Workload(
+            urls=urls,
+            organisations={
+                self.deployment.key_of(name): weight
+                for name, weight in self.deployment.organisations.items()
+            },
+            seed=self._seed,
+            rate=CHAT_RATE,
+            seconds=self._seconds,
+            sessions=24,
+            tokens=60,
+            deadline_ms=DEADLINE_MS,
+        )
+
+    async def _send(self, chats: load.Load, callers: Callers) -> None:
+        self.driver.start()
+        async with anyio.create_task_group() as group:
+            group.start_soon(chats.run)
+            group.start_soon(callers.run)
+        await to_thread.run_sync(self.driver.join)
+
+    def _get(self, gateway: str, path: str) -> tuple[int, dict]:
+        return fleet.call_json(
+            'GET',
+            f'{self.fleet.members[gateway].url("admin")}/api/v1/{path}',
+            headers={'authorization': f'Bearer {fleet.OPERATOR_TOKEN}'},
+            seconds=2,
+        )
+
+    def _is_in_force(self) -> bool:
+        answers = [
+            self._get(g, 'status')[1] for g in self.deployment.gateways()
+        ]
+        return (
+            all(a.get('in_force') for a in answers)
+            and len({a['revision'] for a in answers}) == 1
+        )
+
+    def _wait_whole(self) -> None:
+        """Waits until the system is whole again; notes what is not."""
+        try:
+            deadline = time.monotonic() + WHOLE_SECONDS
+            deployments.wait_ready(self.fleet, self.deployment, WHOLE_SECONDS)
+            self._wait('the configuration is in force', self._is_in_force)
+            for name in self.deployment.organisations:
+                self._wait(
+                    f'{name} gets an answer', lambda n=name: self._ask(n)
+                )
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'whole only after {WHOLE_SECONDS} s')
+        except (TimeoutError, OSError) as exc:
+            states = {g: self._describe(g) for g in self.deployment.gateways()}
+            self.problems.append(f'not whole after the faults: {exc} {states}')
+
+    def _wait(self, what: str, check, seconds: float = WHOLE_SECONDS) -> None:
+        def try_check() -> bool:
+            try:
+                return check()
+            except OSError:
+                return False
+
+        self.fleet.wait_until(try_check, what, seconds)
+
+    def _describe(self, gateway: str) -> dict:
+        try:
+            return {
+                **self._get(gateway, 'status')[1],
+                'health': self.fleet.read_health(gateway),
+            }
+        except OSError as exc:
+            return {'error': repr(exc)}
+
+    def _ask(self, organisation: str) -> bool:
+        gateway = self.fleet.members[self.deployment.gateways()[-1]]
+        key = self.deployment.key_of(organisation)
+        bill = self.probes[organisation]
+        bill.uncertain += 1
+        status, _ = fleet.call_json(
+            'POST',
+            f'{gateway.url()}/v1/chat/completions',
+            {
+                'model': 'auto',
+                'messages': [{'role': 'user', 'content': f'{key} สวัสดี'}],
+                'max_tokens': 4,
+            },
+            {'authorization': f'Bearer {key}'},
+        )
+        if status == 200:
+            bill.uncertain -= 1
+            bill.answered += 1
+        return status == 200
+
+    def _collect_bills(self, records: invariants.Records) -> None:
+        """Reads usage until every answered request is billed, or too long."""
+        records.bills = count_requests(records, self.deployment, self.probes)
+
+        def is_billed() -> bool:
+            usage = self._get(self.deployment.gateways()[0], 'usage')[1]
+            for name, bill in records.bills.items():
+                targets = usage['organisations'].get(name, {})
+                bill.billed = sum(t['requests'] for t in targets.values())
+            return all(b.billed >= b.answered for b in records.bills.values())
+
+        try:
+            self._wait('all answers are billed', is_billed, BILL_SECONDS)
+        except TimeoutError:
+            # The check of the bills tells which ones.
+            return
+
+    def _collect(self, records: invariants.Records) -> None:
+        names = self.deployment.organisations
+        keys = {self.deployment.key_of(name): name for name in names}
+        for i, agent in enumerate(self.deployment.agents()):
+            url = self.fleet.members[f'{agent}-server'].url()
+            runs = fleet.call_json('GET', f'{url}/runs')[1]
+            if i < self.deployment.engines:
+                records.runs += [
+                    invariants.Run(
+                        agent,
+                        find_organisation(run['opening'], keys),
+                        run['version'],
+                        run['start'],
+                        run['attempt'],
+                    )
+                    for run in runs
+                ]
+                continue
+            for key, attempts in runs.items():
+                records.service_runs.setdefault(key, []).extend(attempts)
+        self._collect_final(records)
+        self._collect_bills(records)
+        records.logs = {
+            name: member.log.read_text(errors='replace')
+            for name, member in self.fleet.members.items()
+        }
+
+    def _collect_final(self, records: invariants.Records) -> None:
+        """Reads changed resources at every gateway; the oldest state counts.
+
+        A gateway that lost a change must not hide behind one that has it.
+        """
+        for change in self.journal.changes:
+            key = f'{change.kind}/{change.name}'
+            for gateway in self.deployment.gateways():
+                found = self._get(gateway, key)[1]
+                found = {
+                    'changed_at': found.get('changed_at', 0),
+                    'resource': found.get('resource'),
+                }
+                known = records.final.get(key, found)
+                if found['changed_at'] <= known['changed_at']:
+                    records.final[key] = found
+
+
+def count_requests(
+    records: invariants.Records,
+    deployment: deployments.Deployment,
+    probes: dict[str, invariants.Bill],
+) -> dict[str, invariants.Bill]:
+    """Returns what callers know of the requests of each organisation."""
+    bills = {name: dataclasses.replace(b) for name, b in probes.items()}
+    keys = {deployment.key_of(name): name for name in bills}
+    outcomes = [
+        (keys[s.credential], [s.code if s.kind == 'refused' else s.kind])
+        for s in records.samples
+    ]
+    # Two sends with one idempotency key are one request.
+    outcomes += [(c.organisation, c.outcomes) for c in records.calls]
+    for name, found in outcomes:
+        if 'answered' in found:
+            bills[name].answered += 1
+        elif not all(
+            o == 'unreachable' or o.endswith('/not_run') for o in found
+        ):
+            bills[name].uncertain += 1
+    return bills
+
+
+def find_organisation(opening: str, keys: dict[str, str]) -> str:
+    """Returns the organisation whose credential a system prompt names.
+
+    Args:
+        opening: Start of the first message of a chat.
+        keys: Credential to organisation.
+    """
+    words = opening.replace('.', ' ').split()
+    return next((keys[w] for w in words if w in keys), '')
+
+
+def summarise(records: invariants.Records) -> dict:
+    """Returns the counts of a run."""
+    kinds = collections.Counter(s.kind for s in records.samples)
+    # A visible break is no violation by itself.
+    kinds['broken'] = kinds.pop('cut', 0) + kinds.pop('lost', 0)
+    return {
+        'chats': dict(kinds),
+        'refusals': dict(
+            collections.Counter(s.code for s in records.samples if s.code)
+        ),
+        'calls': dict(
+            collections.Counter(o for c in records.calls for o in c.outcomes)
+        ),
+        'engine_runs': len(records.runs),
+        'service_runs': sum(map(len, records.service_runs.values())),
+        'changes': {
+            'accepted': sum(
+                c.accepted is not None for c in records.journal.changes
+            ),
+            'refused_or_unknown': sum(
+                c.accepted is None for c in records.journal.changes
+            ),
+        },
+        'sessions': len({s.session for s in records.samples if s.session}),
+        'billed': {n: b.billed for n, b in records.bills.items()},
+        'answered': {n: b.answered for n, b in records.bills.items()},
+        'readings': len(records.readings),
+        'faults': dict(
+            collections.Counter(s.fault for s in records.journal.spans)
+        ),
+    }
+
+
+def run(
+    seed: int = 1,
+    minutes: float = 1.0,
+    user: str = 'siam',
+    engines: int = 4,
+    services: int = 2,
+    faults: str = '',
+    folder: str = '',
+) -> None:
+    """Makes one run and prints its result.
+
+    Args:
+        seed: Seed of faults and requests.
+        minutes: Time of the load in minutes.
+        user: Name of the deployment.
+        engines: Number of engines.
+        services: Number of servers of the plain service.
+        faults: Names of faults, separated by commas; all by default.
+        folder: Folder for logs, a temporary one by default.
+    """
+    deployment = deployments.scale(
+        deployments.DEPLOYMENTS[user], engines, services
+    )
+    names = faults.split(',') if isinstance(faults, str) else list(faults)
+    if folder:
+        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    place = pathlib.Path(folder) if folder else None
+    # Ends the processes of the fleet too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    with fleet.Fleet(place) as started:
+        soak = Soak(
+            started, deployment, seed, minutes * 60, list(filter(None, names))
+        )
+        print(f'seed {seed}, logs in {started.folder}')
+        for planned in soak.planned:
+            print(f'plan {planned.start:6.2f} {planned.describe()}')
+        records = soak.run()
+    for when, what in sorted(soak.driver.log):
+        print(f'done {when:6.2f} {what}')
+    violations = invariants.check_all(records)
+    result = {'seed': seed, **summarise(records), 'violations': violations}
+    trace = {
+        **dataclasses.asdict(records),
+        'logs': sorted(records.logs),
+        'allowed': {k: sorted(v) for k, v in records.allowed.items()},
+        'journal': {
+            'changes': [dataclasses.asdict(c) for c in soak.journal.changes],
+            'spans': [dataclasses.asdict(s) for s in soak.journal.spans],
+        },
+    }
+    (started.folder / 'records.json').write_text(
+        json.dumps(trace, default=str)
+    )
+    print(json.dumps(result, ensure_ascii=False))
+    for violation in violations:
+        print(f'VIOLATION {violation}')
+    sys.exit(1 if violations else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -349,6 +349,11 @@
     async def run(self) -> None:
         """Serves until a signal comes and all requests have ended."""
         config = self.config
+        metrics.make_gauge(
+            'chivejunction_config_revision',
+            'Applied configuration revision.',
+            lambda: self.view.revision,
+        )
         control = exchanges.ExchangeServer(
             f'tcp://{config.address}:{config.control_port}',
             self.spread.answer,
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -330,7 +330,8 @@
         run = {
             'attempt': sequence.attempt,
             'version': body['model'],
-            'organisation': request.headers.get('x-organisation', ''),
+            # Tells a test whose request it is; engines are not told.
+            'opening': str(body['messages'][0].get('content'))[:64],
             'start': time.time(),
             'end': None,
             'tokens': 0,
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -168,7 +168,12 @@
             if path == 'kv/range' and self._exceeds_rate():
                 return responses.JSONResponse({'error': 'rate'}, 429)
             store.expire_leases()
-            answer = handler(json.loads(await request.body()))
+            try:
+                body = await request.body()
+            except requests.ClientDisconnect:
+                # The client gave up during the delay.
+                return responses.Response(status_code=400)
+            answer = handler(json.loads(body))
             if path == 'kv/txn' and store.faults.pop('down_after_write', 0):
                 store.faults['down'] = True
             if path != 'kv/range' and self._loses_answer():
