Compress the configuration document in the store

A change uploads the whole document, so its bytes grew with the number of resources. The stored value is zlib-compressed JSON. Readers accept plain JSON as well, so values of earlier programs are read. The 1 MB limit still applies to the JSON, and a value that expands beyond it is refused.

The delta in the head was ruled out as a cause: it holds only what changed.

--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -8,6 +8,7 @@
 import json
 from typing import Literal
 import uuid
+import zlib
 
 import anyio
 
@@ -120,6 +121,29 @@
         raise errors.ProtocolError(f'malformed head: {exc!r}') from exc
 
 
+def pack_stored(document: resources.Document) -> bytes:
+    """Returns the compressed form of a document that the store holds."""
+    return zlib.compress(resources.dump_document(document))
+
+
+def parse_stored(data: bytes) -> resources.Document:
+    """Returns the document of a stored value, compressed or plain JSON.
+
+    Raises:
+        ProtocolError: The value is not a document or is too large.
+    """
+    if data.startswith(b'{'):
+        return resources.parse_document(data)
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(data, resources.MAX_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise errors.ProtocolError(f'malformed document: {exc}') from exc
+    if inflater.unconsumed_tail:
+        raise errors.ProtocolError('compressed document is too large')
+    return resources.parse_document(text)
+
+
 class Configuration:
     """The configuration document in the platform's store.
 
@@ -188,7 +212,7 @@
         entry = await self._store.get(CONFIG_KEY)
         if entry is None:
             return resources.Document(), 0
-        return resources.parse_document(entry.value), entry.revision
+        return parse_stored(entry.value), entry.revision
 
     async def put(
         self, kind: str, value: dict, expected: int | None = None
@@ -245,7 +269,7 @@
                 # older one. At most one of the two can take effect.
                 await self._store.swap(
                     CONFIG_KEY,
-                    resources.dump_document(changed),
+                    pack_stored(changed),
                     store_revision,
                     also={HEAD_KEY: self._make_head(changed)},
                 )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """Changes of the configuration document."""
 
+import zlib
+
 import anyio
 import pytest
 
@@ -58,6 +60,41 @@
     return Change('put', kind, name, {'name': name, **value}, expected)
 
 
+class TestStoredValue:
+    def test_is_compressed_and_plain_ones_are_read(self, store_url):
+        """Guards the uplink at a change, and values of earlier programs."""
+
+        async def work(source):
+            client = http_client.Client()
+            store = store_client.StoreClient(store_url, client)
+            await source.apply(
+                [
+                    put('model', f'm-{n}', None, description='x' * 100)
+                    for n in range(100)
+                ]
+            )
+            document, revision = await source.read()
+            entry = await store.get(configuration.CONFIG_KEY)
+            plain = resources.dump_document(document)
+            await store.swap(configuration.CONFIG_KEY, plain, revision)
+            again, _ = await source.read()
+            await client.close()
+            return len(entry.value), len(plain), document, again
+
+        stored, plain, document, again = run(store_url, work)
+        assert 5 * stored < plain
+        assert again == document
+
+    @pytest.mark.parametrize(
+        'data',
+        [b'x', zlib.compress(b'{"a":"' + 5_000_000 * b'x' + b'"}')],
+    )
+    def test_wrong_value_is_an_error(self, data):
+        """Guards memory against a value that expands beyond the limit."""
+        with pytest.raises(errors.ProtocolError):
+            configuration.parse_stored(data)
+
+
 class TestLostAnswer:
     def test_write_without_answer_is_made_once(self, store_url):
         """Guards against making a change twice after a 5xx that wrote."""
