Give operators' actions the same rollout states as the gateways

The operators' API had its own state machine of rollouts besides that of RolloutControl. Its start jumped to the first stage, before gateways had saved the pins that the stage moves, its last advance skipped the test at the full share, it advanced paused rollouts and could not resume halted ones. Both now use the plan_* functions of coordination.rollouts. The API keeps Configuration.apply for the write, because RolloutControl has no Change-Id and no If-Match.

test_rollout_moves_through_its_stages expected the jump at the start and the skipped last stage. It now expects share 0 after the start and one more advance before the rollout is complete, and checks a refused resume too. The old program fails it and the test of a halted rollout (KeyError: 'resource', a 409 to resume). The new test over processes that `chivejunctionctl rollout halt` stops new sessions on the new version passes on the old program as well; it was seen failing with a halt that stores only the reason.

tests/test_ctl.py applies the examples in its fixture: two tests needed what a test on another worker had applied, and failed with pytest -n 2 (no pool lm-pool).

--- a/chivejunction/coordination/actions.py
+++ b/chivejunction/coordination/actions.py
@@ -4,6 +4,7 @@
 import time
 
 from chivejunction import errors
+from chivejunction.coordination import rollouts
 from chivejunction.protocol import resources
 
 Update = Callable[[dict], dict]
@@ -63,7 +64,6 @@
     'modelversion', 'withdraw', state='withdrawn', drain_deadline=None
 )
 _register_plain('modelversion', 'reopen', state='active', drain_deadline=None)
-_register_plain('rollout', 'pause', state='paused')
 
 
 @register_action('modelversion', 'drain')
@@ -83,60 +83,28 @@
     return lambda value: {'state': 'draining', 'drain_deadline': deadline}
 
 
-def _find_stage(value: dict) -> dict:
-    rollout = resources.Rollout.model_validate(value)
-    later = [stage for stage in rollout.stages if stage > rollout.share]
-    share = later[0] if later else rollout.share
-    state = 'running' if len(later) > 1 else 'complete'
-    return {'share': share, 'state': state, 'reason': ''}
+def _register_rollout(name: str, plan, *accepted: str) -> None:
+    """Registers a change that gateways make by RolloutControl as well."""
 
+    @register_action('rollout', name)
+    def change_rollout(arguments: dict) -> Update:
+        _check_arguments(arguments, *accepted)
 
-def _require_state(value: dict, *accepted: str) -> None:
-    state = value.get('state', 'running')
-    if state not in accepted:
-        raise errors.RefusalError(
-            'conflict', f'the rollout is {state}, not {" or ".join(accepted)}'
-        )
-
-
-@register_action('rollout', 'start')
-def start_rollout(arguments: dict) -> Update:
-    """Starts a rollout at its first stage."""
-    _check_arguments(arguments)
-
-    def update(value: dict) -> dict:
-        return _find_stage({**value, 'share': 0.0, 'state': 'running'})
-
-    return update
-
-
-@register_action('rollout', 'advance')
-def advance_rollout(arguments: dict) -> Update:
-    """Moves a rollout to its next stage."""
-    _check_arguments(arguments)
-
-    def update(value: dict) -> dict:
-        _require_state(value, 'running', 'paused')
-        return _find_stage(value)
-
-    return update
-
+        def update(value: dict) -> dict:
+            rollout = resources.Rollout.model_validate(value)
+            return plan(rollout, **arguments) or {}
 
-@register_action('rollout', 'resume')
-def resume_rollout(arguments: dict) -> Update:
-    """Continues a paused rollout at its stage."""
-    _check_arguments(arguments)
+        return update
 
-    def update(value: dict) -> dict:
-        _require_state(value, 'paused', 'running')
-        return {'state': 'running'}
 
-    return update
+def _halt(
+    rollout: resources.Rollout, reason: object = 'halted by an operator'
+) -> dict | None:
+    return rollouts.plan_halt(rollout, str(reason))
 
 
-@register_action('rollout', 'halt')
-def halt_rollout(arguments: dict) -> Update:
-    """Takes all sessions back to the old version; ``reason`` is kept."""
-    _check_arguments(arguments, 'reason')
-    reason = str(arguments.get('reason', 'halted by an operator'))
-    return lambda value: {'state': 'halted', 'share': 0.0, 'reason': reason}
+_register_rollout('start', rollouts.plan_start)
+_register_rollout('advance', rollouts.plan_advance)
+_register_rollout('pause', rollouts.plan_pause)
+_register_rollout('resume', rollouts.plan_resume)
+_register_rollout('halt', _halt, 'reason')
--- a/chivejunction/coordination/rollouts.py
+++ b/chivejunction/coordination/rollouts.py
@@ -435,6 +435,75 @@
     deadline: float
 
 
+def _refuse(rollout: resources.Rollout) -> errors.RefusalError:
+    return errors.RefusalError(
+        'conflict', f'rollout {rollout.name} is {rollout.state}'
+    )
+
+
+def plan_start(rollout: resources.Rollout) -> dict | None:
+    """Returns the fields to change so that a rollout starts at share 0.
+
+    The first stage follows after SETTLE_SECONDS, when gateways have saved
+    the pins of the sessions that it moves. None changes nothing.
+
+    Raises:
+        RefusalError: The rollout is complete or paused at a stage.
+    """
+    if rollout.state is RUNNING:
+        return None
+    if rollout.state is COMPLETE or rollout.share:
+        raise _refuse(rollout)
+    return {'state': RUNNING, 'reason': ''}
+
+
+def plan_advance(
+    rollout: resources.Rollout, share: float | None = None
+) -> dict | None:
+    """Returns the fields to change for the next stage, None for no change.
+
+    Args:
+        rollout: Present state.
+        share: See RolloutControl.advance.
+
+    Raises:
+        RefusalError: The rollout is not running.
+    """
+    if share is not None and rollout.share > share:
+        return None
+    if rollout.state is not RUNNING:
+        raise _refuse(rollout)
+    following = find_next_share(rollout)
+    if following > rollout.share:
+        return {'share': following}
+    return {'state': COMPLETE}
+
+
+def plan_pause(rollout: resources.Rollout) -> dict | None:
+    """Returns the fields to change for a pause; see plan_advance."""
+    if rollout.state is PAUSED:
+        return None
+    if rollout.state is not RUNNING:
+        raise _refuse(rollout)
+    return {'state': PAUSED}
+
+
+def plan_resume(rollout: resources.Rollout) -> dict | None:
+    """Returns the fields to change to go on; see plan_advance."""
+    if rollout.state is RUNNING:
+        return None
+    if rollout.state is COMPLETE:
+        raise _refuse(rollout)
+    return {'state': RUNNING, 'reason': ''}
+
+
+def plan_halt(rollout: resources.Rollout, reason: str) -> dict | None:
+    """Returns the fields to change for a halt, None if it is halted."""
+    if rollout.state is HALTED:
+        return None
+    return {'state': HALTED, 'share': 0.0, 'reason': reason}
+
+
 class RolloutControl:
     """Changes of rollouts by compare-and-swap.
 
@@ -491,64 +560,29 @@
             RefusalError: The rollout is not running.
             StoreError: The store is down.
         """
-
-        def change(rollout: resources.Rollout) -> dict | None:
-            if share is not None and rollout.share > share:
-                return None
-            if rollout.state is not RUNNING:
-                raise errors.RefusalError(
-                    'conflict', f'rollout {name} is {rollout.state}'
-                )
-            following = find_next_share(rollout)
-            if following > rollout.share:
-                return {'share': following}
-            return {'state': COMPLETE}
-
-        return await self._change(name, change)
+        return await self._change(
+            name, lambda rollout: plan_advance(rollout, share)
+        )
 
     async def pause(self, name: str) -> resources.Document:
         """Keeps a running rollout at its share; see advance for errors."""
-
-        def change(rollout: resources.Rollout) -> dict | None:
-            if rollout.state is PAUSED:
-                return None
-            if rollout.state is not RUNNING:
-                raise errors.RefusalError(
-                    'conflict', f'rollout {name} is {rollout.state}'
-                )
-            return {'state': PAUSED}
-
-        return await self._change(name, change)
+        return await self._change(name, plan_pause)
 
     async def resume(self, name: str) -> resources.Document:
         """Lets a paused or halted rollout go on; see advance for errors.
 
         A halted one starts again at share 0.
         """
-
-        def change(rollout: resources.Rollout) -> dict | None:
-            if rollout.state is RUNNING:
-                return None
-            if rollout.state is COMPLETE:
-                raise errors.RefusalError(
-                    'conflict', f'rollout {name} is complete'
-                )
-            return {'state': RUNNING, 'reason': ''}
-
-        return await self._change(name, change)
+        return await self._change(name, plan_resume)
 
     async def halt(self, name: str, reason: str) -> resources.Document:
         """Sets the share of a rollout to zero, even of a complete one.
 
         See advance for errors.
         """
-
-        def change(rollout: resources.Rollout) -> dict | None:
-            if rollout.state is HALTED:
-                return None
-            return {'state': HALTED, 'share': 0.0, 'reason': reason}
-
-        return await self._change(name, change)
+        return await self._change(
+            name, lambda rollout: plan_halt(rollout, reason)
+        )
 
     async def _change(self, name, change) -> resources.Document:
         for _ in range(MAX_TRIES):
--- a/chivejunction/ctl.py
+++ b/chivejunction/ctl.py
@@ -67,7 +67,7 @@
         self._call = call
 
     def start(self, name: str) -> None:
-        """Starts a rollout at its first stage."""
+        """Starts a rollout; its first stage follows after seconds."""
         self._call('rollout', name, 'start')
 
     def advance(self, name: str) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,7 +21,7 @@
                 'bkk',
                 'lm-pool',
                 f'{name}-engine',
-                versions='small-1,large-1',
+                versions='small-1,large-1,large-2',
             )
         started.start_fake('hire-engine', 'service')
         started.start_agent(
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -10,6 +10,7 @@
 
 from bench import fleet
 
+EXAMPLES = ('siamsound', 'raamwerk')
 ROOT = pathlib.Path(__file__).parent.parent
 
 
@@ -19,7 +20,11 @@
         started.start_platform()
         member = started.start_gateway('gw-1', 'bkk-a', 'bkk')
         started.wait_for_port('gw-1')
-        yield member.url('admin')
+        url = member.url('admin')
+        # Tests spread over workers run in any order.
+        for name in EXAMPLES:
+            run_ctl(url, 'apply', '-f', f'examples/{name}.yaml')
+        yield url
 
 
 def run_ctl(url, *arguments, token=fleet.OPERATOR_TOKEN):
@@ -40,7 +45,7 @@
 
 
 class TestCommands:
-    @pytest.mark.parametrize('name', ['siamsound', 'raamwerk'])
+    @pytest.mark.parametrize('name', EXAMPLES)
     def test_example_is_applied_as_one_revision(self, gateway_url, name):
         before = fleet.call_json('GET', f'{gateway_url}/healthz')[1]
         done = run_ctl(gateway_url, 'apply', '-f', f'examples/{name}.yaml')
@@ -83,6 +88,63 @@
         assert [line['decision'] for line in shown] == ['version', 'server']
 
 
+class TestRollout:
+    def ask(self, started) -> str:
+        """Returns the version that answers a new session."""
+        status, body = fleet.call_json(
+            'POST',
+            f'{started.members["gw-1"].url()}/v1/chat/completions',
+            {
+                'model': 'large',
+                'messages': [{'role': 'user', 'content': 'hoeveel korven?'}],
+            },
+            {'authorization': 'Bearer temple-key'},
+        )
+        assert status == 200, body
+        return body['model']
+
+    def wait_for_agents(self, started):
+        revision = started.read_health('gw-1')['revision']
+        started.wait_until(
+            lambda: all(
+                started.read_health(name).get('revision') == revision
+                for name in ('lm-1', 'lm-2')
+            ),
+            'the agents have the newest configuration',
+        )
+
+    def test_halt_stops_new_sessions_on_the_new_version(self, small_fleet):
+        """Guards against a halt that is stored and not obeyed."""
+        started = small_fleet
+        started.put(
+            'gw-1',
+            'modelversion',
+            'large-2',
+            model='large',
+            pool='lm-pool',
+            output_cost=10.0,
+        )
+        started.put(
+            'gw-1',
+            'rollout',
+            'r',
+            model='large',
+            from_version='large-1',
+            to_version='large-2',
+            stages=[1.0],
+            share=1.0,
+        )
+        self.wait_for_agents(started)
+        assert self.ask(started) == 'large-2'
+        url = started.members['gw-1'].url('admin')
+        done = run_ctl(url, 'rollout', 'halt', 'r', '--reason', 'wrong')
+        assert done.returncode == 0, done.stderr
+        assert json.loads(done.stdout)['resource']['reason'] == 'wrong'
+        self.wait_for_agents(started)
+        # One more answer without a rating would be let to the new version.
+        assert [self.ask(started) for _ in range(4)] == 4 * ['large-1']
+
+
 class TestExitStatus:
     def test_refusal_is_1(self, gateway_url):
         done = run_ctl(gateway_url, 'get', 'pool', 'no')
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -142,13 +142,43 @@
             assert 'state' not in body['resource']
 
     def test_rollout_moves_through_its_stages(self, gateway):
-        shares = [
-            call(gateway, 'POST', f'rollout/r/{action}')[1]['resource']
-            for action in ('start', 'advance', 'advance')
+        """Guards against a first stage whose pins nobody has saved.
+
+        The start leaves the share at 0, and the last stage is still tested
+        before the rollout is complete.
+        """
+        value = {
+            'model': 'm',
+            'from_version': 'm-1',
+            'to_version': 'm-2',
+            'stages': [0.1, 0.5, 1.0],
+            'state': 'halted',
+        }
+        assert call(gateway, 'PUT', 'rollout/staged', value)[0] == 200
+        found = [
+            call(gateway, 'POST', f'rollout/staged/{action}')[1]['resource']
+            for action in ('start', *4 * ['advance'])
         ]
-        assert [r['share'] for r in shares] == [0.1, 0.5, 1.0]
-        assert shares[-1]['state'] == 'complete'
-        assert call(gateway, 'POST', 'rollout/r/advance')[0] == 409
+        assert [(r.get('share', 0), r.get('state')) for r in found] == [
+            (0, None),
+            (0.1, None),
+            (0.5, None),
+            (1.0, None),
+            (1.0, 'complete'),
+        ]
+        assert call(gateway, 'POST', 'rollout/staged/advance')[0] == 409
+        assert call(gateway, 'POST', 'rollout/staged/resume')[0] == 409
+
+    def test_halted_rollout_starts_again_at_zero(self, gateway):
+        """Guards against an API that knows other states than the gateways."""
+        value = {'model': 'm', 'from_version': 'm-1', 'to_version': 'm-2'}
+        call(gateway, 'PUT', 'rollout/again', {**value, 'share': 0.25})
+        halt = {'reason': 'wrong prices'}
+        status, body = call(gateway, 'POST', 'rollout/again/halt', halt)
+        assert (status, body['resource']['reason']) == (200, 'wrong prices')
+        assert call(gateway, 'POST', 'rollout/again/advance')[0] == 409
+        body = call(gateway, 'POST', 'rollout/again/resume')[1]
+        assert not {'share', 'state', 'reason'} & set(body['resource'])
 
     @pytest.mark.parametrize(
         ('path', 'value'),
