Keep the host list when it becomes empty, and restore it between tests

test_outage_changes_nothing failed or passed depending on which test ran before it on the same worker. test_killed_host deletes lm-2 from the host list and enters it again; the fixture then waited only until the revision was in force, which a gateway that has not yet polled the list (every 2 s) reports without lm-2. The next test took the list away before that poll, so gateways stayed at 2 servers. A link that flaps was ruled out as the cause of these: the count stays at 2 because the host is unknown.

A restarted agent that first reads an empty list knows no gateway, which the same fixture now prevents; no trace shows that this was it.

A real fault came to light: an empty list replaced the known one, so a gateway lost its region, and with it the choice of who watches the store. The directory keeps the last list and logs it. The new test was first seen failing ('' is not 'bkk').

--- a/chivejunction/transport/host_list.py
+++ b/chivejunction/transport/host_list.py
@@ -62,6 +62,8 @@
 class HostDirectory:
     """The host list as it was last read; an outage changes nothing.
 
+    A list that has become empty is an outage too.
+
     Args:
         client: HTTP client.
         url: Base URL of the host list.
@@ -120,6 +122,12 @@
 
     def _replace(self, listed: list[ListedHost]) -> None:
         hosts = {host.host: host for host in listed}
+        if self.hosts and not hosts:
+            # A process that reads the list is listed itself, so an empty
+            # list is a fault of the list. Without its entries a gateway
+            # would lose its region and the place that watches the store.
+            logs.LOG.warning('host list is empty; the last one is kept')
+            return
         if self.is_known and hosts == self.hosts:
             return
         self.hosts = hosts
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,5 +1,6 @@
 """Spread of the configuration and membership between processes."""
 
+import json
 import signal
 import time
 
@@ -8,6 +9,7 @@
 
 from bench import fleet
 from chivejunction.coordination import configuration
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import store_client
 
@@ -32,7 +34,7 @@
             )
         started.wait_for_port('gw-1')
         started.put('gw-1', 'pool', 'lm-pool')
-        wait_in_force(started, 1, seconds=30)
+        wait_restored(started)
         yield started
 
 
@@ -48,8 +50,7 @@
             regions.signal(name, signal.SIGCONT)
         else:
             regions.restart(name)
-    revision = read_revision(regions)
-    wait_in_force(regions, revision, seconds=40)
+    wait_restored(regions)
 
 
 def set_store(started, **faults):
@@ -79,10 +80,33 @@
     return status['in_force'] and status['revision'] >= revision
 
 
-def wait_in_force(started, revision, seconds=5.0):
+def wait_in_force(started, revision, seconds=IN_FORCE_SECONDS):
     started.wait_until(
         lambda: all(is_in_force(started, revision, g) for g in GATEWAYS),
-        f'{revision} is in force; now {read_status(started)}',
+        f'{revision} is in force; before {read_status(started)}',
+        seconds,
+    )
+
+
+def is_restored(started, gateway) -> bool:
+    status = read_status(started, gateway)
+    return (
+        status['in_force']
+        and status['revision'] > 0
+        and not status['gone']
+        and started.read_health(gateway).get('servers') == len(AGENTS)
+    )
+
+
+def wait_restored(started, seconds=40.0):
+    """Waits until each gateway has read the whole host list again.
+
+    A gateway that has not yet read a host's entry calls a revision in force
+    without this host.
+    """
+    started.wait_until(
+        lambda: all(is_restored(started, name) for name in GATEWAYS),
+        'every gateway reaches every agent',
         seconds,
     )
 
@@ -275,6 +299,30 @@
         )
 
 
+class TestHostDirectory:
+    def test_empty_list_is_an_outage(self):
+        """Guards against a gateway that loses its region and its watch."""
+        entry = {
+            'host': 'gw-1',
+            'role': 'gateway',
+            'failure_domain': 'bkk-a',
+            'region': 'bkk',
+        }
+        answers = [{'hosts': [entry]}, {'hosts': []}]
+
+        class Client:
+            async def call(self, *arguments):
+                return 200, {}, json.dumps(answers.pop(0)).encode()
+
+        async def work():
+            directory = host_list.HostDirectory(Client(), 'http://x')
+            await directory.read()
+            await directory.read()
+            return directory.find_region('gw-1', 'bkk-a')
+
+        assert anyio.run(work) == 'bkk'
+
+
 class TestHostList:
     @pytest.mark.parametrize('fault', ['down', 'empty'])
     def test_outage_changes_nothing(self, fleet_of_regions, fault):
