Swap the demand of organisations between gateways

Limiter.digest and merge had no carrier, so each gateway kept an equal share of a limit. A gateway now swaps demand with one of its partners in turn about once a second, in both directions, as long as the configuration has limits.

--- a/chivejunction/coordination/spread.py
+++ b/chivejunction/coordination/spread.py
@@ -14,6 +14,9 @@
 sender was known to be current, ``i`` incarnation, ``t`` state, ``p`` packed
 configuration if it is newer, ``w`` whether the receiver wants the sender's
 newer one, ``m`` rows and ``c`` their cursor.
+
+Gateways also swap the demand of organisations, from which each takes its part
+of their rate limits: kind ``demand``, see limits.Limiter.digest.
 """
 
 from collections.abc import Callable
@@ -26,6 +29,7 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import rendezvous
+from chivejunction.coordination import limits
 from chivejunction.coordination import watching
 from chivejunction.protocol import deltas
 from chivejunction.protocol import resources
@@ -46,6 +50,8 @@
 # Above this many gateways rows come from one partner instead of all.
 MANY_GATEWAYS = 60
 RETRY_SECONDS = 0.5
+# Interval at which a gateway swaps demand with one of its partners in turn.
+DEMAND_SECONDS = 1.0
 DOWN_SECONDS = 10.0
 CHECK_SECONDS = 1.0
 
@@ -134,6 +140,7 @@
         directory: Host list.
         make_exchange: Returns an exchange for an address.
         table: Members, at a gateway; None at an agent.
+        limiter: Rate limits, at a gateway.
     """
 
     def __init__(
@@ -144,6 +151,7 @@
         directory: host_list.HostDirectory,
         make_exchange: Callable[[str], exchanges.Exchange],
         table: members.MemberTable | None = None,
+        limiter: limits.Limiter | None = None,
     ):
         self._identity = identity
         self._view = view
@@ -151,6 +159,7 @@
         self._directory = directory
         self._make_exchange = make_exchange
         self._table = table
+        self._limiter = limiter
         self._partners: dict[str, Partner] = {}
         self._down: dict[str, float] = {}
         self._news = anyio.Event()
@@ -191,6 +200,8 @@
             group.start_soon(self._watch_view)
             if self._table is not None:
                 group.start_soon(self._refresh_rows)
+            if self._limiter is not None:
+                group.start_soon(self._swap_demand)
             while True:
                 self._choose(group)
                 self._check_started()
@@ -212,6 +223,23 @@
                 self._notify()
             await anyio.sleep(REFRESH_SECONDS)
 
+    async def _swap_demand(self) -> None:
+        turn = 0
+        while True:
+            await anyio.sleep(clock.jitter(DEMAND_SECONDS))
+            partners = list(self._partners.values())
+            if not partners or not self._view.limits:
+                continue
+            turn += 1
+            exchange = partners[turn % len(partners)].exchange
+            try:
+                answer = await exchange.call(
+                    'demand', self._limiter.digest(), EXCHANGE_SECONDS
+                )
+                self._limiter.merge(answer)
+            except (errors.TransportError, errors.ProtocolError) as exc:
+                logs.LOG.info('%s', exc)
+
     # Partners.
 
     def _choose(self, group: abc.TaskGroup) -> None:
@@ -411,6 +439,9 @@
         Raises:
             ProtocolError: The message is of another kind or malformed.
         """
+        if message['kind'] == 'demand' and self._limiter is not None:
+            self._limiter.merge(message['body'])
+            return self._limiter.digest()
         if message['kind'] != 'sync' or self._table is None:
             raise errors.ProtocolError(f'unknown kind {message["kind"]!r}')
         body = message['body']
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -159,6 +159,12 @@
         self.reader = watching.StoreReader(
             self.view, self.source, lambda: self.spread.is_watcher()
         )
+        self.limiter = limits.Limiter(
+            self.view,
+            config.host,
+            born,
+            lambda: self.membership.gateway_count,
+        )
         self.spread = spread.Spread(
             spread.Identity(
                 config.host,
@@ -174,6 +180,7 @@
                 address, config.host, self.incarnation, self.codec
             ),
             self.members,
+            self.limiter,
         )
         self.membership = membership.Membership(
             config.host,
@@ -198,12 +205,6 @@
             idempotency.KeyStore(store, config.host),
             self.billing.ledger.mark_contested,
         )
-        self.limiter = limits.Limiter(
-            self.view,
-            config.host,
-            time.time_ns() // 1_000_000,
-            lambda: self.membership.gateway_count,
-        )
         self.qualities = estimates.QualityEstimates()
         self.costs = estimates.CostEstimates()
         self.raters = ratings.Raters(
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,5 +1,6 @@
 """Spread of the configuration and membership between processes."""
 
+from concurrent import futures
 import json
 import signal
 import time
@@ -12,6 +13,7 @@
 from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import store_client
+from tests import conftest
 
 GATEWAYS = {'gw-1': 'bkk', 'gw-2': 'bkk', 'gw-3': 'cnx', 'gw-4': 'cnx'}
 AGENTS = {'lm-1': 'bkk', 'lm-2': 'bkk', 'lm-3': 'cnx'}
@@ -299,6 +301,72 @@
         )
 
 
+class TestDemand:
+    LIMIT = 20
+
+    @pytest.fixture
+    def pair(self, tmp_path):
+        """Two gateways that share a limit in front of one engine."""
+        with fleet.Fleet(tmp_path) as started:
+            started.start_platform()
+            for name in ('gw-1', 'gw-2'):
+                started.start_gateway(name, 'bkk-a', 'bkk')
+            started.start_fake('engine', 'engine')
+            started.start_agent(
+                'lm-1',
+                'bkk-a',
+                'bkk',
+                'lm-pool',
+                'engine',
+                versions='small-1,large-1',
+            )
+            started.wait_for_port('gw-1')
+            conftest.declare_resources(started, 'gw-1')
+            started.put(
+                'gw-1',
+                'limit',
+                'temple',
+                organisation='temple',
+                requests_per_second=self.LIMIT,
+                burst_seconds=0.2,
+            )
+            started.wait_until(
+                lambda: all(
+                    started.read_health(g).get('servers') == 1
+                    and is_in_force(started, 1, g)
+                    for g in ('gw-1', 'gw-2')
+                ),
+                'both gateways serve',
+            )
+            yield started
+
+    def ask(self, url: str) -> int:
+        return fleet.call_json(
+            'POST',
+            f'{url}/v1/chat/completions',
+            {
+                'model': 'small',
+                'max_tokens': 1,
+                'messages': [{'role': 'user', 'content': 'kaki lima?'}],
+            },
+            {'authorization': 'Bearer temple-key'},
+        )[0]
+
+    def test_whole_limit_goes_where_the_demand_is(self, pair):
+        """Guards against equal shares, which would admit half of it."""
+        url = pair.members['gw-1'].url()
+        begin = time.monotonic()
+        found = []
+        with futures.ThreadPoolExecutor(8) as pool:
+            while (now := time.monotonic() - begin) < 8:
+                found.append((now, pool.submit(self.ask, url)))
+                time.sleep(1 / (2 * self.LIMIT))
+        statuses = [f.result() for now, f in found if now > 4]
+        admitted = statuses.count(200) / (time.monotonic() - begin - 4)
+        assert set(statuses) == {200, 429}
+        assert 0.8 * self.LIMIT < admitted < 1.1 * self.LIMIT
+
+
 class TestHostDirectory:
     def test_empty_list_is_an_outage(self):
         """Guards against a gateway that loses its region and its watch."""
