--- a/chivejunction/coordination/operators.py
+++ b/chivejunction/coordination/operators.py
@@ -13,6 +13,7 @@
 from starlette import routing
 
 from chivejunction import errors
+from chivejunction import metrics
 from chivejunction.coordination import actions
 from chivejunction.coordination import configuration
 from chivejunction.protocol import refusals
@@ -295,6 +296,14 @@
     )
 
 
+async def handle_violation(request: requests.Request, exc: Exception):
+    """Counts a broken invariant and answers that the state is unknown."""
+    metrics.count_violation(exc)
+    return responses.JSONResponse(
+        {'error': {'code': 'invariant_violation', 'message': str(exc)}}, 500
+    )
+
+
 def make_app(routes: list[routing.Route]) -> applications.Starlette:
     """Returns an application with the project's error answers."""
     return applications.Starlette(
@@ -302,5 +311,6 @@
         exception_handlers={
             errors.RefusalError: handle_refusal,
             errors.StoreError: handle_store_error,
+            errors.InvariantViolation: handle_violation,
         },
     )
--- a/chivejunction/coordination/spread.py
+++ b/chivejunction/coordination/spread.py
@@ -28,6 +28,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction import rendezvous
 from chivejunction.coordination import limits
 from chivejunction.coordination import watching
@@ -291,7 +292,7 @@
                 hold = HOLD_SECONDS
                 partner.failures = 0
             except errors.InvariantViolation as exc:
-                logs.LOG.error('%s', exc)
+                metrics.count_violation(exc)
                 await anyio.sleep(clock.jitter(CHECK_SECONDS))
             except (errors.TransportError, errors.ProtocolError) as exc:
                 self._record_failure(partner, exc)
--- a/chivejunction/coordination/watching.py
+++ b/chivejunction/coordination/watching.py
@@ -8,6 +8,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction import rendezvous
 from chivejunction.coordination import configuration
 from chivejunction.state import views
@@ -125,7 +126,7 @@
             await self.read()
             return True
         except errors.InvariantViolation as exc:
-            logs.LOG.error('%s', exc)
+            metrics.count_violation(exc)
         except (errors.StoreError, errors.ProtocolError) as exc:
             logs.LOG.warning('store cannot be read: %s', exc)
         return False
@@ -165,7 +166,7 @@
                 with anyio.CancelScope() as self._watch_scope:
                     await self._follow(start)
             except errors.InvariantViolation as exc:
-                logs.LOG.error('%s', exc)
+                metrics.count_violation(exc)
             except (errors.StoreError, errors.ProtocolError) as exc:
                 logs.LOG.warning('store watch ended: %s', exc)
             finally:
--- a/chivejunction/transport/exchanges.py
+++ b/chivejunction/transport/exchanges.py
@@ -14,6 +14,7 @@
 
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.protocol import codecs
 from chivejunction.transport import traffic
 
@@ -95,7 +96,7 @@
             try:
                 answer = await self._handler(self._codec.decode(data))
             except errors.InvariantViolation as exc:
-                logs.LOG.error('%s', exc)
+                metrics.count_violation(exc)
                 answer = {'error': str(exc)}
             except (errors.Error, KeyError, TypeError, ValueError) as exc:
                 answer = {'error': f'{type(exc).__name__}: {exc}'}
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,6 +5,7 @@
 
 from bench import fleet
 from chivejunction import errors
+from chivejunction import metrics
 from chivejunction.protocol import codecs
 from chivejunction.transport import exchanges
 
@@ -35,6 +36,30 @@
     return anyio.run(start, backend_options={'use_uvloop': True})
 
 
+class TestViolation:
+    def test_of_a_handler_is_counted(self):
+        """Guards against a violation that is only in a log."""
+
+        def read():
+            return (
+                metrics.REGISTRY.get_sample_value(
+                    'invariant_violations_total', {'name': 'config_in_force'}
+                )
+                or 0
+            )
+
+        async def handler(message):
+            raise errors.InvariantViolation('config_in_force', 'test')
+
+        async def work(exchange):
+            with pytest.raises(errors.TransportError, match='violated'):
+                await exchange.call('sync', {}, 2)
+
+        before = read()
+        run_with_server(handler, work)
+        assert read() == before + 1
+
+
 class TestExchange:
     def test_silent_peer_is_an_error_and_not_the_end_of_the_task(self):
         """Guards against pynng's bare CancelledError at a timeout."""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -119,6 +119,14 @@
         assert after['in_force']
 
 
+class TestMetrics:
+    def test_gateway_serves_its_violations(self, gateway):
+        """Guards against a program whose violations nobody can read."""
+        url = gateway.replace('/api/v1', '/metrics')
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            assert b'invariant_violations' in answer.read()
+
+
 class TestActions:
     @pytest.mark.parametrize(
         ('path', 'state'),
