Replace short polling in the control exchange and the HTTP server by waits

A gateway woke each held request, also those of agents, at each row of any gateway, answered rows that only repeat within 0.5 s, and brought its own rows up to date five times a second. Rows now wake only requests that ask for them, repeated ones are collected for 2 s, and own rows follow reports with news, or 1 s without. The reader of the store sleeps until the view can be stale instead of one second at a time, the choice of links is computed when the host list has changed instead of twice a second, and uvicorn looks once a second instead of ten times for its end, which an event tells.

--- a/chivejunction/coordination/membership.py
+++ b/chivejunction/coordination/membership.py
@@ -77,6 +77,9 @@
         # Gateways on the host list, this one included.
         self.gateway_count = 1
         self._scopes: dict[str, anyio.CancelScope] = {}
+        self._seen: dict[str, host_list.ListedHost] | None = None
+        self._agents: dict[str, host_list.ListedHost] = {}
+        self._chosen: set[str] = set()
         # Incarnations that the host list has called leaving.
         self._listed_leaving: dict[str, str] = {}
 
@@ -90,14 +93,11 @@
                 await self._directory.wait_change(CHECK_SECONDS)
 
     def _update(self, group: abc.TaskGroup) -> None:
-        listed = self._directory.hosts.values()
-        gateways = sum(host.role == 'gateway' for host in listed)
-        self.gateway_count = max(1, gateways)
-        agents = {host.host: host for host in listed if host.role == 'agent'}
-        by_pool: dict[str, list[str]] = {}
-        for host in agents.values():
-            by_pool.setdefault(host.pool, []).append(host.host)
-        chosen = choose_links(self._gateway, by_pool, self._max_links)
+        # The directory replaces its hosts when the list has changed.
+        if self._seen is not self._directory.hosts:
+            self._seen = self._directory.hosts
+            self._read_list()
+        agents, chosen = self._agents, self._chosen
         for name in chosen:
             known = self.peers.get(name)
             if known is not None and (
@@ -117,6 +117,16 @@
             if not is_used:
                 self._drop(name)
 
+    def _read_list(self) -> None:
+        listed = self._seen.values()
+        gateways = sum(host.role == 'gateway' for host in listed)
+        self.gateway_count = max(1, gateways)
+        self._agents = {h.host: h for h in listed if h.role == 'agent'}
+        by_pool: dict[str, list[str]] = {}
+        for host in self._agents.values():
+            by_pool.setdefault(host.pool, []).append(host.host)
+        self._chosen = choose_links(self._gateway, by_pool, self._max_links)
+
     def _mark_leaving(self) -> None:
         for name, peer in self.peers.items():
             server = peer.server
--- a/chivejunction/coordination/spread.py
+++ b/chivejunction/coordination/spread.py
@@ -44,7 +44,13 @@
 PUSH_SECONDS = 2.0
 # Rows are collected for this long before a held request is answered.
 ROW_SECONDS = 0.5
+# Repeated rows without news wait longer: they expire after three intervals of
+# at least 4 s, so over three hops they still come in time.
+REPEAT_SECONDS = 2.0
+# Own rows are brought up to date this long after a report with news, and at
+# this interval without one, which finds hosts that have become silent.
 REFRESH_SECONDS = 0.2
+IDLE_REFRESH_SECONDS = 1.0
 # Gateways that a process exchanges with.
 PARTNERS_IN_REGION = 2
 PARTNERS_ELSEWHERE = 1
@@ -163,7 +169,10 @@
         self._limiter = limiter
         self._partners: dict[str, Partner] = {}
         self._down: dict[str, float] = {}
+        # Set by a new revision or state; by rows too; by reports with news.
         self._news = anyio.Event()
+        self._rows = anyio.Event()
+        self._reports = anyio.Event()
         self._answered: dict[str, str] = {}
         self._packed: dict[int, bytes] = {}
         self._packed_revision = 0
@@ -194,6 +203,13 @@
     def _notify(self) -> None:
         news, self._news = self._news, anyio.Event()
         news.set()
+        self._reports.set()
+        self._notify_rows()
+
+    def _notify_rows(self) -> None:
+        """Wakes the held requests that ask for rows, and no others."""
+        rows, self._rows = self._rows, anyio.Event()
+        rows.set()
 
     async def run(self) -> None:
         """Exchanges until cancelled."""
@@ -217,11 +233,14 @@
     async def _refresh_rows(self) -> None:
         table = self._table
         while True:
+            self._reports = anyio.Event()
             table.region = self.region
             if self._directory.is_known:
                 table.set_listed(self._directory.hosts)
             if table.refresh(self._view.revision, self.state):
-                self._notify()
+                self._notify_rows()
+            with anyio.move_on_after(IDLE_REFRESH_SECONDS):
+                await self._reports.wait()
             await anyio.sleep(REFRESH_SECONDS)
 
     async def _swap_demand(self) -> None:
@@ -364,7 +383,7 @@
         if self._table is not None and 'm' in answer:
             partner.cursor = answer['c']
             if self._table.merge_rows(answer['m']):
-                self._notify()
+                self._notify_rows()
         if answer['t'] != members.LIVE:
             self._down[partner.host.host] = clock.make_deadline(DOWN_SECONDS)
         self._view.check_digest(answer['r'], answer['g'])
@@ -448,31 +467,37 @@
         body = message['body']
         if 'p' in body:
             self._apply_packed(body['p'])
-        self._table.hear(message['sender'], message['incarnation'], body)
+        if self._table.hear(message['sender'], message['incarnation'], body):
+            self._reports.set()
         if body['r'] <= self._view.revision and not body.get('n'):
             await self._hold(body, clock.make_deadline(body['h']))
         return self._make_answer(message['sender'], body)
 
-    def _has_rows(self, body: dict) -> bool:
+    def _row_seconds(self, body: dict) -> float | None:
+        """Returns how long rows are collected, None if there are none."""
         if 'c' not in body:
-            return False
-        return (
+            return None
+        if (
             body['i'] != self._identity.incarnation
-            or body['c'] < self._table.counter
-        )
+            or body['c'] < self._table.news_counter
+        ):
+            return ROW_SECONDS
+        return REPEAT_SECONDS if body['c'] < self._table.counter else None
 
     async def _hold(self, body: dict, deadline: float) -> None:
         deadline = min(deadline, clock.make_deadline(2 * HOLD_SECONDS))
-        rows_after = clock.make_deadline(ROW_SECONDS)
+        begin = clock.now()
         started_in = self.state
         while not clock.has_passed(deadline):
-            news = self._news
+            news = self._rows if 'c' in body else self._news
             if self._view.revision > body['r'] or self.state != started_in:
                 return
-            has_rows = self._has_rows(body)
-            if has_rows and clock.has_passed(rows_after):
-                return
-            limit = min(deadline, rows_after) if has_rows else deadline
+            limit = deadline
+            seconds = self._row_seconds(body)
+            if seconds is not None:
+                limit = min(deadline, begin + seconds)
+                if clock.has_passed(limit):
+                    return
             with anyio.move_on_after(clock.remaining(limit)):
                 await news.wait()
 
--- a/chivejunction/coordination/watching.py
+++ b/chivejunction/coordination/watching.py
@@ -108,7 +108,10 @@
         while True:
             if self.age < STALE_SECONDS:
                 interval = READ_SECONDS
-                await anyio.sleep(clock.jitter(START_SECONDS))
+                # No wait is needed before the view can have become stale.
+                await anyio.sleep(
+                    STALE_SECONDS - self.age + clock.jitter(START_SECONDS)
+                )
                 continue
             if await self._try_read():
                 interval = READ_SECONDS
--- a/chivejunction/state/members.py
+++ b/chivejunction/state/members.py
@@ -79,6 +79,15 @@
         """Orders the rows of a gateway."""
         return self.born, self.sequence
 
+    def has_news_since(self, old: 'StatusRow') -> bool:
+        """Tells whether it says more than that the gateway is alive."""
+        return (
+            dataclasses.replace(
+                self, sequence=old.sequence, refresh=old.refresh
+            )
+            != old
+        )
+
     def confirms(self, host: str, revision: int) -> bool:
         """Tells whether a host has applied a revision."""
         if self.minimum >= revision:
@@ -140,6 +149,8 @@
         self.region = ''
         self.reports: dict[str, Report] = {}
         self.counter = 0
+        # Counter of the last row that was more than a repetition.
+        self.news_counter = 0
         self._born = born
         self._rows: dict[tuple[str, str], _Stored] = {}
         self._left: dict[str, float] = {}
@@ -158,11 +169,13 @@
             body: Body of its message; see coordination.spread.
 
         Returns:
-            False if a newer incarnation of the host has already reported.
+            Whether it changes what is known about the host. A report of an
+            earlier incarnation than the known one is ignored.
         """
         old = self.reports.get(sender)
         if old is not None and body['b'] < old.born:
             return False
+        was_silent = old is not None and clock.has_passed(old.deadline)
         state = body['t']
         if old is not None and old.born == body['b']:
             # Nothing takes back that a process leaves.
@@ -175,7 +188,12 @@
             body['r'],
             clock.make_deadline(body['h'] + REPORT_MARGIN),
         )
-        return True
+        return (
+            old is None
+            or was_silent
+            or (old.born, old.state, old.revision)
+            != (body['b'], state, body['r'])
+        )
 
     def is_leaving(self, host: str) -> bool:
         """Tells whether the last process of a host said that it leaves."""
@@ -246,10 +264,9 @@
         old = self._rows.get(('s', self.host))
         if old is not None:
             row.sequence = old.row.sequence
-            is_same = dataclasses.replace(row, refresh=0) == (
-                dataclasses.replace(old.row, refresh=0)
-            )
-            if is_same and not clock.has_passed(old.deadline):
+            if not row.has_news_since(old.row) and not clock.has_passed(
+                old.deadline
+            ):
                 return has_news
         row.sequence += 1
         self._store('s', row)
@@ -307,6 +324,9 @@
 
     def _store(self, kind: str, row: StatusRow | HostsRow) -> None:
         self.counter += 1
+        old = self._rows.get((kind, row.gateway))
+        if old is None or kind == 'h' or row.has_news_since(old.row):
+            self.news_counter = self.counter
         seconds = 3 * row.refresh + 2 if kind == 's' else GONE_SECONDS
         self._rows[kind, row.gateway] = _Stored(
             row, self.counter, clock.make_deadline(seconds)
--- a/chivejunction/transport/http_server.py
+++ b/chivejunction/transport/http_server.py
@@ -7,16 +7,34 @@
 import uvicorn
 
 KEEP_ALIVE_SECONDS = 75
+# uvicorn's own loop looks ten times a second whether it should end.
+TICK_SECONDS = 1.0
 
 
 class Server(uvicorn.Server):
-    """uvicorn server that leaves signals to the program."""
+    """uvicorn server that leaves signals to the program.
+
+    Args:
+        config: Options of uvicorn.
+        stop: Set to stop taking connections.
+    """
+
+    def __init__(self, config: uvicorn.Config, stop: anyio.Event):
+        super().__init__(config)
+        self._stop = stop
 
     @contextlib.contextmanager
     def capture_signals(self):
         """Leaves the signal handlers as they are."""
         yield
 
+    async def main_loop(self) -> None:
+        """Brings the date header up to date until stop is set."""
+        while not await self.on_tick(0):
+            with anyio.move_on_after(TICK_SECONDS):
+                await self._stop.wait()
+                self.should_exit = True
+
 
 def bind_socket(address: str, port: int) -> socket.socket:
     """Returns a listening TCP socket.
@@ -56,13 +74,4 @@
         timeout_graceful_shutdown=int(graceful_seconds),
         **options,
     )
-    server = Server(config)
-
-    async def watch_stop() -> None:
-        await stop.wait()
-        server.should_exit = True
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(watch_stop)
-        await server.serve(sockets=[sock])
-        group.cancel_scope.cancel()
+    await Server(config, stop).serve(sockets=[sock])
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,11 +1,14 @@
 """Members, their status and the links of a gateway."""
 
+import anyio
 import pytest
 
 from chivejunction import clock
 from chivejunction.coordination import membership
 from chivejunction.coordination import spread
+from chivejunction.coordination import watching
 from chivejunction.state import members
+from chivejunction.state import views
 from chivejunction.transport import host_list
 
 
@@ -203,3 +206,81 @@
         few = [GATEWAYS[0], *GATEWAYS[5:]]
         chosen = spread.choose_partners('lm-1', 'a', few, set())
         assert [name[0] for name in chosen] == ['a', 'b', 'b']
+
+
+class TestRepetition:
+    """Guards idle gateways against answering each other without news."""
+
+    def test_row_that_only_repeats_is_no_news(self, now):
+        first, second = make_table('gw-1'), make_table('gw-2')
+        copy_rows(second, first)
+        counter, news = first.counter, first.news_counter
+        now[0] += members.MIN_REFRESH_SECONDS
+        assert second.refresh(1, members.LIVE)
+        copy_rows(second, first)
+        assert first.counter > counter
+        assert first.news_counter == news
+        second.refresh(2, members.LIVE)
+        copy_rows(second, first)
+        assert first.news_counter == first.counter
+
+    def test_only_a_report_with_news_is_told(self, now):
+        table = make_table()
+        assert report(table, 'lm-1', 1)
+        assert not report(table, 'lm-1', 1)
+        assert report(table, 'lm-1', 2)
+        assert report(table, 'lm-1', 2, state=members.LEAVING)
+        assert report(table, 'lm-1', 2, born=2)
+        now[0] += 4 + members.REPORT_MARGIN
+        assert report(table, 'lm-1', 2, born=2)
+        assert not report(table, 'lm-1', 3, born=1)
+
+
+class TestHeldRequest:
+    def test_repeated_rows_are_collected_for_longer(self):
+        """Guards the control bytes and processor time of an idle gateway."""
+
+        async def work():
+            view = views.ConfigView()
+            table = members.MemberTable('gw-1', 1)
+            keeper = spread.Spread(
+                spread.Identity('gw-1', 'gateway', 'one', 1, 'bkk-a'),
+                view,
+                watching.StoreReader(view, None),
+                None,
+                None,
+                table,
+            )
+            other = make_table('gw-2')
+            table.refresh(0, members.LIVE)
+            copy_rows(other, table)
+            body = {
+                'r': 0,
+                'h': spread.HOLD_SECONDS,
+                'a': 'g',
+                't': members.LIVE,
+                'b': 1,
+                'i': 'one',
+                'c': table.counter,
+            }
+            message = {
+                'kind': 'sync',
+                'sender': 'gw-3',
+                'incarnation': 'three',
+                'body': body,
+            }
+            # A later sequence without news, as after a refresh.
+            row = ['s', *other.list_rows(0, '')[-1][1:]]
+            row[3] += 1
+            table.merge_rows([row])
+            with anyio.move_on_after(2 * spread.ROW_SECONDS) as scope:
+                await keeper.answer(message)
+            assert scope.cancelled_caught
+            row[3] += 1
+            row[6] += 1
+            table.merge_rows([row])
+            with anyio.fail_after(spread.REPEAT_SECONDS):
+                answer = await keeper.answer(message)
+            assert [r[1] for r in answer['m']] == ['gw-2']
+
+        anyio.run(work)
