--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,5 +1,7 @@
 """Spread of the configuration and membership between processes."""
 
+from concurrent import futures
+import json
 import signal
 import time
 
@@ -8,8 +10,10 @@
 
 from bench import fleet
 from chivejunction.coordination import configuration
+from chivejunction.transport import host_list
 from chivejunction.transport import http_client
 from chivejunction.transport import store_client
+from tests import conftest
 
 GATEWAYS = {'gw-1': 'bkk', 'gw-2': 'bkk', 'gw-3': 'cnx', 'gw-4': 'cnx'}
 AGENTS = {'lm-1': 'bkk', 'lm-2': 'bkk', 'lm-3': 'cnx'}
@@ -32,7 +36,7 @@
             )
         started.wait_for_port('gw-1')
         started.put('gw-1', 'pool', 'lm-pool')
-        wait_in_force(started, 1, seconds=30)
+        wait_restored(started)
         yield started
 
 
@@ -48,8 +52,7 @@
             regions.signal(name, signal.SIGCONT)
         else:
             regions.restart(name)
-    revision = read_revision(regions)
-    wait_in_force(regions, revision, seconds=40)
+    wait_restored(regions)
 
 
 def set_store(started, **faults):
@@ -79,10 +82,33 @@
     return status['in_force'] and status['revision'] >= revision
 
 
-def wait_in_force(started, revision, seconds=5.0):
+def wait_in_force(started, revision, seconds=IN_FORCE_SECONDS):
     started.wait_until(
         lambda: all(is_in_force(started, revision, g) for g in GATEWAYS),
-        f'{revision} is in force; now {read_status(started)}',
+        f'{revision} is in force; before {read_status(started)}',
+        seconds,
+    )
+
+
+def is_restored(started, gateway) -> bool:
+    status = read_status(started, gateway)
+    return (
+        status['in_force']
+        and status['revision'] > 0
+        and not status['gone']
+        and started.read_health(gateway).get('servers') == len(AGENTS)
+    )
+
+
+def wait_restored(started, seconds=40.0):
+    """Waits until each gateway has read the whole host list again.
+
+    A gateway that has not yet read a host's entry calls a revision in force
+    without this host.
+    """
+    started.wait_until(
+        lambda: all(is_restored(started, name) for name in GATEWAYS),
+        'every gateway reaches every agent',
         seconds,
     )
 
@@ -275,6 +301,96 @@
         )
 
 
+class TestDemand:
+    LIMIT = 20
+
+    @pytest.fixture
+    def pair(self, tmp_path):
+        """Two gateways that share a limit in front of one engine."""
+        with fleet.Fleet(tmp_path) as started:
+            started.start_platform()
+            for name in ('gw-1', 'gw-2'):
+                started.start_gateway(name, 'bkk-a', 'bkk')
+            started.start_fake('engine', 'engine')
+            started.start_agent(
+                'lm-1',
+                'bkk-a',
+                'bkk',
+                'lm-pool',
+                'engine',
+                versions='small-1,large-1',
+            )
+            started.wait_for_port('gw-1')
+            conftest.declare_resources(started, 'gw-1')
+            started.put(
+                'gw-1',
+                'limit',
+                'temple',
+                organisation='temple',
+                requests_per_second=self.LIMIT,
+                burst_seconds=0.2,
+            )
+            started.wait_until(
+                lambda: all(
+                    started.read_health(g).get('servers') == 1
+                    and is_in_force(started, 1, g)
+                    for g in ('gw-1', 'gw-2')
+                ),
+                'both gateways serve',
+            )
+            yield started
+
+    def ask(self, url: str) -> int:
+        return fleet.call_json(
+            'POST',
+            f'{url}/v1/chat/completions',
+            {
+                'model': 'small',
+                'max_tokens': 1,
+                'messages': [{'role': 'user', 'content': 'kaki lima?'}],
+            },
+            {'authorization': 'Bearer temple-key'},
+        )[0]
+
+    def test_whole_limit_goes_where_the_demand_is(self, pair):
+        """Guards against equal shares, which would admit half of it."""
+        url = pair.members['gw-1'].url()
+        begin = time.monotonic()
+        found = []
+        with futures.ThreadPoolExecutor(8) as pool:
+            while (now := time.monotonic() - begin) < 8:
+                found.append((now, pool.submit(self.ask, url)))
+                time.sleep(1 / (2 * self.LIMIT))
+        statuses = [f.result() for now, f in found if now > 4]
+        admitted = statuses.count(200) / (time.monotonic() - begin - 4)
+        assert set(statuses) == {200, 429}
+        assert 0.8 * self.LIMIT < admitted < 1.1 * self.LIMIT
+
+
+class TestHostDirectory:
+    def test_empty_list_is_an_outage(self):
+        """Guards against a gateway that loses its region and its watch."""
+        entry = {
+            'host': 'gw-1',
+            'role': 'gateway',
+            'failure_domain': 'bkk-a',
+            'region': 'bkk',
+        }
+        answers = [{'hosts': [entry]}, {'hosts': []}]
+
+        class Client:
+            async def call(self, *arguments):
+                return 200, {}, json.dumps(answers.pop(0)).encode()
+
+        async def work():
+            directory = host_list.HostDirectory(Client(), 'http://x')
+            await directory.read()
+            await directory.read()
+            return directory.find_region('gw-1', 'bkk-a')
+
+        assert anyio.run(work) == 'bkk'
+
+
 class TestHostList:
     @pytest.mark.parametrize('fault', ['down', 'empty'])
     def test_outage_changes_nothing(self, fleet_of_regions, fault):
