Continue broken chat streams on another backend server

Cause: after the first bytes only the attempt that sent them could end an answer, so a SIGKILL of its agent or engine cut the stream. The seam is coordination/continuations.py. Only whole events are passed on.

Usage events were left out at the agent and again at the gateway, and the wish for usage that the gateway added hid from the agent what the caller wanted. Now the agent alone adds the wish and leaves the events out.

The engine fake took max_tokens of a continuation for the whole message; engines count new tokens.

Ruled out: running the prompt again and skipping bytes, since two runs need not give the same text.

--- a/chivejunction/coordination/answers.py
+++ b/chivejunction/coordination/answers.py
@@ -36,7 +36,6 @@
         self._headers: dict[str, str] = {}
         self._is_stream = False
         self.started = False
-        self.drop_usage = False
 
     def add_header(self, name: str, value: str) -> None:
         """Adds a header to the head that will be sent."""
@@ -118,7 +117,6 @@
 
     async def _relay(self, events) -> None:
         head = messages.Head('', 0, {})
-        filtered = sse.EventFilter(self.drop_usage)
         held = bytearray()
         async for event in events:
             if isinstance(event, messages.Head):
@@ -126,17 +124,12 @@
                 head.headers = http_headers.select_for_caller(head.headers)
                 self._is_stream = sse.is_stream(head.headers)
             elif isinstance(event, messages.Data):
-                held += (
-                    filtered.feed(event.payload)
-                    if self._is_stream
-                    else event.payload
-                )
+                held += event.payload
                 if self._must_pass_on(len(held)):
                     if not self.started:
                         await self.start(head.status, head.headers)
                     payload, held = bytes(held), bytearray()
                     await self.write(payload, True)
-        held += filtered.finish()
         if self.started:
             await self.write(bytes(held), False)
         else:
--- a/chivejunction/coordination/attempt_streams.py
+++ b/chivejunction/coordination/attempt_streams.py
@@ -62,7 +62,7 @@
         self.verdict = verdicts.Verdict.NOT_RUN
         self.ended = False
         self._head_seen = False
-        self._closed = False
+        self.closed = False
         self._credited = 0
         self._idle_resolves = 0
         self._epoch = peer.epoch
@@ -93,9 +93,9 @@
         Args:
             cancel: Whether the agent shall stop an attempt that still runs.
         """
-        if self._closed:
+        if self.closed:
             return
-        self._closed = True
+        self.closed = True
         self.peer.remove_handler(self.id, self._receive)
         if cancel and not self.ended and self.peer.connected:
             self.peer.send(messages.Cancel(self.id))
--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -164,7 +164,6 @@
         call.headers.pop('accept-encoding', None)
         call.headers['content-type'] = 'application/json'
         self._set_hash(call, body)
-        response.drop_usage = not request.wants_usage
         call.affinity = affinity.make_key(
             organisation.name, [m.model_dump() for m in request.messages]
         )
--- a/chivejunction/coordination/cascades.py
+++ b/chivejunction/coordination/cascades.py
@@ -8,6 +8,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.coordination import continuations
 from chivejunction.coordination import dispatch
 from chivejunction.coordination import ratings
 from chivejunction.coordination import routing
@@ -87,6 +88,15 @@
     return None if refusal.verdict is verdicts.Verdict.NOT_RUN else True
 
 
+def is_continued(end: messages.Frame) -> bool:
+    """Tells whether a server broke off before another one went on.
+
+    The caller has a whole answer, but a version that breaks its servers
+    must show in the statistics.
+    """
+    return isinstance(end, continuations.JoinedEnd)
+
+
 class CascadeRunner:
     """Runs plans.
 
@@ -235,7 +245,7 @@
             return None
         end = events[-1]
         failed = events[0].status >= 500
-        self._on_step(call, version, first, failed)
+        self._on_step(call, version, first, failed or is_continued(end))
         self._bill_step(progress, version, end)
         if failed:
             return None
@@ -300,7 +310,7 @@
         content = bytearray()
         first = None
         status = 0
-        ended = False
+        ended = continued = False
         try:
             async for event in self._dispatch(progress, version):
                 if isinstance(event, messages.Head):
@@ -313,6 +323,7 @@
                         content += event.payload
                 else:
                     ended = True
+                    continued = is_continued(event)
                     self._bill_step(progress, version, event)
                     self._settle(progress, version)
                 yield event
@@ -320,7 +331,7 @@
             if not ended:
                 self._on_step(call, version, first, has_failed(exc))
             raise
-        self._on_step(call, version, first, status >= 500)
+        self._on_step(call, version, first, status >= 500 or continued)
         if status < 400 and len(content) <= ratings.MAX_ANSWER_BYTES:
             self._raters.submit(
                 self._make_answer(progress, version, bytes(content))
--- a/chivejunction/protocol/chat.py
+++ b/chivejunction/protocol/chat.py
@@ -41,14 +41,6 @@
     stream_options: StreamOptions | None = None
     max_tokens: Annotated[int, pydantic.Field(ge=1)] | None = None
 
-    @property
-    def wants_usage(self) -> bool:
-        """Whether the caller expects an event with the usage alone."""
-        return bool(
-            self.stream_options is not None
-            and self.stream_options.include_usage
-        )
-
 
 def parse_chat(body: bytes) -> ChatRequest:
     """Returns the validated request of a body.
@@ -71,7 +63,7 @@
 
 
 def write_chat(body: bytes, version: str) -> bytes:
-    """Returns the body for an engine: the version as model, usage asked for.
+    """Returns the body for an engine, with the version as model.
 
     Args:
         body: Body of the caller, accepted by parse_chat.
@@ -83,9 +75,6 @@
     try:
         value = json.loads(body, parse_constant=_refuse_constant)
         value['model'] = version
-        if value.get('stream'):
-            options = value.get('stream_options') or {}
-            value['stream_options'] = {**options, 'include_usage': True}
         return json.dumps(value, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as exc:
         raise errors.RefusalError('invalid_request', f'body: {exc}') from exc
--- a/chivejunction/protocol/sse.py
+++ b/chivejunction/protocol/sse.py
@@ -5,7 +5,8 @@
 
 MEDIA_TYPE = 'text/event-stream'
 EVENT_END = re.compile(rb'\r?\n\r?\n')
-NO_CHOICES = re.compile(rb'"choices"\s*:\s*\[\s*\]')
+END_MARKER = b'[DONE]'
+END_EVENT = b'data: [DONE]\n\n'
 
 
 def is_stream(headers: dict[str, str]) -> bool:
@@ -18,37 +19,44 @@
     return f'data: {json.dumps(value, ensure_ascii=False)}\n\n'.encode()
 
 
-class EventFilter:
-    """Passes on complete events.
+def read_data(payload: bytes) -> list[bytes]:
+    """Returns the data of each whole event; comments are left out."""
+    found = []
+    for event in EVENT_END.split(payload):
+        lines = [
+            line[len(b'data:') :].strip()
+            for line in event.splitlines()
+            if line.startswith(b'data:')
+        ]
+        if lines:
+            found.append(b'\n'.join(lines))
+    return found
 
-    Args:
-        drop_usage: Whether to drop the event that holds only the usage. The
-            gateway asks each engine for it; a caller that did not ask may
-            not expect an event without choices.
+
+class EventSplitter:
+    """Passes on whole events.
+
+    A partial event is held back: an error event that follows it would
+    otherwise become a part of it.
     """
 
-    def __init__(self, drop_usage: bool):
-        self._drop_usage = drop_usage
+    def __init__(self):
         self._pending = b''
 
     def feed(self, payload: bytes) -> bytes:
         """Returns the events that a payload completes."""
+        if not self._pending and payload.endswith(b'\n\n'):
+            return payload
         self._pending += payload
-        parts = []
-        start = 0
-        for match in EVENT_END.finditer(self._pending):
-            event = self._pending[start : match.end()]
-            start = match.end()
-            if not (self._drop_usage and self._is_usage_only(event)):
-                parts.append(event)
-        self._pending = self._pending[start:]
-        return b''.join(parts)
+        end = 0
+        for separator in (b'\n\n', b'\r\n\r\n'):
+            found = self._pending.rfind(separator)
+            if found >= 0:
+                end = max(end, found + len(separator))
+        whole, self._pending = self._pending[:end], self._pending[end:]
+        return whole
 
     def finish(self) -> bytes:
-        """Returns what follows the last complete event."""
+        """Returns what follows the last whole event."""
         rest, self._pending = self._pending, b''
         return rest
-
-    @staticmethod
-    def _is_usage_only(event: bytes) -> bool:
-        return b'"usage"' in event and bool(NO_CHOICES.search(event))
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -326,7 +326,9 @@
         )
         if body.get('continue_final_message'):
             sequence.first = count_numbered(body['messages'][-1]['content'])
-            sequence.tokens = max(1, sequence.tokens - sequence.first)
+            # max_tokens limits the new tokens, not the whole message.
+            if not body.get('max_tokens'):
+                sequence.tokens = max(1, sequence.tokens - sequence.first)
         run = {
             'attempt': sequence.attempt,
             'version': body['model'],
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -197,6 +197,22 @@
         text = value['choices'][0]['message']['content']
         assert text == engine_module.write_text(12, 8)
 
+    def test_max_tokens_of_a_continuation_limits_new_tokens(
+        self, start_engine
+    ):
+        url = start_engine()
+        _, plain, _ = ask(
+            url,
+            messages=[
+                {'role': 'assistant', 'content': engine_module.write_text(8)}
+            ],
+            continue_final_message=True,
+            max_tokens=3,
+        )
+        value = json.loads(plain)
+        text = value['choices'][0]['message']['content']
+        assert text == engine_module.write_text(3, 8)
+
     def test_resumes_from_an_offset(self, start_engine):
         url = start_engine(between_tokens=0.02, resume_seconds=5)
         body = {'model': 'm', 'stream': True}
