Move an unanswered start to another server after the admission time

Cause: a host that stops without closing its connections stays connected for 2.5 s. Each idempotent start sent to it waited 1 s for the admission and 0.7 s more for a verdict, and the next start chose the same host. A start without an answer now fails after 1 s if the retry budget has a token and is resolved otherwise. The server counts as suspect until its next heartbeat; the selector uses suspect servers only when no other is left. A deadline that passes at the agent is now named deadline to the caller, in place of server_failed.

Seen failing: without the change the takeover test takes 1.7 s, the refusal is named server_failed, and servers have no suspect mark.

--- a/bench/domains.py
+++ b/bench/domains.py
@@ -46,15 +46,27 @@
             started.signal(name, signal.SIGKILL)
 
 
+def freeze(started: fleet.Fleet) -> None:
+    """Stops the engines and agents of the domain without closing links.
+
+    A host without power sends no reset, unlike a killed process.
+    """
+    for host in deployment.list_engines(DOMAIN):
+        for name in (host, f'{host}-engine'):
+            started.signal(name, signal.SIGSTOP)
+
+
 def restart(started: fleet.Fleet) -> None:
     """Starts the engines and agents of the domain again."""
     for host in deployment.list_engines(DOMAIN):
         for name in (f'{host}-engine', host):
+            if started.members[name].process.poll() is None:
+                started.signal(name, signal.SIGKILL)
             started.members[name].process.wait()
             started.restart(name)
 
 
-ACTIONS = {'drain': drain, 'reopen': reopen, 'loss': lose, 'return': restart}
+LOSSES = {'kill': lose, 'freeze': freeze}
 
 
 def set_state(started: fleet.Fleet, state: str) -> None:
@@ -111,13 +123,19 @@
     return {'count': len(late), 'latest_s': round(max(late, default=0), 2)}
 
 
-async def drive(started: fleet.Fleet, workload: load.Workload):
+async def drive(started: fleet.Fleet, workload: load.Workload, loss: str):
     """Sends the load and makes the events happen.
 
     Returns:
         The load, the real times of events in seconds of the load, and the
         runs in the domain after the drain.
     """
+    actions = {
+        'drain': drain,
+        'reopen': reopen,
+        'loss': LOSSES[loss],
+        'return': restart,
+    }
     running = load.Load(workload)
     times, late = {}, {}
     async with anyio.create_task_group() as group:
@@ -133,12 +151,25 @@
                     count_late_runs, started, closed_at
                 )
             times[name] = round(time.monotonic() - begun, 2)
-            await to_thread.run_sync(ACTIONS[name], started)
+            await to_thread.run_sync(actions[name], started)
     return running, times, late
 
 
-def main(seed: int = 1, rate: float = 25, policy: str = 'affinity') -> None:
-    """Measures the events for one policy."""
+def main(
+    seed: int = 1,
+    rate: float = 25,
+    policy: str = 'affinity',
+    loss: str = 'kill',
+) -> None:
+    """Measures the events for one policy.
+
+    Args:
+        seed: Seed of the load.
+        rate: Requests a second.
+        policy: Server policy of the gateways.
+        loss: ``kill`` ends the processes of the lost domain, ``freeze``
+            lets its links fall silent.
+    """
     with fleet.Fleet(log_level='warning') as started:
         deployment.start(started, policy, cold_seconds=COLD_SECONDS)
         time.sleep(COLD_SECONDS)
@@ -153,13 +184,14 @@
             model='small',
             versions=frozenset({'small-1'}),
         )
-        running, times, late = anyio.run(drive, started, workload)
+        running, times, late = anyio.run(drive, started, workload, loss)
         print(
             json.dumps(
                 {
                     'seed': seed,
                     'rate': rate,
                     'policy': policy,
+                    'loss': loss,
                     **running.summarise(),
                     'runs_after_drain': late,
                     'events': {
--- a/chivejunction/coordination/attempt_streams.py
+++ b/chivejunction/coordination/attempt_streams.py
@@ -44,6 +44,10 @@
         incarnation: Incarnation of the agent that the attempt was sent to;
             the present one by default.
         patience: Seconds to wait for the agent after its link went down.
+
+    Attributes:
+        replaceable: Whether another server may take over at once when the
+            agent does not answer the start.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
         self.started = clock.now()
         self.verdict = verdicts.Verdict.NOT_RUN
         self.ended = False
+        self.replaceable = False
+        self._answered = False
         self._head_seen = False
         self.closed = False
         self._credited = 0
@@ -138,10 +144,22 @@
                     self.verdict,
                 )
             elif clock.has_passed(self._silence_deadline):
+                self._check_answered()
                 await self.resolve(deadline)
             else:
                 await self._wait(min(deadline, self._silence_deadline))
 
+    def _check_answered(self) -> None:
+        if self._answered:
+            return
+        self.peer.server.suspect = True
+        if self.replaceable:
+            raise errors.RefusalError(
+                'server_failed',
+                f'{self.peer.name} does not answer',
+                self.verdict,
+            )
+
     def _link_lost(self) -> bool:
         return not self.peer.connected or self.peer.epoch != self._epoch
 
@@ -163,6 +181,7 @@
 
     def _check(self, frame: messages.Frame) -> Event | None:
         self._silence_deadline = clock.make_deadline(STALL_SECONDS)
+        self._answered = True
         handler = self._CHECKS.get(type(frame))
         return handler(self, frame) if handler else None
 
@@ -210,7 +229,8 @@
         if frame.error:
             self.ended = True
             self.verdict = verdict
-            raise errors.RefusalError('server_failed', frame.error, verdict)
+            code = 'deadline' if frame.error == 'deadline' else 'server_failed'
+            raise errors.RefusalError(code, frame.error, verdict)
         if not self._head_seen or frame.length > self.offset:
             raise errors.ProtocolError(
                 f'end at {frame.length} follows {self.offset}'
@@ -282,6 +302,7 @@
 
     def _judge(self, frame: messages.Resolved) -> None:
         self._silence_deadline = clock.make_deadline(STALL_SECONDS)
+        self._answered = True
         if frame.state in ('refused', 'blocked'):
             self.ended = True
             if self.offset:
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -422,6 +422,7 @@
         stream = attempt_streams.AttemptStream(peer, attempt, incarnation)
         if call.idempotent:
             stream.patience = IMPATIENCE_SECONDS
+            stream.replaceable = self.budget.tokens >= 1
         trial.add(stream)
         if call.contested or len(trial.streams) > 1:
             self._on_contested(call.id)
--- a/chivejunction/coordination/selection.py
+++ b/chivejunction/coordination/selection.py
@@ -174,7 +174,7 @@
     def _filter(
         self, pool: str, version: str, exclude: frozenset[str], now: float
     ) -> tuple[list[servers.Server], dict[str, str]]:
-        usable, refused = [], {}
+        usable, suspects, refused = [], [], {}
         self._refresh_places()
         places = self._places
         for server in self._table.in_pool(pool):
@@ -198,11 +198,18 @@
                     refused[server.host] = 'version not loaded'
                 elif server.host in exclude:
                     refused[server.host] = 'tried before'
+                elif server.suspect:
+                    suspects.append(server)
                 else:
                     usable.append(server)
                 continue
             server.absent = True
             refused[server.host] = reason
+        if not usable:
+            # Better than no server: the gateway itself may have been slow.
+            return suspects, refused
+        for server in suspects:
+            refused[server.host] = 'left an attempt unanswered'
         return usable, refused
 
     def _estimate_growth(
--- a/chivejunction/state/servers.py
+++ b/chivejunction/state/servers.py
@@ -90,6 +90,8 @@
         leaving: Whether the host announced that it leaves.
         announced_leaving: Whether the host list or an exchange says so.
         ready: Whether the agent takes work.
+        suspect: Whether it left an attempt unanswered since its last
+            heartbeat.
         absent: Whether the server could not be chosen lately.
         ramp_until: Deadline until which it gets a reduced share.
         ejected_until: Deadline of an outlier ejection.
@@ -118,6 +120,7 @@
     leaving: bool = False
     announced_leaving: bool = False
     ready: bool = True
+    suspect: bool = False
     absent: bool = False
     ramp_until: float = 0.0
     ejected_until: float = 0.0
@@ -140,6 +143,7 @@
         self.leaving = self.announced_leaving or load.get('s', '') == 'leaving'
         self.ready = load.get('s', 'ready') == 'ready'
         self.engine = load.get('i', self.engine)
+        self.suspect = False
         self.reported_sent = self.sent
         self.others = max(0, self.running + self.queued - self.sent)
         self.sent_since = 0
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -218,3 +218,34 @@
         assert refusals[0].code == 'server_failed'
         # The first attempt and two continuations.
         assert sum(bool(a.sent) for a in agents) == 3
+
+
+class TestUnansweredStart:
+    """Guards against seconds of waiting for a host that has just died."""
+
+    def test_another_server_takes_over_after_the_admission_time(self):
+        silent = test_attempts.ScriptedPeer(test_attempts.stay_silent)
+        other = test_attempts.ScriptedPeer(give([sse.END_EVENT]), 'lm-2')
+        started = time.monotonic()
+        content, *_ = run_call(make_call(), silent, other)
+        assert content == sse.END_EVENT
+        assert time.monotonic() - started < 1.5
+        assert silent.server.suspect
+        silent.server.apply_load({})
+        assert not silent.server.suspect
+
+    def test_without_retry_budget_the_attempt_is_resolved(self):
+        peer = test_attempts.ScriptedPeer(test_attempts.stay_silent)
+        dispatcher = test_attempts.make_dispatcher(peer)
+        while dispatcher.budget.take():
+            pass
+        with pytest.raises(errors.RefusalError):
+            test_attempts.run_call(dispatcher, make_call())
+        assert peer.count(messages.Resolve)
+
+    def test_deadline_at_the_agent_is_named_to_the_caller(self):
+        agent = test_attempts.ScriptedPeer(
+            give([make_event('a', {'content': 'w0 '})], 'deadline')
+        )
+        _, _, refusals, _ = run_call(make_call(), agent)
+        assert refusals[0].code == 'deadline'
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -109,6 +109,21 @@
             'bkk-b-0': 'tried before',
         }
 
+    def test_server_that_left_an_attempt_unanswered(self):
+        pool = Pool(1)
+        suspect = pool.table.get('bkk-a-0')
+        suspect.suspect = True
+        assert 'bkk-a-0' not in pool.count(50)
+        reason = pool.selector.decision.excluded['bkk-a-0']
+        assert reason == 'left an attempt unanswered'
+        suspect.apply_load({})
+        assert 'bkk-a-0' in pool.count(50)
+
+    def test_suspect_servers_are_better_than_none(self):
+        pool = Pool(1, domains=['bkk-a'])
+        pool.table.get('bkk-a-0').suspect = True
+        assert pool.choose().host == 'bkk-a-0'
+
     def test_nothing_eligible(self):
         pool = Pool(1)
         assert pool.selector.choose('lm', 'other') is None
