Test that a continued answer counts once as an error of its version

A version that breaks its servers must show in the rollout statistics even if each caller gets a whole answer. Seen failing with the mark left out of cascades.py: the step counts as good.

--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -10,6 +10,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.coordination import cascades
+from chivejunction.coordination import continuations
 from chivejunction.coordination import ratings
 from chivejunction.coordination import routing
 from chivejunction.protocol import messages
@@ -157,6 +158,37 @@
         assert [(b.version, b.cost) for b in bills] == [('', 1.0)]
 
 
+class TestContinuedAnswer:
+    """Guards against versions that break their servers unnoticed."""
+
+    @pytest.mark.parametrize('steps', [['tiny-1'], ['tiny-1', 'large-1']])
+    def test_counts_once_as_an_error(self, monkeypatch, steps):
+        monkeypatch.setattr(messages, 'End', continuations.JoinedEnd)
+        dispatcher, seen = FakeDispatcher(), []
+        runner = cascades.CascadeRunner(
+            dispatcher,
+            test_routing.make_view(),
+            FakeRaters(0.9),
+            estimates.QualityEstimates(),
+            estimates.CostEstimates(),
+            on_step=lambda call, *step: seen.append(step),
+        )
+        call = test_routing.make_call(
+            body=b'{"model":"auto"}', deadline=clock.make_deadline(100)
+        )
+
+        async def collect():
+            plan = routing.Plan(steps, target=0.8)
+            return [event async for event in runner.run(call, plan)]
+
+        events = anyio.run(collect)
+        assert len(events) == 3
+        assert [(version, failed) for version, _, failed in seen] == [
+            ('tiny-1', True)
+        ]
+        assert dispatcher.runs == ['tiny-1']
+
+
 class TestRatingLog:
     """Guards against ratings that count twice or not at all."""
 
