Refuse attempts whose run would probably outlast the deadline

Cause: the agent compared the remaining time with the mean run time, so about half of the runs that started with just that time broke off inside their answer. Now the mean plus four mean deviations has to fit.

Seen failing: with the mean alone the late attempt of the test is queued and refused only after its deadline.

--- a/chivejunction/coordination/admission.py
+++ b/chivejunction/coordination/admission.py
@@ -17,6 +17,8 @@
 
 # Weight of the newest run in the mean run time.
 RUN_SHARE = 0.1
+# Mean deviations above the mean run, as in the retransmission timer of TCP.
+DEVIATIONS = 4.0
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 30.0
 
@@ -88,6 +90,7 @@
         self.running = 0
         self._by_version: collections.Counter[str] = collections.Counter()
         self.run_seconds = 0.0
+        self._deviation = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -190,7 +193,7 @@
 
     def _check_wait(self, attempt, start, weight: float) -> None:
         wait = self.expect_wait(start.organisation, weight, start.priority)
-        if wait + self.run_seconds > clock.remaining(attempt.deadline):
+        if wait + self._needed_seconds > clock.remaining(attempt.deadline):
             raise self._make_overloaded(
                 f'the expected wait is {wait:.2f} s', wait
             )
@@ -273,7 +276,18 @@
         """Takes the run time of a whole answer into the mean."""
         if not self.run_seconds:
             self.run_seconds = seconds
-        self.run_seconds += RUN_SHARE * (seconds - self.run_seconds)
+        error = seconds - self.run_seconds
+        self.run_seconds += RUN_SHARE * error
+        self._deviation += RUN_SHARE * (abs(error) - self._deviation)
+
+    @property
+    def _needed_seconds(self) -> float:
+        """Time within which nearly all runs end.
+
+        With the mean alone, half of the runs that start with just enough
+        time would break off inside their answer.
+        """
+        return self.run_seconds + DEVIATIONS * self._deviation
 
     def _serve(self) -> None:
         while self.running < self.window:
@@ -311,7 +325,7 @@
             waited = clock.now() - entry.since
             # After a wait, a run that cannot end in time would only take
             # the place of one that can.
-            if waited > 0.01 and left < self.run_seconds:
+            if waited > 0.01 and left < self._needed_seconds:
                 return self._make_overloaded('too little time is left')
             self._assert_invariants(entry)
         except errors.RefusalError as exc:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -115,6 +115,18 @@
             assert end.retry_after_ms == pytest.approx(4000, abs=100)
             assert rig.gate.queued == 1
 
+    async def test_varying_run_times_count_towards_the_wait(self):
+        # With the mean alone half of such answers would break off.
+        async with rigs.open_rig() as rig:
+            for seconds in (0.5, 1.5) * 20:
+                rig.gate.record_run(seconds)
+            await hold(rig)
+            rig.start('late', seconds=2 * rig.gate.run_seconds + 0.5)
+            end = await rig.peer.wait_for('late', messages.Refused, seconds=1)
+            assert end.error == 'overloaded'
+            rig.start('waits', seconds=2 * rig.gate.run_seconds + 3)
+            await rig.wait_until(lambda: rig.gate.queued == 1)
+
     async def test_idle_server_takes_work_despite_a_long_mean(self):
         async with rigs.open_rig() as rig:
             rig.gate.run_seconds = 100.0
