Measure the loaded price after a warm-up

The loaded part began with closed slow-start windows, so most of its streams waited in queues and the idle cost of 12 agents was charged to few tokens. Three unmeasured rounds come first.

--- a/bench/price.py
+++ b/bench/price.py
@@ -73,6 +73,9 @@
         rounds: Streams one after another on each of these.
         tokens: Tokens of an answer.
         gap: Seconds between the tokens of an engine.
+        warm: Rounds of the loaded part that are not measured; they open
+            the agents' slow-start windows, so that the measured rounds do
+            not wait in queues.
     """
 
     def __init__(
@@ -82,10 +85,12 @@
         rounds: int = 4,
         tokens: int = 100,
         gap: float = 0.02,
+        warm: int = 3,
     ):
         self.deployment = deployments.scale(deployments.RAAMWERK, engines, 1)
         self.streams = streams
         self.rounds = rounds
+        self.warm = warm
         self.engine_options = {
             'tokens': tokens,
             'between_tokens': gap,
@@ -165,20 +170,25 @@
         firsts: list[float] = []
         total = 0
 
-        async def read_many() -> None:
+        async def read_many(rounds: int) -> None:
             nonlocal total
-            for _ in range(self.rounds):
+            for _ in range(rounds):
                 first, tokens = await measure_stream(
                     client, gateway.url(), headers, 'raam-small-1'
                 )
                 firsts.append(first)
                 total += tokens
 
+        async def read_all(rounds: int) -> None:
+            async with anyio.create_task_group() as group:
+                for _ in range(self.streams):
+                    group.start_soon(read_many, rounds)
+
+        await read_all(self.warm)
+        firsts, total = [], 0
         before = read_cpu(gateway), sum(read_cpu(a) for a in agents)
         started_at = time.perf_counter()
-        async with anyio.create_task_group() as group:
-            for _ in range(self.streams):
-                group.start_soon(read_many)
+        await read_all(self.rounds)
         seconds = time.perf_counter() - started_at
         after = read_cpu(gateway), sum(read_cpu(a) for a in agents)
         gateway_us = 1e6 * (after[0] - before[0]) / total
