Wait for frames of an attempt with one timer

Each frame cost a cancel scope, a timeout and an event. A timer now stays set while frames come, and a plain future hands the frame over.

--- a/chivejunction/coordination/attempt_streams.py
+++ b/chivejunction/coordination/attempt_streams.py
@@ -1,8 +1,8 @@
 """Frames of one attempt as the gateway receives them."""
 
+import asyncio
 import collections
-
-import anyio
+import math
 
 from chivejunction import clock
 from chivejunction import errors
@@ -27,6 +27,9 @@
 WHOLE_BODY_BYTES = 1024 * 1024
 # Resolves without a new byte after which an attempt counts as failed.
 MAX_IDLE_RESOLVES = 12
+# The loop's clock counts whole milliseconds; a shorter timer could end
+# before its deadline again and again.
+TIMER_SECONDS = 0.001
 
 Event = messages.Head | messages.Data | messages.End
 
@@ -68,7 +71,9 @@
         self._epoch = peer.epoch
         self._silence_deadline = clock.make_deadline(ADMISSION_SECONDS)
         self._frames: collections.deque = collections.deque()
-        self._wake = anyio.Event()
+        self._waiter: asyncio.Future | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = math.inf
         peer.add_handler(attempt_id, self._receive)
 
     def start(self, frame: messages.Start) -> None:
@@ -96,6 +101,7 @@
         if self._closed:
             return
         self._closed = True
+        self._stop_timer()
         self.peer.remove_handler(self.id, self._receive)
         if cancel and not self.ended and self.peer.connected:
             self.peer.send(messages.Cancel(self.id))
@@ -103,12 +109,39 @@
     def _receive(self, frame: messages.Frame | None) -> None:
         if frame is not None:
             self._frames.append(frame)
-        self._wake.set()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_timer(self) -> None:
+        self._timer = None
+        self._wake()
 
     async def _wait(self, until: float) -> None:
-        self._wake = anyio.Event()
-        with anyio.move_on_after(clock.remaining(until)):
-            await self._wake.wait()
+        """Waits for a frame or a change of the link; may return early.
+
+        A scope with a timeout and an event for each frame cost more than
+        the frame itself. A timer stays set while frames come, and one that
+        ends too early only makes the caller look again.
+        """
+        loop = asyncio.get_running_loop()
+        if self._timer is None or until < self._timer_due:
+            self._stop_timer()
+            self._timer_due = until
+            seconds = max(TIMER_SECONDS, clock.remaining(until))
+            self._timer = loop.call_later(seconds, self._end_timer)
+        self._waiter = loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
 
     async def next_event(self, deadline: float) -> Event:
         """Returns the next new part of the answer.
