Send tokens at the agent without a task switch

The task that reads the engine pushes new bytes through the pumps, and the pump's task wakes only for credit, the end and a lost link. The silence limit of the engine moves only when 5% of it have been used. The head goes out with the first bytes.

--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import string
 from urllib import parse
 
@@ -28,6 +29,8 @@
 # from its beginning.
 REPLAY_BYTES = 1024 * 1024
 WATCH_SECONDS = 0.5
+# Share by which a silence may exceed its limit before it is noticed.
+SILENCE_SHARE = 0.05
 # Time for a token that is still good, at the 95th percentile.
 TOKEN_SECONDS = 0.037
 HOP_HEADERS = frozenset(
@@ -421,21 +424,31 @@
         attempt.headers = {
             k: v for k, v in headers.items() if k not in HOP_HEADERS
         }
-        attempt.notify()
+        spare = SILENCE_SHARE * self._limits.next_token
         async for chunk in response.aiter_stream():
             if not call.first_token:
                 self._record_first_token(call)
             kept = call.read(chunk)
             if kept:
-                self._table.append(attempt, kept)
-            silence.deadline = float('inf')
-            await self._wait_for_room(attempt)
-            silence.deadline = anyio.current_time() + self._limits.next_token
+                self._append(attempt, kept)
+            if len(attempt.body) > REPLAY_BYTES:
+                silence.deadline = math.inf
+                await self._wait_for_room(attempt)
+            # Moving the deadline sets a timer, so it is not moved for each
+            # token.
+            earliest = anyio.current_time() + self._limits.next_token
+            if not earliest <= silence.deadline <= earliest + spare:
+                silence.deadline = earliest + spare
         rest = call.finish()
         if rest:
-            self._table.append(attempt, rest)
+            self._append(attempt, rest)
         self._end(call)
 
+    def _append(self, attempt: attempts.Attempt, payload: bytes) -> None:
+        self._table.append(attempt, payload)
+        for pump in self._pumps.get(attempt.id, {}).values():
+            pump.push()
+
     def _record_first_token(self, call: 'Call') -> None:
         call.first_token = max(1e-6, clock.now() - call.started)
         if call.is_stream or not self._is_engine:
@@ -566,6 +579,7 @@
         self._offset = offset
         self.credited = offset
         self._wake = anyio.Event()
+        self._head_sent = False
         self._stopped = False
 
     def add_credit(self, offset: int) -> None:
@@ -591,41 +605,53 @@
     async def run(self) -> None:
         """Sends frames until the answer has ended or the link is over."""
         attempt = self.attempt
-        head_sent = False
         while not (self._stopped or self._peer.closed):
             changed = attempt.changed
-            if attempt.status and not head_sent:
-                head_sent = True
-                self._peer.send(
-                    messages.Head(attempt.id, attempt.status, attempt.headers)
-                )
-            if not await self._send_data():
+            if not self._send_data():
                 self._send_lost()
                 return
-            if self._stopped or self._peer.closed:
-                return
-            if attempt.ended and self._offset >= attempt.length:
+            if self._offset < attempt.length:
+                await self.wait_credit()
+            elif attempt.ended:
+                self._send_head()
                 self._send_end()
                 return
-            if attempt.changed is changed:
+            else:
                 with anyio.move_on_after(peers.HEARTBEAT_SECONDS):
                     await changed.wait()
 
-    async def _send_data(self) -> bool:
-        """Sends what is buffered; returns False if bytes are gone."""
+    def push(self) -> None:
+        """Sends new bytes at once, without a switch to the pump's task."""
+        if not (self._stopped or self._peer.closed or self._send_data()):
+            # The task sends the end of an answer whose bytes are gone.
+            self.attempt.notify()
+
+    def _send_head(self) -> None:
+        if self.attempt.status and not self._head_sent:
+            self._head_sent = True
+            self._peer.send(
+                messages.Head(
+                    self.attempt.id, self.attempt.status, self.attempt.headers
+                )
+            )
+
+    def _send_data(self) -> bool:
+        """Sends what credit allows; returns False if bytes are gone.
+
+        The head goes out with the first bytes: sent on its own it would
+        hold them back by the time in which a link gathers frames.
+        """
         attempt = self.attempt
-        while self._offset < attempt.length and not (
-            self._stopped or self._peer.closed
-        ):
+        while self._offset < attempt.length:
             room = self.credited + CREDIT_BYTES - self._offset
             if room <= 0:
-                await self.wait_credit()
-                continue
+                return True
             payload = attempt.read(
                 self._offset, min(messages.MAX_DATA_BYTES, room)
             )
             if payload is None:
                 return False
+            self._send_head()
             self._peer.send(messages.Data(attempt.id, self._offset, payload))
             self._offset += len(payload)
         return True
--- a/chivejunction/state/attempts.py
+++ b/chivejunction/state/attempts.py
@@ -56,7 +56,7 @@
         detail: Explanation of a refusal.
         retry_after_ms: Milliseconds after which a retry makes sense.
         usage: Token counts.
-        changed: Set and replaced at each change.
+        changed: Set and replaced at each change of state.
         cancel_scope: Scope of the task that runs it.
         cancelled: Whether it was cancelled before that task began.
         was_full: Whether it took the last free place of the window.
@@ -211,11 +211,10 @@
         attempt.notify()
 
     def append(self, attempt: Attempt, payload: bytes) -> None:
-        """Adds a part of an answer."""
+        """Adds a part of an answer; does not wake those that wait."""
         attempt.body += payload
         self.buffered += len(payload)
         self._shed()
-        attempt.notify()
 
     def trim(self, attempt: Attempt, offset: int) -> None:
         """Drops the buffered bytes of an answer before an offset."""
