Close a link whose send pynng gives up

pynng ends an operation that nng gave up with a bare CancelledError, which anyio takes for a cancellation: the sender's task would end and the link stay open. The call now goes through wait_operation. Closing the socket under a waiting send raises pynng.Closed, which was handled before; a test holds both cases, and the second fails without the fix.

--- a/chivejunction/transport/links.py
+++ b/chivejunction/transport/links.py
@@ -19,6 +19,7 @@
 from chivejunction import errors
 from chivejunction.protocol import codecs
 from chivejunction.protocol import messages
+from chivejunction.transport import exchanges
 
 GATHER_SECONDS = 0.005
 QUEUE_MESSAGES = 256
@@ -101,6 +102,9 @@
         close_on_loss: Whether the link closes when its TCP connection is
             lost. NNG would dial again by itself, but what was under way is
             gone; the side that opens links does better with a new one.
+
+    Attributes:
+        ended: Set when the link closes.
     """
 
     def __init__(
@@ -119,6 +123,7 @@
         self._wake = anyio.Event()
         self._sequence = 0
         self._closed = False
+        self.ended = anyio.Event()
         self._socket = pynng.Push0(
             send_buffer_size=QUEUE_MESSAGES, send_timeout=SEND_TIMEOUT_MS
         )
@@ -157,6 +162,7 @@
         """Closes the socket; queued frames are dropped."""
         if not self._closed:
             self._closed = True
+            self.ended.set()
             self._wake.set()
             self._socket.close()
 
@@ -183,8 +189,8 @@
             try:
                 self._socket.send(data, block=False)
             except pynng.TryAgain:
-                await self._socket.asend(data)
-        except pynng.NNGException:
+                await exchanges.wait_operation(self._socket.asend(data))
+        except (errors.TransportError, pynng.NNGException):
             self.close()
 
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,73 @@
+"""Tests of the data links."""
+
+import asyncio
+
+import anyio
+import pynng
+import pytest
+
+from bench import ports
+from chivejunction.protocol import codecs
+from chivejunction.transport import links
+
+
+class CancellingSocket:
+    """Socket without room whose sends nng gives up."""
+
+    def send(self, data: bytes, block: bool) -> None:
+        """Finds no room."""
+        raise pynng.TryAgain('no room', 8)
+
+    async def asend(self, data: bytes) -> None:
+        """Ends like a pynng operation that was given up."""
+        raise asyncio.CancelledError
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+@pytest.fixture
+def address():
+    return f'tcp://127.0.0.1:{ports.PortAllocator().find_port()}'
+
+
+def make_sender(address: str) -> links.Sender:
+    return links.Sender(address, 'gateway', 1, codecs.CODECS.get('msgpack'))
+
+
+async def run_sender(sender: links.Sender, act) -> bool:
+    """Runs a sender with one batch; returns whether the link closed."""
+    closed = False
+    async with anyio.create_task_group() as group:
+        group.start_soon(sender.run)
+        sender._frames.append([])
+        sender._wake.set()
+        await anyio.sleep(0.1)
+        act()
+        with anyio.move_on_after(2):
+            await sender.ended.wait()
+        closed = sender.closed
+        group.cancel_scope.cancel()
+    return closed
+
+
+class TestSender:
+    """Guards against a link that has lost its sender without a word."""
+
+    def test_socket_closed_under_a_waiting_send_closes_the_link(self, address):
+        async def run() -> bool:
+            sender = make_sender(address)
+            for _ in range(links.QUEUE_MESSAGES):
+                await sender._send_batch([])
+            return await run_sender(sender, sender._socket.close)
+
+        assert anyio.run(run)
+
+    def test_bare_cancellation_by_pynng_closes_the_link(self, address):
+        async def run() -> bool:
+            sender = make_sender(address)
+            sender._socket.close()
+            sender._socket = CancellingSocket()
+            return await run_sender(sender, lambda: None)
+
+        assert anyio.run(run)
