Wait for the end of a link in place of polling it

Both ends of a link looked ten times a second whether it was silent. They now wait for its end or for the next deadline: the heartbeat that is due, or the one after which the link counts as silent. A link with a gap in its batches is closed at once.

--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -24,6 +24,12 @@
 FrameHandler = Callable[[messages.Frame | None], None]
 
 
+async def wait_end(sender: links.Sender, until: float) -> None:
+    """Waits until a link has ended or a monotonic deadline in seconds."""
+    with anyio.move_on_after(clock.remaining(until)):
+        await sender.ended.wait()
+
+
 class AgentPeer:
     """A gateway's link to one agent, redialled after silence.
 
@@ -140,6 +146,7 @@
             # Later batches of this epoch are as doubtful as this one.
             self._lost_frames = True
             self._set_connected(False)
+            self._sender.close()
             return
         self._sequence = sequence
         self._heard_deadline = clock.make_deadline(SILENCE_SECONDS)
@@ -221,20 +228,22 @@
             group.start_soon(sender.run)
             next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
             while not (self._is_silent() or sender.closed):
-                await anyio.sleep(0.1)
-                if clock.has_passed(next_heartbeat) and not sender.closed:
+                if clock.has_passed(next_heartbeat):
                     next_heartbeat = clock.make_deadline(HEARTBEAT_SECONDS)
                     self._send_heartbeat(sender)
+                await wait_end(
+                    sender, min(next_heartbeat, self._silence_deadline)
+                )
             logs.LOG.info('link to %s is silent or closed', self.name)
             group.cancel_scope.cancel()
 
-    def _is_silent(self) -> bool:
+    @property
+    def _silence_deadline(self) -> float:
         oldest = self._unconfirmed[0][1] if self._unconfirmed else math.inf
-        return (
-            self._lost_frames
-            or clock.has_passed(self._heard_deadline)
-            or clock.has_passed(oldest)
-        )
+        return min(self._heard_deadline, oldest)
+
+    def _is_silent(self) -> bool:
+        return self._lost_frames or clock.has_passed(self._silence_deadline)
 
     def _send_heartbeat(self, sender: links.Sender) -> None:
         self._unconfirmed.append(
@@ -324,6 +333,8 @@
                     heartbeat = get_heartbeat()
                     heartbeat.load = {**heartbeat.load, 'k': self._sequence}
                     self.send(heartbeat)
-                await anyio.sleep(0.1)
+                await wait_end(
+                    self._sender, min(next_heartbeat, self._heard_deadline)
+                )
             self.close()
             group.cancel_scope.cancel()
