Hand over the records of a gone gateway after 4 s, and explain by attempt

A handover from a gateway that is alive does no harm, so the wait is now only the new dial of a broken link. Ruled out: a lost flush, since the agent still held the record.

chivejunctionctl explain also takes the X-Request-Id of an answer, which is an attempt id: each attempt now has a decision line.

--- a/chivejunction/coordination/billing.py
+++ b/chivejunction/coordination/billing.py
@@ -18,9 +18,11 @@
 HANDOVER_PREFIX = 'usage/handover/'
 FLUSH_SECONDS = 2.0
 HANDOVER_SECONDS = 1.0
-# A gateway that an agent has not heard for this long counts as gone. It must
-# exceed the restart of a link, so that a short cut moves no records.
-GONE_SECONDS = 15.0
+# A gateway that an agent has had no link to for this long counts as gone. The
+# records of a gateway that died are lost with the agent until then, so it is
+# only as long as the new dial of a broken link; a handover from a gateway that
+# is alive does no harm.
+GONE_SECONDS = 4.0
 HANDOVER_BATCH = 200
 
 Send = Callable[[messages.Frame], None]
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -424,6 +424,16 @@
             stream.patience = IMPATIENCE_SECONDS
             stream.replaceable = self.budget.tokens >= 1
         trial.add(stream)
+        # Answers name the attempt, so this line leads from an answer to the
+        # decisions on its request.
+        logs.log_decision(
+            'attempt',
+            request=call.id,
+            organisation=call.organisation,
+            attempt=attempt,
+            host=peer.name,
+            revision=self._view.revision,
+        )
         if call.contested or len(trial.streams) > 1:
             self._on_contested(call.id)
         stream.start(self._make_start(trial, attempt))
--- a/chivejunction/ctl.py
+++ b/chivejunction/ctl.py
@@ -1,5 +1,6 @@
 """chivejunctionctl: the operators' command line."""
 
+import contextlib
 import json
 import pathlib
 import sys
@@ -206,29 +207,45 @@
         """Shows the decisions on a request in order.
 
         Args:
-            request: Id of the request.
+            request: Id of the request, or the X-Request-Id of its answer.
             log: File with decision log lines.
         """
-        lines = []
-        try:
-            with pathlib.Path(log).open() as stream:
-                for text in stream:
-                    if request not in text:
-                        continue
-                    try:
-                        line = json.loads(text)
-                    except ValueError:
-                        continue
-                    if line.get('request') == request and 'decision' in line:
-                        lines.append(line)
-        except OSError as exc:
-            raise errors.SettingError(f'{log}: {exc}') from exc
+        lines = read_decisions(log, 'request', request)
+        if not lines:
+            for attempt in read_decisions(log, 'attempt', request):
+                lines += read_decisions(log, 'request', attempt['request'])
         if not lines:
             raise errors.Error(f'no decision on request {request} in {log}')
         for line in sorted(lines, key=lambda found: found.get('time', 0)):
             print(json.dumps(line, ensure_ascii=False))
 
 
+def read_decisions(log: str, field: str, value: str) -> list[dict]:
+    """Returns the decision lines of a log with a value in a field.
+
+    Args:
+        log: File with decision log lines.
+        field: Name of the field.
+        value: Value to look for.
+
+    Raises:
+        SettingError: The file cannot be read.
+    """
+    lines = []
+    try:
+        with pathlib.Path(log).open() as stream:
+            for text in stream:
+                if value not in text:
+                    continue
+                with contextlib.suppress(ValueError):
+                    line = json.loads(text)
+                    if line.get(field) == value and 'decision' in line:
+                        lines.append(line)
+    except OSError as exc:
+        raise errors.SettingError(f'{log}: {exc}') from exc
+    return lines
+
+
 def main() -> None:
     """Runs the program."""
     arguments = ['--file' if a == '-f' else a for a in sys.argv[1:]]
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -87,6 +87,19 @@
         shown = [json.loads(line) for line in done.stdout.splitlines()]
         assert [line['decision'] for line in shown] == ['version', 'server']
 
+    def test_explain_finds_the_request_of_an_answer(self, tmp_path):
+        log = tmp_path / 'log'
+        lines = [
+            {'time': 1, 'decision': 'version', 'request': 'r-1'},
+            {'time': 2, 'decision': 'attempt', 'request': 'r-1'},
+            {'time': 3, 'decision': 'version', 'request': 'r-2'},
+        ]
+        lines[1]['attempt'] = 'a-1'
+        log.write_text('\n'.join(json.dumps(line) for line in lines))
+        done = run_ctl('http://x', 'explain', 'a-1', '--log', str(log))
+        shown = [json.loads(line) for line in done.stdout.splitlines()]
+        assert [line['request'] for line in shown] == ['r-1', 'r-1']
+
 
 class TestRollout:
     def ask(self, started) -> str:
--- a/tests/test_usage_path.py
+++ b/tests/test_usage_path.py
@@ -124,6 +124,31 @@
         time.sleep(3)
         assert read_totals(pair) == {'hire-desk': 1}
 
+    def test_agent_that_dies_soon_after_its_gateway_loses_no_record(
+        self, pair
+    ):
+        url = pair.members['gw-1'].url()
+
+        def call():
+            try:
+                fleet.call_json(
+                    'POST', f'{url}/services/hire-desk/deposits', {}, KEY
+                )
+            except OSError:
+                # The gateway is killed while the service runs the call.
+                return
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        time.sleep(0.5)
+        pair.signal('gw-1', signal.SIGKILL)
+        thread.join()
+        time.sleep(10)
+        pair.signal('hire-1', signal.SIGKILL)
+        pair.wait_until(
+            lambda: read_totals(pair) == {'hire-desk': 1}, 'one is billed'
+        )
+
     def test_graceful_stops_lose_no_record(self, pair):
         assert send_chat(pair) == 200
         assert pair.stop_gracefully('gw-1') == 0
