--- a/bench/plots.py
+++ b/bench/plots.py
@@ -38,3 +38,55 @@
     axes.set_xticks(range(3), labels)
     axes.set_ylabel('first token, ms')
     axes.legend()
+
+
+@PLOTS.register('selection')
+def draw_selection(axes, result: dict) -> None:
+    """Draws the time to first token by server policy."""
+    policies = {
+        name: found
+        for name, found in result.get('policies', result).items()
+        if isinstance(found, dict) and 'first_token_s' in found
+    }
+    for offset, key in ((-0.2, 'p50'), (0.2, 'p95')):
+        values = [p['first_token_s'][key] for p in policies.values()]
+        axes.bar(
+            [i + offset for i in range(len(values))], values, 0.4, label=key
+        )
+    axes.set_xticks(range(len(policies)), list(policies))
+    axes.set_ylabel('first token, s')
+    axes.legend()
+
+
+@PLOTS.register('quality')
+def draw_quality(axes, result: dict) -> None:
+    """Draws the cost at the quality target relative to the oracle."""
+    results = result['results']
+    values = [entry['cost_to_oracle'] for entry in results.values()]
+    axes.barh(range(len(values)), values)
+    axes.set_yticks(range(len(values)), list(results))
+    axes.axvline(1.1, linestyle='--', color='black')
+    axes.set_xlabel('cost relative to the oracle; dashed: goal')
+
+
+@PLOTS.register('domains')
+def draw_domains(axes, result: dict) -> None:
+    """Draws the time to first token by second around each event."""
+    for name, found in result.get('events', result).items():
+        if isinstance(found, dict) and 'p95_first_token_s' in found:
+            axes.plot(found['second'], found['p95_first_token_s'], label=name)
+    axes.set_xlabel('seconds after the event')
+    axes.set_ylabel('first token p95, s')
+    axes.legend()
+
+
+@PLOTS.register('inforce')
+def draw_inforce(axes, result: dict) -> None:
+    """Draws the time until a change is in force by the number of daemons."""
+    counts = [size['daemons'] for size in result['sizes']]
+    for key in ('p50', 'worst'):
+        values = [size['in_force_seconds'][key] for size in result['sizes']]
+        axes.plot(counts, values, marker='o', label=key)
+    axes.set_xlabel('daemons')
+    axes.set_ylabel('in force, s')
+    axes.legend()
--- a/bench/report.py
+++ b/bench/report.py
@@ -182,21 +182,23 @@
         result = run_measurement(measurement, seed)
         results[measurement.module] = result
         plots.draw(measurement.module, result, FOLDER)
+        figures = {
+            'seed': seed,
+            'date': time.strftime('%Y-%m-%d'),
+            'seconds': time.monotonic() - started,
+            'noise': noise,
+            'results': results,
+        }
+        # Written after each measurement, so that an interrupted run keeps
+        # what it has.
+        path.write_text(json.dumps(figures, indent=1) + '\n')
+        (FOLDER / 'README.md').write_text(render_page(figures, before))
         print(
             f'{measurement.module}: {time.monotonic() - begun:.0f} s '
             f'{result.get("failed", "done")}',
             file=sys.stderr,
             flush=True,
         )
-    figures = {
-        'seed': seed,
-        'date': time.strftime('%Y-%m-%d'),
-        'seconds': time.monotonic() - started,
-        'noise': noise,
-        'results': results,
-    }
-    path.write_text(json.dumps(figures, indent=1) + '\n')
-    (FOLDER / 'README.md').write_text(render_page(figures, before))
     failed = [name for name, r in results.items() if 'failed' in r]
     return f'{len(results)} measurements, failed: {failed or "none"}'
 
