Count violations in requests and keep background tasks through refusals

Cause: a broken invariant inside a request was logged and not counted, one in a usage record ended the receive loop of all links, and a refused change of a rollout (its version deleted meanwhile) ended the gateway's task group.

Both new tests were seen failing without the change. The receive loop has no test of its own.

--- a/chivejunction/coordination/callers.py
+++ b/chivejunction/coordination/callers.py
@@ -7,6 +7,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.coordination import affinity
 from chivejunction.coordination import answers
 from chivejunction.coordination import cascades
@@ -78,6 +79,8 @@
         except Exception as exc:
             # An assertion or a programming error ends this request only.
             logs.LOG.exception('request failed: %s', exc)
+            if isinstance(exc, errors.InvariantViolation):
+                metrics.count_violation(exc)
             await response.refuse(
                 errors.RefusalError(
                     'internal',
--- a/chivejunction/coordination/rollouts.py
+++ b/chivejunction/coordination/rollouts.py
@@ -11,6 +11,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.coordination import configuration
 from chivejunction.coordination import ratings
 from chivejunction.protocol import resources
@@ -713,5 +714,9 @@
             try:
                 await self.store_halts()
                 await self.advance_stages(clock.now())
-            except errors.StoreError as exc:
+            except errors.InvariantViolation as exc:
+                metrics.count_violation(exc)
+            except errors.Error as exc:
+                # Also a refusal: an operator may have deleted the rollout
+                # or its versions meanwhile.
                 logs.LOG.warning('rollouts not stored: %s', exc)
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -332,8 +332,14 @@
         )
         async for sender, epoch, sequence, frames in receiver.batches():
             peer = self.membership.peers.get(sender)
-            if peer is not None:
+            if peer is None:
+                continue
+            try:
                 peer.receive(epoch, sequence, frames)
+            except errors.InvariantViolation as exc:
+                # A violation in one batch must not end the links of all
+                # agents.
+                metrics.count_violation(exc)
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from chivejunction import errors
 from chivejunction.coordination import attempt_streams
 from chivejunction.coordination import callers
 from chivejunction.coordination import cascades
@@ -25,6 +26,7 @@
 from chivejunction.transport import http_client
 from tests import stores
 from tests import test_attempts
+from tests import test_metrics
 
 THAI = 'มีเครื่องขยายเสียงไหม een geluidsinstallatie, één stuk'
 KEY = [(b'authorization', b'Bearer temple-key')]
@@ -317,6 +319,16 @@
         assert found[:2] == (500, 'internal')
         assert caller.app.running == 0
 
+    def test_violation_in_a_request_is_counted(self, caller):
+        def fail(*arguments):
+            raise errors.InvariantViolation('whole_answer', 'test')
+
+        before = test_metrics.read_violations('whole_answer')
+        caller.dispatcher.run = fail
+        found = caller.refusal('POST', callers.CHAT_PATH, CHAT)
+        assert found[:2] == (500, 'internal')
+        assert test_metrics.read_violations('whole_answer') == before + 1
+
 
 class TestHeaders:
     """Guards against leaked credentials and broken framing."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,19 +4,24 @@
 from chivejunction import metrics
 
 
+def read_violations(name: str) -> float:
+    """Returns the violations counted in this process."""
+    return (
+        metrics.REGISTRY.get_sample_value(
+            'invariant_violations_total', {'name': name}
+        )
+        or 0
+    )
+
+
 class TestMetrics:
     """Guards against violations and latencies that nobody can see."""
 
     def test_violation_is_counted_by_name(self):
         violation = errors.InvariantViolation('at_most_once', 'test')
-        before = metrics.REGISTRY.get_sample_value(
-            'invariant_violations_total', {'name': 'at_most_once'}
-        )
+        before = read_violations('at_most_once')
         metrics.count_violation(violation)
-        after = metrics.REGISTRY.get_sample_value(
-            'invariant_violations_total', {'name': 'at_most_once'}
-        )
-        assert after == (before or 0) + 1
+        assert read_violations('at_most_once') == before + 1
 
     def test_quantiles_are_exposed(self):
         latency = metrics.Latency('test_seconds', 'Test.', 'kind')
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -386,6 +386,27 @@
 
         run_deployment(check)
 
+    def test_refused_change_does_not_end_the_keeper(self, monkeypatch):
+        monkeypatch.setattr(rollouts, 'TICK_SECONDS', 0.01)
+
+        async def check(deployment):
+            view = await deployment.make_view()
+            keeper = rollouts.RolloutKeeper(
+                view, rollouts.RolloutTable(view), deployment.controls[0]
+            )
+            calls = []
+
+            async def refuse():
+                calls.append('halt')
+                raise errors.RefusalError('not_found', 'no rollout r')
+
+            keeper.store_halts = refuse
+            with anyio.move_on_after(0.2):
+                await keeper.run()
+            assert len(calls) > 1
+
+        run_deployment(check)
+
     def test_any_gateway_takes_over_a_rollout(self):
         async def check(deployment):
             now = 0.0
