Share the settings of gateways and agents, hide session keys in errors

Cause: both programs declared six settings twice, a wrong session key was printed in the error text, and orders without a store were refused without naming a setting. The new test was seen failing on the unnamed setting.

--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -57,22 +57,15 @@
 USAGE_SECONDS = 20.0
 
 
-class AgentSettings(settings.Settings):
+class AgentSettings(settings.DaemonSettings):
     """Settings of chivejunction-agent."""
 
-    host: settings.HostName = pydantic.Field(description='Name of this host.')
-    failure_domain: settings.HostName = pydantic.Field(
-        description='Failure domain of this host.'
-    )
     pool: settings.HostName = pydantic.Field(
         description='Pool of the backend server.'
     )
     kind: Literal['engine', 'service'] = pydantic.Field(
         'engine', description='Whether the server is a model engine.'
     )
-    address: settings.Address = pydantic.Field(
-        '127.0.0.1', description='IP address to listen on.'
-    )
     data_port: settings.Port = pydantic.Field(
         description='TCP port on which gateways send requests.'
     )
@@ -82,18 +75,16 @@
     server_url: settings.Url = pydantic.Field(
         description='URL of the engine or plain service.'
     )
-    hosts_url: settings.Url = pydantic.Field(
-        description="URL of the platform's host list."
+    order_versions: bool = pydantic.Field(
+        False,
+        description='Whether the agent orders its engine to load and unload '
+        'versions; needs the URL of the store.',
     )
     store_url: Literal[''] | settings.Url = pydantic.Field(
         '',
         description="URL of the platform's key-value store, read when no "
         'gateway has a fresh configuration; empty for never.',
-    )
-    order_versions: bool = pydantic.Field(
-        False,
-        description='Whether the agent orders its engine to load and unload '
-        'versions; needs the URL of the store.',
+        validate_default=True,
     )
     versions: str = pydantic.Field(
         '', description='Model versions loaded at the start, comma-separated.'
@@ -139,12 +130,14 @@
     max_drain_seconds: Seconds = pydantic.Field(
         60.0, description='Longest time in seconds from SIGTERM to exit.'
     )
-    codec: Literal['msgpack', 'cbor'] = pydantic.Field(
-        'msgpack', description='Codec between gateways and agents.'
-    )
-    log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
-        'info', description='Least severe level that is logged.'
-    )
+
+    @pydantic.field_validator('store_url')
+    @classmethod
+    def check_orders(cls, url: str, info: pydantic.ValidationInfo) -> str:
+        """Refuses orders without a store for leases and fencing."""
+        if info.data.get('order_versions') and not url:
+            raise ValueError('must be set with --order-versions')
+        return url
 
 
 class Agent:
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -63,16 +63,9 @@
 MAX_HANDOVERS = 1000
 
 
-class GatewaySettings(settings.Settings):
+class GatewaySettings(settings.DaemonSettings):
     """Settings of chivejunction-gateway."""
 
-    host: settings.HostName = pydantic.Field(description='Name of this host.')
-    failure_domain: settings.HostName = pydantic.Field(
-        description='Failure domain of this host.'
-    )
-    address: settings.Address = pydantic.Field(
-        '127.0.0.1', description='IP address to listen on.'
-    )
     listen_port: settings.Port = pydantic.Field(
         description="TCP port of the callers' API."
     )
@@ -93,9 +86,6 @@
     store_url: settings.Url = pydantic.Field(
         description="URL of the platform's key-value store."
     )
-    hosts_url: settings.Url = pydantic.Field(
-        description="URL of the platform's host list."
-    )
     ratings_url: str = pydantic.Field(
         '', description="URL of the platform's rating service."
     )
@@ -103,9 +93,12 @@
         '',
         description='Key of session tokens, the same at all gateways; '
         "derived from the operators' credential by default.",
+        json_schema_extra=settings.SECRET,
     )
     previous_session_key: str = pydantic.Field(
-        '', description='Key whose session tokens are accepted too.'
+        '',
+        description='Key whose session tokens are accepted too.',
+        json_schema_extra=settings.SECRET,
     )
     check_cost: float = pydantic.Field(
         0.0, description='Cost of one rating in cost units.', ge=0
@@ -120,17 +113,11 @@
         ge=1,
         description='Agents above which only a subset of each pool is linked.',
     )
-    codec: Literal['msgpack', 'cbor'] = pydantic.Field(
-        'msgpack', description='Codec between gateways and agents.'
-    )
     server_policy: Literal[
         'affinity', 'round_robin', 'random', 'two_choices'
     ] = pydantic.Field(
         'affinity', description='Policy that chooses backend servers.'
     )
-    log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
-        'info', description='Least severe level that is logged.'
-    )
 
 
 class Gateway:
--- a/chivejunction/settings.py
+++ b/chivejunction/settings.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from typing import Annotated
+from typing import Literal
 
 import fire
 import pydantic
@@ -49,6 +50,27 @@
     )
 
 
+class DaemonSettings(Settings):
+    """Settings that gateways and agents share."""
+
+    host: HostName = pydantic.Field(description='Name of this host.')
+    failure_domain: HostName = pydantic.Field(
+        description='Failure domain of this host.'
+    )
+    address: Address = pydantic.Field(
+        '127.0.0.1', description='IP address to listen on.'
+    )
+    hosts_url: Url = pydantic.Field(
+        description="URL of the platform's host list."
+    )
+    codec: Literal['msgpack', 'cbor'] = pydantic.Field(
+        'msgpack', description='Codec between gateways and agents.'
+    )
+    log_level: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
+        'info', description='Least severe level that is logged.'
+    )
+
+
 def variable_name(field: str) -> str:
     """Returns the environment variable of a setting."""
     return ENVIRONMENT_PREFIX + field.upper()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,13 @@
         assert done.returncode == 2
         assert 'abc' not in done.stderr
 
+    def test_orders_without_a_store_name_the_setting(self):
+        """Guards against a message that names no setting."""
+        done = run_program('agent', order_versions=True)
+        assert done.returncode == 2
+        assert done.stderr.startswith('--store-url (CHIVEJUNCTION_STORE_URL)')
+        assert '--order-versions' in done.stderr
+
     def test_port_in_use_names_the_port(self, tmp_path):
         with fleet.Fleet(tmp_path) as started:
             started.start_platform()
