Fit the bad-version bench to the configuration API

Cause: the bench has a store of its own, which lacked the new arguments, and declared versions of an unknown model.

--- a/bench/badversion.py
+++ b/bench/badversion.py
@@ -42,21 +42,31 @@
         self._entries: dict[str, store_client.Entry] = {}
         self.down = False
 
-    async def get(self, key: str) -> store_client.Entry | None:
+    async def get(
+        self, key: str, is_local: bool = False
+    ) -> store_client.Entry | None:
         """Returns an entry."""
         if self.down:
             raise errors.StoreError('the store is down')
         return self._entries.get(key)
 
     async def swap(
-        self, key: str, value: bytes, expected: int, lease: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease: int = 0,
+        also: dict[str, bytes] | None = None,
     ) -> int:
-        """Writes an entry by compare-and-swap."""
+        """Writes entries by compare-and-swap of the first one."""
         entry = await self.get(key)
         revision = entry.revision if entry else 0
         if revision != expected:
             raise errors.StoreConflict(key)
-        self._entries[key] = store_client.Entry(key, value, revision + 1, 0)
+        for name, content in {key: value, **(also or {})}.items():
+            self._entries[name] = store_client.Entry(
+                name, content, revision + 1, 0
+            )
         return revision + 1
 
 
@@ -87,6 +97,8 @@
 
 async def declare(source: configuration.Configuration) -> None:
     """Declares the organisation, both versions and the rollout."""
+    await source.put('pool', {'name': 'p'})
+    await source.put('model', {'name': 'm'})
     await source.put('organisation', {'name': 'o', 'models': ['m']})
     for name in ('m-1', 'm-2'):
         await source.put(
