Forward requests on the users' platform through a thin adapter

Cause: the product reaches backend servers only through agents; entry hosts of the platform have no agent beside the plain services, so the gateway needs connections of its own. What: a forwarding gateway (routes by host and path, attempts with verdicts, streams resumed by event number, tiers by confidence, version moves in shared stages, age of the configuration) and chivejunction/platform, which only translates. Ruled out: uvicorn and httpcore on this path, since they hide which connection is used and how an answer ended; h11 beneath both is used.

--- a/bench/badversion.py
+++ b/bench/badversion.py
@@ -22,7 +22,7 @@
 from chivejunction.state import calls
 from chivejunction.state import estimates
 from chivejunction.state import views
-from chivejunction.transport import store_client
+from chivejunction.transport import stores
 from fakes import ratings as rating_service
 
 REQUESTS_PER_SECOND = 34
@@ -39,12 +39,12 @@
     """Key-value store in memory; fails while it is down."""
 
     def __init__(self):
-        self._entries: dict[str, store_client.Entry] = {}
+        self._entries: dict[str, stores.Entry] = {}
         self.down = False
 
     async def get(
         self, key: str, is_local: bool = False
-    ) -> store_client.Entry | None:
+    ) -> stores.Entry | None:
         """Returns an entry."""
         if self.down:
             raise errors.StoreError('the store is down')
@@ -64,9 +64,7 @@
         if revision != expected:
             raise errors.StoreConflict(key)
         for name, content in {key: value, **(also or {})}.items():
-            self._entries[name] = store_client.Entry(
-                name, content, revision + 1, 0
-            )
+            self._entries[name] = stores.Entry(name, content, revision + 1, 0)
         return revision + 1
 
 
--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -19,7 +19,7 @@
 from chivejunction.protocol import resources
 from chivejunction.protocol import verdicts
 from chivejunction.state import views
-from chivejunction.transport import store_client
+from chivejunction.transport import stores
 
 CONFIG_KEY = 'chivejunction/config'
 # Small companion of the document, written in the same transaction, so that
@@ -103,7 +103,7 @@
     store_revision: int
 
 
-def parse_head(entry: store_client.Entry) -> Head:
+def parse_head(entry: stores.Entry) -> Head:
     """Returns the head of a store entry.
 
     Raises:
@@ -155,7 +155,7 @@
 
     def __init__(
         self,
-        store: store_client.StoreClient,
+        store: stores.Store,
         view: views.ConfigView | None = None,
     ):
         self._store = store
--- /dev/null
+++ b/chivejunction/coordination/members.py
@@ -0,0 +1,75 @@
+"""Gateways at work, as they list themselves in the store."""
+
+import anyio
+
+from chivejunction import clock
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction.transport import stores
+
+PREFIX = 'chivejunction/members/'
+LEASE_SECONDS = 8
+RENEW_SECONDS = 2.5
+RETRY_SECONDS = 0.7
+# Gateways assumed before the first list is there; shares of common bounds
+# are then rather too small than too large.
+ASSUMED_GATEWAYS = 8
+
+
+class Members:
+    """Keeps this gateway listed and counts the others.
+
+    Args:
+        store: Store with the list.
+        name: Name of this gateway.
+    """
+
+    def __init__(self, store: stores.Store, name: str):
+        self._store = store
+        self._name = name
+        self._names: set[str] = set()
+
+    def count(self) -> int:
+        """Returns the number of gateways at work, this one included."""
+        return len(self._names) or ASSUMED_GATEWAYS
+
+    def apply(self, change: stores.Change) -> None:
+        """Takes a change of the list."""
+        name = change.key[len(PREFIX) :]
+        if change.entry is None:
+            self._names.discard(name)
+        else:
+            self._names.add(name)
+
+    async def run(self) -> None:
+        """Keeps this gateway listed until cancelled."""
+        lease = 0
+        while True:
+            pause = RENEW_SECONDS
+            try:
+                if lease and not await self._store.keep_alive(lease):
+                    lease = 0
+                if not lease:
+                    lease = await self._join()
+            except errors.StoreError as exc:
+                logs.LOG.info('member entry not renewed: %s', exc)
+                pause = RETRY_SECONDS
+            await anyio.sleep(clock.jitter(pause))
+
+    async def _join(self) -> int:
+        key = PREFIX + self._name
+        lease = await self._store.grant_lease(LEASE_SECONDS)
+        entry = await self._store.get(key)
+        await self._store.swap(
+            key, b'{}', entry.revision if entry else 0, lease
+        )
+        return lease
+
+    async def leave(self) -> None:
+        """Takes this gateway off the list."""
+        try:
+            entry = await self._store.get(PREFIX + self._name)
+            if entry is not None:
+                await self._store.delete(entry.key, entry.revision)
+        except errors.StoreError as exc:
+            logs.LOG.info('member entry not removed: %s', exc)
--- /dev/null
+++ b/chivejunction/coordination/tier_choice.py
@@ -0,0 +1,67 @@
+"""Choice of the model tier of a forwarded request, and of escalation.
+
+The smallest tier answers first; its answer is dropped for a larger tier
+while none of it was passed on, if the model itself has little confidence in
+it. That pays while the larger tier has time left to answer.
+"""
+
+import dataclasses
+
+from chivejunction import clock
+from chivejunction.protocol import forwarding
+
+# Confidence below which an answer is asked for again from a larger tier.
+ESCALATION_CONFIDENCE = 0.6
+# Part of the objective after which a larger tier would be late for sure.
+LATEST_SHARE = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class TierChoice:
+    """Tiers of one request.
+
+    Attributes:
+        tiers: Models that may answer, the smallest first.
+        index: Tier in use.
+    """
+
+    tiers: tuple[str, ...]
+    index: int = 0
+
+    @property
+    def model(self) -> str:
+        """Model of the tier in use, empty without tiers."""
+        return self.tiers[self.index] if self.tiers else ''
+
+    @property
+    def is_last(self) -> bool:
+        """Tells whether there is no larger tier."""
+        return self.index >= len(self.tiers) - 1
+
+    def escalate(self) -> None:
+        """Moves on to the largest tier.
+
+        The tiers between cost nearly as much time and seldom suffice where
+        the smallest one did not.
+        """
+        self.index = len(self.tiers) - 1
+
+    def wants_more(
+        self,
+        confidence: float | None,
+        request: forwarding.ForwardRequest,
+        route: forwarding.Route,
+    ) -> bool:
+        """Tells whether an answer should be asked for from a larger tier.
+
+        Args:
+            confidence: The model's opinion of its answer, 0 to 1, or None.
+            request: The request.
+            route: Its route.
+        """
+        if self.is_last or confidence is None:
+            return False
+        if confidence >= ESCALATION_CONFIDENCE:
+            return False
+        latest = request.received_at + LATEST_SHARE * route.objective
+        return clock.now() < min(latest, request.deadline)
--- a/chivejunction/errors.py
+++ b/chivejunction/errors.py
@@ -70,6 +70,23 @@
     """Bytes could not be decoded."""
 
 
+class HistoryLost(StoreError):
+    """The store no longer has the changes since a revision."""
+
+
+class RequestRejected(Error):
+    """A caller's request could not be read whole.
+
+    Args:
+        status: HTTP status of the answer.
+        detail: Explanation for the caller.
+    """
+
+    def __init__(self, status: int, detail: str):
+        super().__init__(detail)
+        self.status = status
+
+
 class RefusalError(Error):
     """A request is refused.
 
--- /dev/null
+++ b/chivejunction/platform/entries.py
@@ -0,0 +1,92 @@
+"""Changes of the platform's store, given to the gateway."""
+
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction.coordination import forward_gateway
+from chivejunction.coordination import members
+from chivejunction.coordination import version_moves
+from chivejunction.platform import configuration
+from chivejunction.platform import servers
+from chivejunction.registry import Registry
+from chivejunction.transport import stores
+
+READERS: Registry = Registry('store prefix')
+
+
+class EntryReader:
+    """Decodes changes and gives them to a gateway.
+
+    Args:
+        gateway: The gateway.
+        regions: Region of each failure domain.
+    """
+
+    def __init__(
+        self,
+        gateway: forward_gateway.ForwardGateway,
+        regions: dict[str, str],
+    ):
+        self.gateway = gateway
+        self.regions = regions
+
+    def apply(self, change: stores.Change, has_lapsed: bool) -> None:
+        """Takes one change; one that is not valid is logged and left out."""
+        for prefix in READERS:
+            if change.key.startswith(prefix):
+                try:
+                    READERS.get(prefix)(self, change, has_lapsed)
+                except errors.ProtocolError as exc:
+                    logs.LOG.warning('entry left out: %s', exc)
+                return
+
+
+@READERS.register(configuration.CONFIG_KEY)
+def _read_configuration(reader, change, has_lapsed) -> None:
+    if change.entry is not None:
+        table = configuration.read_table(change.entry.value)
+        reader.gateway.set_table(table)
+
+
+@READERS.register(configuration.ROLLOUT_PREFIX)
+def _read_rollout(reader, change, has_lapsed) -> None:
+    moves = reader.gateway.moves
+    if change.entry is None:
+        moves.drop_order(change.key[len(configuration.ROLLOUT_PREFIX) :])
+        return
+    moves.set_order(
+        configuration.read_order(change.entry.value, change.revision)
+    )
+
+
+@READERS.register(configuration.EVACUATION_PREFIX)
+def _read_evacuation(reader, change, has_lapsed) -> None:
+    domain = change.key[len(configuration.EVACUATION_PREFIX) :]
+    reader.gateway.set_domain(domain, change.entry is not None)
+
+
+@READERS.register(servers.PREFIX)
+def _read_server(reader, change, has_lapsed) -> None:
+    instance = change.key[len(servers.PREFIX) :]
+    if change.entry is None:
+        reader.gateway.remove_backend(instance, has_lapsed)
+        return
+    try:
+        entry = servers.read_server(
+            change.key, change.entry.value, reader.regions
+        )
+    except errors.ProtocolError:
+        # An entry that names no server must not keep its former one in use.
+        reader.gateway.remove_backend(instance, False)
+        raise
+    reader.gateway.update_backend(entry)
+
+
+@READERS.register(members.PREFIX)
+def _read_member(reader, change, has_lapsed) -> None:
+    reader.gateway.members.apply(change)
+
+
+@READERS.register(version_moves.PREFIX)
+def _read_move(reader, change, has_lapsed) -> None:
+    if change.entry is not None:
+        reader.gateway.moves.set_record(change.entry)
--- /dev/null
+++ b/chivejunction/platform/program.py
@@ -0,0 +1,85 @@
+"""The gateway as a program of the platform.
+
+Run as ``python3 -m chivejunction.platform.program``.
+"""
+
+import sys
+
+import anyio
+
+from chivejunction import errors
+from chivejunction import logs
+from chivejunction.coordination import forward_gateway
+from chivejunction.platform import configuration
+from chivejunction.platform import entries
+from chivejunction.platform import headers
+from chivejunction.platform import settings
+from chivejunction.platform import store
+from chivejunction.transport import http_client
+
+# Named as ``metrics`` in deploy/system.toml.
+METRICS_PORT = 9464
+# Part of the time to withdraw a key up to which the configuration is taken
+# for the newest one; the rest is for clocks that differ and requests on
+# their way.
+KEY_SHARE = 0.9
+# Part of the retry budget of all gateways that is used; gateways do not see
+# one another's windows.
+RETRY_SHARE = 0.85
+RETRY_ALLOWANCE_SHARE = 0.5
+
+
+def make_options(
+    found: settings.Settings,
+) -> forward_gateway.GatewayOptions:
+    """Returns the options of the gateway from the settings file.
+
+    Raises:
+        SettingError: An address is not accepted.
+    """
+    bounds = found.bounds
+    return forward_gateway.GatewayOptions(
+        name=found.node_name,
+        region=found.region,
+        front=settings.split_address(found.listen.front),
+        ready=settings.split_address(found.listen.ready),
+        metrics=(found.ip, METRICS_PORT),
+        key_seconds=KEY_SHARE * bounds.revoke_ms / 1000,
+        grace_seconds=bounds.grace_period_s,
+        retry_share=RETRY_SHARE * bounds.retry_budget_ratio,
+        retry_allowance=RETRY_ALLOWANCE_SHARE * bounds.retry_slack,
+        retry_window=bounds.retry_window_s,
+    )
+
+
+async def run(found: settings.Settings) -> None:
+    """Runs the gateway until SIGTERM."""
+    client = http_client.Client()
+    platform = store.PlatformStore(found.platform.address, client)
+    gateway = forward_gateway.ForwardGateway(
+        make_options(found),
+        platform,
+        platform,
+        headers.PlatformFormat(),
+        configuration.write_status,
+    )
+    regions = {found.zone: found.region, **found.zones}
+    reader = entries.EntryReader(gateway, regions)
+    logs.LOG.info('started', extra={'fields': {'event': 'start'}})
+    await gateway.run(reader.apply)
+
+
+def main() -> None:
+    """Starts the program; exits with status 2 on a wrong setting."""
+    try:
+        found = settings.read_settings()
+        make_options(found)
+    except errors.SettingError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(2)
+    logs.configure_bounded_logs(found.node_name)
+    anyio.run(run, found)
+
+
+if __name__ == '__main__':
+    main()
--- a/chivejunction/protocol/sse.py
+++ b/chivejunction/protocol/sse.py
@@ -60,3 +60,39 @@
         """Returns what follows the last whole event."""
         rest, self._pending = self._pending, b''
         return rest
+
+
+class EventReader:
+    """Splits an event stream into whole events with their ids."""
+
+    def __init__(self):
+        self._splitter = EventSplitter()
+
+    def feed(self, payload: bytes) -> list[tuple[int | None, bytes]]:
+        """Returns the events that a payload completes.
+
+        Returns:
+            Rows of the event's id, None without one, and its bytes.
+        """
+        whole = self._splitter.feed(payload)
+        if not whole:
+            return []
+        found, start = [], 0
+        for match in EVENT_END.finditer(whole):
+            event = whole[start : match.end()]
+            start = match.end()
+            found.append((read_id(event), event))
+        return found
+
+    def has_rest(self) -> bool:
+        """Tells whether the stream stopped in the middle of an event."""
+        return bool(self._splitter.finish().strip())
+
+
+def read_id(event: bytes) -> int | None:
+    """Returns the id of an event, None if it has no whole number."""
+    for line in event.splitlines():
+        if line.startswith(b'id:'):
+            text = line[len(b'id:') :].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- a/chivejunction/state/budgets.py
+++ b/chivejunction/state/budgets.py
@@ -74,3 +74,51 @@
             min(len(ordered) - 1, int(HEDGE_QUANTILE * len(ordered)))
         ]
         return max(MIN_HEDGE_SECONDS, p95)
+
+
+class WindowedBudget:
+    """Extra attempts by the requests of a sliding window.
+
+    Bounds the extra attempts of several gateways together: each one takes
+    its part of the allowance, and a share of its own requests.
+
+    Args:
+        share: Extra attempts for each request.
+        allowance: Extra attempts that need no requests.
+        seconds: Length of the window.
+    """
+
+    def __init__(self, share: float, allowance: float, seconds: float):
+        self._share = share
+        self.allowance = allowance
+        self._seconds = seconds
+        self._requests: collections.deque[float] = collections.deque()
+        self._extras: collections.deque[float] = collections.deque()
+
+    def _trim(self) -> None:
+        since = clock.now() - self._seconds
+        for times in (self._requests, self._extras):
+            while times and times[0] < since:
+                times.popleft()
+
+    @property
+    def left(self) -> float:
+        """Extra attempts that may be made now."""
+        self._trim()
+        allowed = self._share * len(self._requests) + self.allowance
+        return allowed - len(self._extras)
+
+    def add_request(self) -> None:
+        """Counts the first attempt of a request."""
+        self._requests.append(clock.now())
+
+    def take(self, reserve: float = 0.0) -> bool:
+        """Takes one extra attempt; returns False if none is left.
+
+        Args:
+            reserve: Attempts that must stay for more important ones.
+        """
+        if self.left < 1 + reserve:
+            return False
+        self._extras.append(clock.now())
+        return True
--- a/chivejunction/transport/http_server.py
+++ b/chivejunction/transport/http_server.py
@@ -36,19 +36,6 @@
                 self.should_exit = True
 
 
-def bind_socket(address: str, port: int) -> socket.socket:
-    """Returns a listening TCP socket.
-
-    Raises:
-        OSError: The address is in use or is not one of this host.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(1024)
-    return sock
-
-
 async def serve(
     app,
     sock: socket.socket,
--- a/chivejunction/transport/store_client.py
+++ b/chivejunction/transport/store_client.py
@@ -2,12 +2,12 @@
 
 import base64
 from collections.abc import AsyncIterator
-import dataclasses
 import json
 
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.transport import http_client
+from chivejunction.transport import stores
 from chivejunction.transport import traffic
 
 CALL_SECONDS = 2.0
@@ -22,18 +22,8 @@
     return base64.b64decode(text)
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
-    """A key with its value, modification revision and lease id."""
-
-    key: str
-    value: bytes
-    revision: int
-    lease: int
-
-
-def _parse_entry(item: dict) -> Entry:
-    return Entry(
+def _parse_entry(item: dict) -> stores.Entry:
+    return stores.Entry(
         key=_decode(item['key']).decode(),
         value=_decode(item.get('value', '')),
         revision=int(item['mod_revision']),
@@ -48,7 +38,7 @@
     return bytes(raw)
 
 
-class StoreClient:
+class StoreClient(stores.Store):
     """Calls the key-value store.
 
     A read that fails raises StoreError. A write whose answer was lost raises
@@ -63,7 +53,9 @@
         self._url = url.rstrip('/')
         self._client = client
 
-    async def get(self, key: str, is_local: bool = False) -> Entry | None:
+    async def get(
+        self, key: str, is_local: bool = False
+    ) -> stores.Entry | None:
         """Returns the entry of a key, or None.
 
         Args:
@@ -78,7 +70,7 @@
         found = answer.get('kvs', [])
         return _parse_entry(found[0]) if found else None
 
-    async def list_prefix(self, prefix: str) -> list[Entry]:
+    async def list_prefix(self, prefix: str) -> list[stores.Entry]:
         """Returns all entries whose keys start with a prefix."""
         answer = await self._post(
             'kv/range',
@@ -174,7 +166,7 @@
 
     async def watch(
         self, key: str, start_revision: int, seconds: float
-    ) -> AsyncIterator[Entry]:
+    ) -> AsyncIterator[stores.Entry]:
         """Yields the new entries of a key as they are written.
 
         Args:
@@ -215,7 +207,7 @@
         raise errors.StoreError(f'watch of {key} ended')
 
     @staticmethod
-    def _parse_events(line: bytes) -> list[Entry]:
+    def _parse_events(line: bytes) -> list[stores.Entry]:
         result = json.loads(line)['result']
         if result.get('canceled'):
             raise errors.StoreError(
--- a/fakes/programs.py
+++ b/fakes/programs.py
@@ -8,6 +8,7 @@
 
 from chivejunction import logs
 from chivejunction.transport import http_server
+from chivejunction.transport import sockets
 
 
 def run_app(
@@ -29,7 +30,7 @@
 
     async def serve() -> None:
         app = make_app(**options)
-        sock = http_server.bind_socket('127.0.0.1', port)
+        sock = sockets.bind_socket('127.0.0.1', port)
         context = (
             make_context(app) if make_context else contextlib.nullcontext()
         )
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -5,7 +5,7 @@
 import anyio
 
 from chivejunction import errors
-from chivejunction.transport import store_client
+from chivejunction.transport import stores
 
 
 class MemoryStore:
@@ -16,7 +16,7 @@
     """
 
     def __init__(self):
-        self.entries: dict[str, store_client.Entry] = {}
+        self.entries: dict[str, stores.Entry] = {}
         self.leases: set[int] = set()
         self.revision = 0
         self.lose_answers = 0
@@ -52,7 +52,7 @@
         self.revision += 1
         self.writes += 1
         for name, content in {key: value, **(also or {})}.items():
-            self.entries[name] = store_client.Entry(
+            self.entries[name] = stores.Entry(
                 name, content, self.revision, lease if name == key else 0
             )
         self._lose_answer()
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -11,7 +11,7 @@
 from chivejunction.coordination import idempotency
 from chivejunction.protocol import messages
 from chivejunction.protocol import verdicts
-from chivejunction.transport import store_client
+from chivejunction.transport import stores
 from tests import test_attempts
 
 
@@ -42,9 +42,7 @@
         if (entry.revision if entry else 0) != expected:
             raise errors.StoreConflict(key)
         self.revision += 1
-        self.entries[key] = store_client.Entry(
-            key, value, self.revision, lease
-        )
+        self.entries[key] = stores.Entry(key, value, self.revision, lease)
         if fault == 'lost after':
             raise errors.StoreResultUnknown('lost')
         return self.revision
