Place attempts by the estimated work of all gateways

Cause: prompts read by the largest tier take up to seconds of an engine; each gateway saw only its own sixth of the load, so queues built at some servers while others idled (first byte of the smallest tier p50 0.8 s). Change: each gateway tells the others by datagram what work of its own waits at each server and which prompt beginnings servers read; choice by least estimated time. Streams are left at busy servers that answer others.

--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -2,27 +2,29 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 import xxhash
 
 from chivejunction import clock
 from chivejunction.protocol import forwarding
 from chivejunction.state import backends
+from chivejunction.state import backlogs
 from chivejunction.state import limits
-
-# Shared prompt tokens from which a server in another region that holds them
-# beats one nearby that has to read them: about the time of a round trip
-# between regions (60 ms) at the reading speed of the engines (61 a ms).
-FAR_AFFINITY_TOKENS = 4000
-# Attempts beyond the mean of the pool that a server takes for its prompts.
-AFFINITY_SLACK = 3.0
-AFFINITY_FACTOR = 1.6
-# Weights of the estimate, in attempts that run already.
-FAR_WEIGHT = 4.0
-FAULT_WEIGHT = 12.0
-LATENCY_WEIGHT = 4.0
-# Recent share of failures from which prompts go to the next server.
-FAULTY_SHARE = 0.3
+from chivejunction.state import prompt_holdings
+
+# Estimates are in seconds. A server in another region costs the round trip
+# and the bytes that are paid for there.
+FAR_SECONDS = 0.2
+FAR_SECONDS_PLAIN = 0.12
+# Seconds for each attempt in progress: its tokens slow the others down.
+RUNNING_SECONDS = 0.01
+# A plain service works on one request in each slot.
+SLOT_SECONDS = 0.06
+FAULT_SECONDS = 3.0
+# Gateways agree on a server for a prompt that nobody holds yet, unless it
+# has this much more work than another.
+AGREED_SECONDS = 0.08
 # Part of a server's connections that one gateway leaves to the others.
 CONNECTION_SHARE = 0.9
 
@@ -33,31 +35,38 @@
 
     Attributes:
         service: Service that it belongs to.
+        model: Model that answers; empty for a plain service.
         regions: Regions that may serve; empty for all.
-        affinity: Key of the shared prompt parts; empty without any.
-        affinity_tokens: Tokens of the shared parts.
+        prefixes: Shared beginnings of the prompt, see ``list_prefixes``.
+        tokens: Tokens of the whole prompt.
         tried: Instances that were tried already.
         is_version_allowed: Tells whether a software version may be used.
-        is_urgent: Whether it may use the last free room.
     """
 
     service: str
+    model: str = ''
     regions: frozenset[str] = frozenset()
-    affinity: str = ''
-    affinity_tokens: int = 0
+    prefixes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    tokens: int = 0
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
 
 
-def make_affinity(
-    prompt: tuple[forwarding.PromptPart, ...], model: str
-) -> tuple[str, int]:
-    """Returns the key and the tokens of a prompt's shared parts."""
-    shared = prompt[:-1]
-    if not shared:
-        return '', 0
-    key = '/'.join([model, *(part.id for part in shared)])
-    return key, sum(part.tokens for part in shared)
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """A chosen server.
+
+    Attributes:
+        backend: The server.
+        seconds: Estimated work of the attempt there.
+        wait: Estimated work that is before it.
+        held_tokens: Prompt tokens that the server is thought to hold.
+    """
+
+    backend: backends.Backend
+    seconds: float
+    wait: float
+    held_tokens: int
 
 
 def rank(key: str, instance: str) -> int:
@@ -66,13 +75,15 @@
 
 
 class BackendSelector:
-    """Chooses servers by health, region, cached prompts and load.
+    """Chooses the server with the least estimated time to the first byte.
 
     Args:
         table: Backend servers.
         region: Region of this gateway.
         count_gateways: Returns the number of gateways at work.
-        count_connections: Returns this gateway's connections to a server.
+        work: Work that waits at servers.
+        speeds: Reading speeds of the models.
+        holdings: Prompt beginnings that servers hold.
     """
 
     def __init__(
@@ -80,12 +91,16 @@
         table: backends.BackendTable,
         region: str,
         count_gateways: Callable[[], int],
-        count_connections: Callable[[str], int],
+        work: backlogs.Backlogs,
+        speeds: backlogs.ReadingSpeeds,
+        holdings: prompt_holdings.PromptHoldings,
     ):
         self._table = table
         self._region = region
         self._count_gateways = count_gateways
-        self._count_connections = count_connections
+        self._work = work
+        self._speeds = speeds
+        self._holdings = holdings
 
     def list_candidates(
         self, wish: Wish, service: forwarding.BackendService
@@ -111,45 +126,50 @@
 
     def choose(
         self, wish: Wish, service: forwarding.BackendService
-    ) -> backends.Backend | None:
+    ) -> Choice | None:
         """Returns a server for an attempt, None if none may be used."""
         candidates = self.list_candidates(wish, service)
         if not candidates:
             return None
-        chosen = None
-        if wish.affinity:
-            chosen = self._choose_by_prompt(wish, candidates)
-        if chosen is None:
-            chosen = min(candidates, key=self._estimate)
-        self._take_cold(chosen)
-        return chosen
-
-    def _choose_by_prompt(self, wish, candidates):
-        mean = sum(b.running for b in candidates) / len(candidates)
-        bound = AFFINITY_FACTOR * mean + AFFINITY_SLACK
-        near = [b for b in candidates if b.region == self._region]
-        pool = candidates
-        if near and wish.affinity_tokens < FAR_AFFINITY_TOKENS:
-            pool = near
-        fit = [
-            b
-            for b in pool
-            if b.running <= bound and b.error_share < FAULTY_SHARE
-        ]
-        if not fit:
-            return None
-        return max(fit, key=lambda b: rank(wish.affinity, b.instance))
-
-    def _estimate(self, backend: backends.Backend) -> float:
-        far = FAR_WEIGHT * (backend.region != self._region)
-        return (
-            far
-            + backend.running * 8 / max(1, backend.slots)
-            + FAULT_WEIGHT * backend.error_share
-            + LATENCY_WEIGHT * min(2.0, backend.latency)
-            # Breaks ties differently at each gateway.
-            + rank(self._region, backend.instance) / 2**66
-        )
+        waits = self._work.estimate()
+        agreed = None
+        if wish.prefixes:
+            key = wish.prefixes[-1][0]
+            agreed = max(candidates, key=lambda b: rank(key, b.instance))
+        best, best_cost = None, math.inf
+        for backend in candidates:
+            choice = self._make_choice(wish, backend, waits)
+            cost = self._estimate(wish, choice)
+            if backend is agreed:
+                cost -= AGREED_SECONDS
+            if cost < best_cost:
+                best, best_cost = choice, cost
+        self._take_cold(best.backend)
+        return best
+
+    def _make_choice(self, wish, backend, waits) -> Choice:
+        wait = waits.get(backend.instance, 0.0)
+        if not wish.model:
+            return Choice(backend, 0.0, wait, 0)
+        held = self._holdings.count_held(backend.instance, wish.prefixes)
+        tokens = max(0, wish.tokens - held)
+        seconds = self._speeds.estimate(wish.model, tokens)
+        return Choice(backend, seconds, wait, held)
+
+    def _estimate(self, wish: Wish, choice: Choice) -> float:
+        """Returns the estimated cost of a choice in seconds."""
+        backend = choice.backend
+        cost = choice.wait + choice.seconds
+        cost += FAULT_SECONDS * backend.error_share
+        is_far = backend.region != self._region
+        if wish.model:
+            cost += RUNNING_SECONDS * backend.running
+            cost += FAR_SECONDS * is_far
+        else:
+            cost += SLOT_SECONDS * backend.running / backend.slots
+            cost += FAR_SECONDS_PLAIN * is_far
+        # Breaks ties, differently at each gateway.
+        return cost + rank(self._region, backend.instance) / 2**74
 
     def _has_connection(self, backend, service) -> bool:
         share = service.max_connections * CONNECTION_SHARE
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -11,13 +11,16 @@
 from chivejunction import metrics
 from chivejunction.coordination import backend_selection
 from chivejunction.coordination import forwarding
+from chivejunction.coordination import hints
 from chivejunction.coordination import members
 from chivejunction.coordination import mirrors
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.state import backends
+from chivejunction.state import backlogs
 from chivejunction.state import budgets
 from chivejunction.state import freshness
+from chivejunction.state import prompt_holdings
 from chivejunction.state import route_tables
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
@@ -41,6 +44,7 @@
         front: IP address and port for callers.
         ready: IP address and port that tell whether it is ready.
         metrics: IP address and port of the metrics.
+        hints: IP address and port for hints from other gateways.
         key_seconds: Age of the configuration up to which keys are honoured.
         grace_seconds: Seconds from SIGTERM to the end.
         retry_share: Extra attempts for each request, all gateways together.
@@ -54,6 +58,7 @@
     front: tuple[str, int]
     ready: tuple[str, int]
     metrics: tuple[str, int]
+    hints: tuple[str, int]
     key_seconds: float
     grace_seconds: float
     retry_share: float
@@ -85,7 +90,18 @@
         self.table: route_tables.RouteTable | None = None
         self.backends = backends.BackendTable()
         self.moves = version_moves.VersionMoves(store, describe_move)
-        self.members = members.Members(store, options.name)
+        self.members = members.Members(store, options.name, options.hints)
+        self._work = backlogs.Backlogs()
+        self._speeds = backlogs.ReadingSpeeds()
+        self._holdings = prompt_holdings.PromptHoldings()
+        self._hints = hints.Hints(
+            options.name,
+            options.hints,
+            self.members,
+            self._work,
+            self._holdings,
+            self._find_memory,
+        )
         self.proof = freshness.Freshness(options.key_seconds)
         self._pool = backend_connections.ConnectionPool()
         self._budget = budgets.WindowedBudget(
@@ -97,7 +113,9 @@
             self.backends,
             options.region,
             self.members.count,
-            self._pool.count_open,
+            self._work,
+            self._speeds,
+            self._holdings,
         )
         self._forwarder = forwarding.Forwarder(
             lambda: self.table,
@@ -108,6 +126,10 @@
             self.proof,
             self._budget,
             self.moves,
+            self._work,
+            self._speeds,
+            self._holdings,
+            self._hints,
         )
         self._front = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
@@ -125,6 +147,13 @@
             lambda: min(self.proof.age, 1e6),
         )
 
+    def _find_memory(self, instance: str) -> int:
+        backend = self.backends.get(instance)
+        if backend is None or self.table is None:
+            return 0
+        service = self.table.services.get(backend.service)
+        return service.cache_tokens if service else 0
+
     def _get_limits(self) -> protocol.CallerLimits:
         return self.table.limits if self.table else protocol.CallerLimits()
 
@@ -201,6 +230,7 @@
             group.start_soon(mirror.run)
             group.start_soon(self.members.run)
             group.start_soon(self.moves.run)
+            group.start_soon(self._hints.run)
             group.start_soon(self._tidy)
             group.start_soon(self._serve_ready)
             group.start_soon(self._serve_metrics)
@@ -233,6 +263,7 @@
                 self._gone.append(backend.instance)
             gone, self._gone = self._gone, []
             for instance in gone:
+                self._holdings.forget(instance)
                 await self._pool.close_instance(instance)
             await self._pool.close_expired()
             self._budget.allowance = (
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -12,14 +12,17 @@
 from chivejunction import logs
 from chivejunction import metrics
 from chivejunction.coordination import backend_selection
+from chivejunction.coordination import hints
 from chivejunction.coordination import tier_choice
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import refusals
 from chivejunction.protocol import sse
 from chivejunction.protocol import verdicts
 from chivejunction.state import backends
+from chivejunction.state import backlogs
 from chivejunction.state import budgets
 from chivejunction.state import freshness
+from chivejunction.state import prompt_holdings
 from chivejunction.state import route_tables
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
@@ -33,12 +36,15 @@
 WAIT_STEP_SECONDS = 0.02
 # Silence, in parts of the objective, after which a repeatable request moves
 # to another server: of a server that answers nobody, and of a busy one.
-SILENT_SHARE = 0.4
-BUSY_SHARE = 0.9
+SILENT_SHARE = 0.5
+BUSY_SHARE = 1.2
+# A server that was heard of within this time is busy rather than dead.
+ALIVE_SECONDS = 0.7
 PLAIN_SHARE = 0.55
 # Pause between events, in parts of the longest one on time, after which a
 # stream goes on at another server.
 GAP_SHARE = 0.7
+LONG_GAP_SHARE = 2.0
 MIN_GAP_SECONDS = 0.5
 # A connection that was idle for longer may have been dropped by the server
 # without notice; a request that must not run twice does not risk it.
@@ -100,6 +106,10 @@
         kept: Failure of a server to pass on if nothing better comes.
         first_byte_at: Monotonic time of the first byte passed on.
         reason: Why the latest attempt failed.
+        confidence: The latest model's opinion of its answer, or None.
+        wish: What the latest server had to offer.
+        choice: The latest server.
+        work: Number of the latest attempt's work.
     """
 
     request: forwarding.ForwardRequest
@@ -116,6 +126,10 @@
     kept: KeptAnswer | None = None
     first_byte_at: float = 0.0
     reason: str = ''
+    confidence: float | None = None
+    wish: backend_selection.Wish | None = None
+    choice: backend_selection.Choice | None = None
+    work: int = 0
 
     @property
     def may_repeat(self) -> bool:
@@ -157,6 +171,10 @@
         proof: Age of the configuration.
         budget: Extra attempts of this gateway.
         moves: Versions that may be used and their results.
+        work: Work that waits at servers.
+        speeds: Reading speeds of the models.
+        holdings: Prompt beginnings that servers hold.
+        peers: Tells the other gateways of this one's work.
     """
 
     def __init__(
@@ -169,6 +187,10 @@
         proof: freshness.Freshness,
         budget: budgets.WindowedBudget,
         moves,
+        work: backlogs.Backlogs,
+        speeds: backlogs.ReadingSpeeds,
+        holdings: prompt_holdings.PromptHoldings,
+        peers: hints.Hints,
     ):
         self._get_table = get_table
         self._table = table
@@ -178,6 +200,10 @@
         self._proof = proof
         self._budget = budget
         self._moves = moves
+        self._work = work
+        self._speeds = speeds
+        self._holdings = holdings
+        self._hints = peers
         self._heard_at: dict[str, float] = {}
 
     async def handle(
@@ -256,13 +282,13 @@
         self._budget.add_request()
         step = Step.RETRY
         while step in (Step.RETRY, Step.ESCALATE):
-            backend = await self._find_backend(trip)
-            if backend is None:
+            choice = await self._find_backend(trip)
+            if choice is None:
                 break
             if trip.sends and not self._budget.take():
                 trip.reason = trip.reason or 'no retry budget'
                 break
-            step = await self._attempt(trip, backend)
+            step = await self._attempt(trip, choice)
             if step is Step.RETRY and not self._may_go_on(trip):
                 break
         if step is not Step.DONE:
@@ -281,44 +307,56 @@
         if trip.organisation and trip.organisation.regions:
             own = trip.organisation.regions
             regions = (regions & own or frozenset(['-'])) if regions else own
-        affinity, tokens = '', 0
+        model, prefixes = '', []
+        if trip.route.is_stream:
+            model = trip.tier.model or trip.request.model
         if trip.route.has_affinity:
-            affinity, tokens = backend_selection.make_affinity(
-                trip.request.prompt, trip.tier.model
+            prefixes = prompt_holdings.list_prefixes(
+                trip.request.prompt, model
             )
         return backend_selection.Wish(
             service=trip.service.name,
+            model=model,
             regions=regions,
-            affinity=affinity,
-            affinity_tokens=tokens,
+            prefixes=prefixes,
+            tokens=trip.request.input_tokens,
             tried=frozenset(trip.tried),
             is_version_allowed=self._moves.choose_versions(
                 trip.service.name, find_session(trip.request)
             ),
         )
 
-    async def _find_backend(self, trip: Trip) -> backends.Backend | None:
+    async def _find_backend(
+        self, trip: Trip
+    ) -> backend_selection.Choice | None:
         """Waits a moment for a server with room."""
         wish = self._make_wish(trip)
         give_up = clock.make_deadline(WAIT_SHARE * trip.route.objective)
         while True:
             found = self._selector.choose(wish, trip.service)
             if found is not None:
+                trip.wish = wish
                 return found
             if clock.has_passed(give_up):
                 trip.reason = trip.reason or 'no server with room'
                 return None
             await anyio.sleep(WAIT_STEP_SECONDS)
 
-    async def _attempt(self, trip: Trip, backend: backends.Backend) -> Step:
+    async def _attempt(
+        self, trip: Trip, choice: backend_selection.Choice
+    ) -> Step:
         """Makes one attempt and tells what follows it."""
         started_at = clock.now()
+        backend = choice.backend
+        trip.choice = choice
         backend.running += 1
+        work = self._start_work(trip, choice)
         connection = None
         is_kept = False
         outcome = 'cancelled'
         try:
             connection = await self._connect(trip, backend)
+            trip.work = work
             step, idle = await self._exchange(trip, backend, connection)
             outcome = step.value
             if step is not Step.ESCALATE and connection.is_reusable():
@@ -337,6 +375,7 @@
             return Step.RETRY
         finally:
             backend.running -= 1
+            self._end_work(work)
             if connection is not None and not is_kept:
                 with anyio.CancelScope(shield=True):
                     await self._pool.discard(backend.instance, connection)
@@ -350,12 +389,35 @@
                 version=backend.version,
                 model=trip.tier.model,
                 running=backend.running,
+                estimated_wait=round(choice.wait, 3),
+                estimated_work=round(choice.seconds, 3),
+                held_tokens=choice.held_tokens,
                 error_share=round(backend.error_share, 3),
                 attempt=trip.sends,
                 outcome=outcome,
+                confidence=trip.confidence,
                 seconds=round(clock.now() - started_at, 4),
             )
 
+    def _start_work(self, trip, choice) -> int:
+        """Tells the other gateways what this attempt costs its server."""
+        wish, instance = trip.wish, choice.backend.instance
+        if not wish.model:
+            return 0
+        if wish.prefixes and trip.service.cache_tokens:
+            if choice.held_tokens < wish.prefixes[-1][1]:
+                self._hints.add_prefixes(instance, wish.prefixes)
+            self._holdings.add(
+                instance, wish.prefixes, trip.service.cache_tokens
+            )
+        number = self._work.start(instance, choice.seconds)
+        self._hints.notify()
+        return number
+
+    def _end_work(self, number: int) -> None:
+        self._work.end(number)
+        self._hints.notify()
+
     async def _connect(self, trip, backend):
         is_once = trip.route.repeat is forwarding.Repeat.NEVER
         max_idle = SAFE_IDLE_SECONDS if is_once else 3600.0
@@ -427,6 +489,7 @@
     async def _read_answer(self, trip, backend, connection):
         sent_at = clock.now()
         head = await self._read_head(trip, backend, connection, sent_at)
+        trip.confidence = head.confidence
         if head.has_not_run:
             if head.status == 421:
                 backend.paused_until = clock.make_deadline(1.0)
@@ -483,15 +546,43 @@
         objective = trip.route.objective
         if not trip.route.is_stream:
             limit = sent_at + PLAIN_SHARE * objective
-        else:
-            limit = sent_at + BUSY_SHARE * objective
-            heard = self._heard_at.get(backend.instance, 0.0)
-            if clock.now() - heard > SILENT_SHARE * objective:
-                limit = sent_at + 2 * SILENT_SHARE * objective
-        with anyio.move_on_at(limit):
-            return await read()
+            with anyio.move_on_at(limit):
+                return await read()
+            raise AttemptFailed('silent', MAY_HAVE_RUN)
+        return await self._wait_while_alive(
+            backend,
+            read,
+            sent_at + SILENT_SHARE * objective,
+            sent_at + BUSY_SHARE * objective,
+        )
+
+    async def _wait_while_alive(self, backend, read, earliest, latest):
+        """Reads, for longer from a server that answers other requests.
+
+        Args:
+            backend: The server.
+            read: Coroutine function that reads.
+            earliest: Monotonic time up to which any silence is fine.
+            latest: Monotonic time at which the wait ends in any case.
+
+        Raises:
+            AttemptFailed: The server stayed silent.
+        """
+        until = min(earliest, latest)
+        while True:
+            # A read that is cut short loses nothing; the next goes on.
+            with anyio.move_on_at(until):
+                return await read()
+            now = clock.now()
+            if now >= latest or not self._is_alive(backend):
+                break
+            until = min(latest, now + ALIVE_SECONDS / 2)
         raise AttemptFailed('silent', MAY_HAVE_RUN)
 
+    def _is_alive(self, backend: backends.Backend) -> bool:
+        heard_at = self._heard_at.get(backend.instance, 0.0)
+        return clock.now() - heard_at < ALIVE_SECONDS
+
     async def _read_body(self, trip, connection) -> bytes:
         parts = []
         try:
@@ -519,7 +610,9 @@
         gap = max(MIN_GAP_SECONDS, GAP_SHARE * trip.route.event_gap)
         is_first = True
         while True:
-            data = await self._read_event_data(trip, connection, gap, is_first)
+            data = await self._read_event_data(
+                trip, backend, connection, gap, is_first
+            )
             if data is None:
                 break
             self._heard_at[backend.instance] = clock.now()
@@ -532,21 +625,23 @@
             raise AttemptFailed('stream ended inside an event', MAY_HAVE_RUN)
         await trip.reply.finish()
 
-    async def _read_event_data(self, trip, connection, gap, is_first):
+    async def _read_event_data(self, trip, backend, connection, gap, is_first):
         can_move = (
             trip.route.repeat is forwarding.Repeat.RESUME
             and trip.sends < trip.route.max_attempts
         )
+        now = clock.now()
+        latest = now + LONG_GAP_SHARE * trip.route.event_gap
         if is_first:
-            gap = max(gap, BUSY_SHARE * trip.route.objective)
+            latest = max(latest, now + BUSY_SHARE * trip.route.objective)
         try:
             if not can_move:
                 return await connection.read_data()
-            with anyio.move_on_after(gap):
-                return await connection.read_data()
+            return await self._wait_while_alive(
+                backend, connection.read_data, now + gap, latest
+            )
         except (errors.TransportError, errors.ProtocolError) as exc:
             raise AttemptFailed(f'cut: {exc}', MAY_HAVE_RUN) from exc
-        raise AttemptFailed('stream paused', MAY_HAVE_RUN)
 
     async def _pass_event(self, trip, head, number, event) -> None:
         last = trip.resume_after
@@ -566,6 +661,11 @@
 
     def _note_success(self, trip, backend, sent_at) -> None:
         seconds = clock.now() - sent_at
+        choice = trip.choice
+        if trip.wish.model:
+            self._end_work(trip.work)
+            tokens = trip.request.input_tokens - choice.held_tokens
+            self._speeds.record(trip.wish.model, tokens, seconds)
         backend.note_success(seconds / trip.route.objective)
         self._moves.record(
             trip.service.name,
--- a/chivejunction/coordination/members.py
+++ b/chivejunction/coordination/members.py
@@ -1,10 +1,13 @@
 """Gateways at work, as they list themselves in the store."""
 
+import json
+
 import anyio
 
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import rendezvous
 from chivejunction.transport import stores
 
 PREFIX = 'chivejunction/members/'
@@ -22,24 +25,43 @@
     Args:
         store: Store with the list.
         name: Name of this gateway.
+        address: IP address and port for hints from the others.
     """
 
-    def __init__(self, store: stores.Store, name: str):
+    def __init__(
+        self, store: stores.Store, name: str, address: tuple[str, int]
+    ):
         self._store = store
         self._name = name
-        self._names: set[str] = set()
+        self._address = address
+        self._addresses: dict[str, tuple[str, int]] = {}
 
     def count(self) -> int:
         """Returns the number of gateways at work, this one included."""
-        return len(self._names) or ASSUMED_GATEWAYS
+        return len(self._addresses) or ASSUMED_GATEWAYS
 
     def apply(self, change: stores.Change) -> None:
         """Takes a change of the list."""
         name = change.key[len(PREFIX) :]
         if change.entry is None:
-            self._names.discard(name)
-        else:
-            self._names.add(name)
+            self._addresses.pop(name, None)
+            return
+        try:
+            address, port = json.loads(change.entry.value)
+        except (ValueError, TypeError) as exc:
+            raise errors.ProtocolError(f'member {name}: {exc}') from exc
+        self._addresses[name] = (str(address), int(port))
+
+    def list_addresses(self, most: int) -> list[tuple[str, int]]:
+        """Returns addresses of other gateways.
+
+        Args:
+            most: Limit; beyond it the ones closest by rendezvous hashing.
+        """
+        others = [name for name in self._addresses if name != self._name]
+        if len(others) > most:
+            others = rendezvous.rank_hosts(self._name, others)[:most]
+        return [self._addresses[name] for name in others]
 
     async def run(self) -> None:
         """Keeps this gateway listed until cancelled."""
@@ -60,8 +82,9 @@
         key = PREFIX + self._name
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = await self._store.get(key)
+        value = json.dumps(self._address).encode()
         await self._store.swap(
-            key, b'{}', entry.revision if entry else 0, lease
+            key, value, entry.revision if entry else 0, lease
         )
         return lease
 
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -44,6 +44,7 @@
         front=settings.split_address(found.listen.front),
         ready=settings.split_address(found.listen.ready),
         metrics=(found.ip, METRICS_PORT),
+        hints=(found.ip, found.internal_ports[0]),
         key_seconds=KEY_SHARE * bounds.revoke_ms / 1000,
         grace_seconds=bounds.grace_period_s,
         retry_share=RETRY_SHARE * bounds.retry_budget_ratio,
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -73,6 +73,7 @@
     zones: dict[str, str] = {}
     ip: str
     listen: Listen
+    internal_ports: tuple[int, int]
     limits: Resources = Resources()
     bounds: Bounds = Bounds()
     platform: StoreSettings
