Judge versions against estimates, and faults against the pool

Cause: a good version was reverted at full share: its first bytes came late because its servers held no prompts yet, not because it was slow; calls of plain services went to other regions since a service that fails a seventh of its calls anywhere counted as faulty here. Ruled out: errors of the new version (3 of 35, below the bound).

--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -21,7 +21,7 @@
 RUNNING_SECONDS = 0.01
 # A plain service works on one request in each slot.
 SLOT_SECONDS = 0.06
-FAULT_SECONDS = 3.0
+FAULT_SECONDS = 1.0
 # Gateways agree on a server for a prompt that nobody holds yet, unless it
 # has this much more work than another.
 AGREED_SECONDS = 0.08
@@ -132,6 +132,7 @@
         if not candidates:
             return None
         waits = self._work.estimate()
+        usual = sum(b.error_share for b in candidates) / len(candidates)
         agreed = None
         if wish.prefixes:
             key = wish.prefixes[-1][0]
@@ -140,6 +141,7 @@
         for backend in candidates:
             choice = self._make_choice(wish, backend, waits)
             cost = self._estimate(wish, choice)
+            cost += FAULT_SECONDS * max(0.0, backend.error_share - usual)
             if backend is agreed:
                 cost -= AGREED_SECONDS
             if cost < best_cost:
@@ -160,7 +162,6 @@
         """Returns the estimated cost of a choice in seconds."""
         backend = choice.backend
         cost = choice.wait + choice.seconds
-        cost += FAULT_SECONDS * backend.error_share
         is_far = backend.region != self._region
         if wish.model:
             cost += RUNNING_SECONDS * backend.running
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -37,9 +37,9 @@
 # Silence, in parts of the objective, after which a repeatable request moves
 # to another server: of a server that answers nobody, and of a busy one.
 SILENT_SHARE = 0.5
-BUSY_SHARE = 1.2
+BUSY_SHARE = 2.0
 # A server that was heard of within this time is busy rather than dead.
-ALIVE_SECONDS = 0.7
+ALIVE_SECONDS = 1.0
 PLAIN_SHARE = 0.55
 # Pause between events, in parts of the longest one on time, after which a
 # stream goes on at another server.
@@ -52,6 +52,10 @@
 # Retry-After of a refusal: a spread keeps callers from returning together.
 RETRY_AFTER_SECONDS = (0.3, 1.2)
 RETRY_AFTER_SHARE = 0.3
+# Attempts before which more work than this waits tell nothing about the speed
+# of a version; the slack covers a round trip between regions.
+MAX_JUDGED_WAIT_SECONDS = 0.1
+SLACK_SECONDS = 0.08
 # A body up to this size fits any connection's window, so that sending it
 # cannot block.
 SMALL_BODY_BYTES = 4096
@@ -671,8 +675,7 @@
             trip.service.name,
             backend.version,
             True,
-            seconds if trip.tier.index == 0 else None,
-            trip.request.input_tokens,
+            find_slowness(seconds, choice, trip.route),
         )
 
     async def _fail(self, trip: Trip) -> None:
@@ -738,6 +741,22 @@
         )
 
 
+def find_slowness(
+    seconds: float,
+    choice: backend_selection.Choice,
+    route: forwarding.Route,
+) -> float | None:
+    """Returns the time to the first byte relative to its estimate.
+
+    Returns:
+        The ratio; None when most of the time may have been a queue.
+    """
+    if choice.wait > MAX_JUDGED_WAIT_SECONDS:
+        return None
+    usual = choice.seconds if choice.seconds else route.objective / 4
+    return seconds / (SLACK_SECONDS + choice.wait + usual)
+
+
 def find_first(group: BaseExceptionGroup) -> BaseException:
     """Returns the first exception inside nested exception groups."""
     first = group.exceptions[0]
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -83,9 +83,12 @@
     async def run(self) -> None:
         """Sends and receives until cancelled."""
         address, port = self._address
-        async with await anyio.create_udp_socket(
-            family=socket.AF_INET, local_host=address, local_port=port
-        ) as udp, anyio.create_task_group() as group:
+        async with (
+            await anyio.create_udp_socket(
+                family=socket.AF_INET, local_host=address, local_port=port
+            ) as udp,
+            anyio.create_task_group() as group,
+        ):
             group.start_soon(self._receive, udp)
             await self._send_all(udp)
 
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -65,13 +65,11 @@
 MIN_BAD = 3
 BAD_SHARE = 0.2
 BAD_RATIO = 3.0
-# First bytes in units of the time that an idle engine would need.
-MIN_TIMES = 6
-SLOW_FACTOR = 2.0
+# Times to the first byte relative to their estimates; bad versions are
+# several times slower (the platform's page on rollouts).
+MIN_TIMES = 8
+SLOW_FACTOR = 3.0
 SLOW_RATIO = 3.0
-ENGINE_BASE_SECONDS = 0.05
-# Reading speed of the engines in tokens a second (users' sheets).
-ENGINE_TOKENS_PER_SECOND = 61_200.0
 # A session that was seen within this time keeps its version.
 SESSION_SECONDS = 10.0
 MAX_SESSIONS = 20_000
@@ -297,8 +295,7 @@
         service: str,
         version: str,
         is_good: bool,
-        seconds: float | None = None,
-        tokens: int = 0,
+        factor: float | None = None,
     ) -> None:
         """Takes the result of an attempt.
 
@@ -306,13 +303,9 @@
             service: Service of the server.
             version: Its software version.
             is_good: Whether it answered well.
-            seconds: Time to the first byte, None if it tells nothing.
-            tokens: Prompt tokens of the request.
+            factor: Time to the first byte relative to the estimate, None if
+                it tells nothing.
         """
-        factor = None
-        if seconds is not None:
-            usual = ENGINE_BASE_SECONDS + tokens / ENGINE_TOKENS_PER_SECOND
-            factor = seconds / usual
         results = self._results.setdefault((service, version), Results())
         results.add(is_good, factor)
         move = self._moves.get(service)
