--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -22,6 +22,9 @@
 # A plain service works on one request in each slot.
 SLOT_SECONDS = 0.06
 FAULT_SECONDS = 1.0
+# Reading a part again that another server holds is priced beyond the time
+# of the engine: 13,300 tokens cost about as much as bytes between regions.
+REREAD_SECONDS_PER_TOKEN = 0.2 / 13_300
 # Gateways agree on a server for a prompt that nobody holds yet, unless it
 # has this much more work than another.
 AGREED_SECONDS = 0.08
@@ -137,10 +140,14 @@
         if wish.prefixes:
             key = wish.prefixes[-1][0]
             agreed = max(candidates, key=lambda b: rank(key, b.instance))
+        choices = [self._make_choice(wish, b, waits) for b in candidates]
+        most_held = max(choice.held_tokens for choice in choices)
         best, best_cost = None, math.inf
-        for backend in candidates:
-            choice = self._make_choice(wish, backend, waits)
+        for choice in choices:
+            backend = choice.backend
             cost = self._estimate(wish, choice)
+            missed = most_held - choice.held_tokens
+            cost += REREAD_SECONDS_PER_TOKEN * missed
             cost += FAULT_SECONDS * max(0.0, backend.error_share - usual)
             if backend is agreed:
                 cost -= AGREED_SECONDS
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -104,11 +104,6 @@
         )
         self.proof = freshness.Freshness(options.key_seconds)
         self._pool = backend_connections.ConnectionPool()
-        self._budget = budgets.WindowedBudget(
-            options.retry_share,
-            options.retry_allowance / members.ASSUMED_GATEWAYS,
-            options.retry_window,
-        )
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -124,7 +119,7 @@
             self._pool,
             wire,
             self.proof,
-            self._budget,
+            self._make_budget,
             self.moves,
             self._work,
             self._speeds,
@@ -147,6 +142,16 @@
             lambda: min(self.proof.age, 1e6),
         )
 
+    def _find_allowance(self) -> float:
+        return self._options.retry_allowance / self.members.count()
+
+    def _make_budget(self) -> budgets.WindowedBudget:
+        return budgets.WindowedBudget(
+            self._options.retry_share,
+            self._find_allowance(),
+            self._options.retry_window,
+        )
+
     def _find_memory(self, instance: str) -> int:
         backend = self.backends.get(instance)
         if backend is None or self.table is None:
@@ -266,9 +271,7 @@
                 self._holdings.forget(instance)
                 await self._pool.close_instance(instance)
             await self._pool.close_expired()
-            self._budget.allowance = (
-                self._options.retry_allowance / self.members.count()
-            )
+            self._forwarder.set_allowance(self._find_allowance())
 
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -41,6 +41,10 @@
 # A server that was heard of within this time is busy rather than dead.
 ALIVE_SECONDS = 1.0
 PLAIN_SHARE = 0.55
+# Longest wait for the answer to a probe, a few round trips between regions.
+PROBE_SECONDS = 0.4
+# A probe must not mistake a forgotten connection for a dead server.
+PROBE_IDLE_SECONDS = 0.5
 # Pause between events, in parts of the longest one on time, after which a
 # stream goes on at another server.
 GAP_SHARE = 0.7
@@ -113,6 +117,7 @@
         confidence: The latest model's opinion of its answer, or None.
         wish: What the latest server had to offer.
         choice: The latest server.
+        next_choice: Server that was chosen for the next attempt already.
         work: Number of the latest attempt's work.
     """
 
@@ -133,6 +138,7 @@
     confidence: float | None = None
     wish: backend_selection.Wish | None = None
     choice: backend_selection.Choice | None = None
+    next_choice: backend_selection.Choice | None = None
     work: int = 0
 
     @property
@@ -173,7 +179,8 @@
         pool: Connections to servers.
         wire: Wire format of callers and servers.
         proof: Age of the configuration.
-        budget: Extra attempts of this gateway.
+        make_budget: Returns the extra attempts of this gateway for a
+            service.
         moves: Versions that may be used and their results.
         work: Work that waits at servers.
         speeds: Reading speeds of the models.
@@ -189,7 +196,7 @@
         pool: backend_connections.ConnectionPool,
         wire: forwarding.WireFormat,
         proof: freshness.Freshness,
-        budget: budgets.WindowedBudget,
+        make_budget: Callable[[], budgets.WindowedBudget],
         moves,
         work: backlogs.Backlogs,
         speeds: backlogs.ReadingSpeeds,
@@ -202,7 +209,8 @@
         self._pool = pool
         self._wire = wire
         self._proof = proof
-        self._budget = budget
+        self._make_budget = make_budget
+        self._budgets: dict[str, budgets.WindowedBudget] = {}
         self._moves = moves
         self._work = work
         self._speeds = speeds
@@ -283,15 +291,19 @@
             )
 
     async def _run(self, trip: Trip) -> None:
-        self._budget.add_request()
+        budget = self._get_budget(trip.service.name)
+        budget.add_request()
         step = Step.RETRY
         while step in (Step.RETRY, Step.ESCALATE):
-            choice = await self._find_backend(trip)
+            # An escalation has chosen its server and paid already.
+            choice, trip.next_choice = trip.next_choice, None
             if choice is None:
-                break
-            if trip.sends and not self._budget.take():
-                trip.reason = trip.reason or 'no retry budget'
-                break
+                choice = await self._find_backend(trip)
+                if choice is None:
+                    break
+                if trip.sends and not budget.take():
+                    trip.reason = trip.reason or 'no retry budget'
+                    break
             step = await self._attempt(trip, choice)
             if step is Step.RETRY and not self._may_go_on(trip):
                 break
@@ -306,14 +318,15 @@
             and clock.remaining(trip.deadline) > MIN_LEFT_SECONDS
         )
 
-    def _make_wish(self, trip: Trip) -> backend_selection.Wish:
+    def _make_wish(self, trip: Trip, model: str) -> backend_selection.Wish:
+        """Returns what a server has to offer for an attempt by a model."""
         regions = trip.route.regions
         if trip.organisation and trip.organisation.regions:
             own = trip.organisation.regions
             regions = (regions & own or frozenset(['-'])) if regions else own
-        model, prefixes = '', []
-        if trip.route.is_stream:
-            model = trip.tier.model or trip.request.model
+        prefixes = []
+        if not trip.route.is_stream:
+            model = ''
         if trip.route.has_affinity:
             prefixes = prompt_holdings.list_prefixes(
                 trip.request.prompt, model
@@ -334,7 +347,7 @@
         self, trip: Trip
     ) -> backend_selection.Choice | None:
         """Waits a moment for a server with room."""
-        wish = self._make_wish(trip)
+        wish = self._make_wish(trip, trip.tier.model or trip.request.model)
         give_up = clock.make_deadline(WAIT_SHARE * trip.route.objective)
         while True:
             found = self._selector.choose(wish, trip.service)
@@ -507,10 +520,7 @@
         if not head.is_signed:
             raise AttemptFailed('answer without signature', MAY_HAVE_RUN)
         if trip.route.is_stream:
-            if not trip.reply.has_started and trip.tier.wants_more(
-                head.confidence, trip.request, trip.route
-            ):
-                trip.tier.escalate()
+            if self._escalate(trip, head.confidence):
                 self._note_success(trip, backend, sent_at)
                 trip.verdict = RAN
                 return Step.ESCALATE, idle
@@ -522,6 +532,44 @@
             await trip.reply.answer(head.status, head.headers, body)
         return Step.DONE, idle
 
+    def _escalate(self, trip: Trip, confidence: float | None) -> bool:
+        """Turns to the largest tier if its answer is worth the wait.
+
+        The answer at hand stays where no server of the largest tier would
+        answer in time, or none may be asked any more.
+        """
+        if (
+            trip.reply.has_started
+            or trip.sends >= trip.route.max_attempts
+            or not trip.tier.wants_more(confidence)
+        ):
+            return False
+        wish = self._make_wish(trip, trip.tier.largest)
+        choice = self._selector.choose(wish, trip.service)
+        if choice is None:
+            return False
+        arrival = clock.now() + choice.wait + choice.seconds
+        if not trip.tier.is_worth(
+            arrival, trip.request.received_at, trip.route.objective
+        ):
+            return False
+        if not self._get_budget(trip.service.name).take():
+            return False
+        trip.tier.escalate()
+        trip.wish, trip.next_choice = wish, choice
+        return True
+
+    def set_allowance(self, allowance: float) -> None:
+        """Changes the extra attempts that need no requests."""
+        for budget in self._budgets.values():
+            budget.allowance = allowance
+
+    def _get_budget(self, service: str) -> budgets.WindowedBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = self._make_budget()
+        return found
+
     async def _read_head(self, trip, backend, connection, sent_at):
         """Returns the head of the answer to this very request."""
         try:
@@ -578,14 +626,50 @@
             with anyio.move_on_at(until):
                 return await read()
             now = clock.now()
-            if now >= latest or not self._is_alive(backend):
+            if now >= latest or not await self._is_alive(backend):
                 break
             until = min(latest, now + ALIVE_SECONDS / 2)
         raise AttemptFailed('silent', MAY_HAVE_RUN)
 
-    def _is_alive(self, backend: backends.Backend) -> bool:
+    async def _is_alive(self, backend: backends.Backend) -> bool:
+        """Tells whether a server that is silent here still answers."""
         heard_at = self._heard_at.get(backend.instance, 0.0)
-        return clock.now() - heard_at < ALIVE_SECONDS
+        if clock.now() - heard_at < ALIVE_SECONDS:
+            return True
+        is_alive = await self._probe(backend)
+        logs.log_decision(
+            'server probed', instance=backend.instance, alive=is_alive
+        )
+        if is_alive:
+            self._heard_at[backend.instance] = clock.now()
+        return is_alive
+
+    async def _probe(self, backend: backends.Backend) -> bool:
+        deadline = clock.make_deadline(PROBE_SECONDS)
+        connection = None
+        try:
+            with anyio.fail_after(PROBE_SECONDS):
+                connection = await self._pool.acquire(
+                    backend.instance,
+                    backend.address,
+                    backend.port,
+                    PROBE_IDLE_SECONDS,
+                    deadline,
+                )
+                host = f'{backend.address}:{backend.port}'.encode()
+                await connection.send(
+                    'GET', self._wire.probe_target, [(b'host', host)], b''
+                )
+                await connection.read_head()
+                while await connection.read_data() is not None:
+                    pass
+        except (TimeoutError, errors.TransportError, errors.ProtocolError):
+            return False
+        finally:
+            if connection is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._pool.discard(backend.instance, connection)
+        return True
 
     async def _read_body(self, trip, connection) -> bytes:
         parts = []
--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -12,7 +12,9 @@
 
 # Longest wait of one poll. Each finished poll proves that nothing newer
 # exists, and a silent connection is noticed soon after it.
-POLL_SECONDS = 1.2
+POLL_SECONDS = 1.5
+# Pause after changes, so that those that follow come in one call.
+GATHER_SECONDS = 0.3
 # Pause after a failed call; spread so that gateways do not return together.
 RETRY_SECONDS = 0.25
 # Silence of the store beyond which entries that went missing may have lapsed
@@ -56,8 +58,10 @@
             try:
                 if not self._is_loaded:
                     await self._load()
-                await self._poll()
+                has_changes = await self._poll()
                 self._note_return()
+                if has_changes:
+                    await anyio.sleep(GATHER_SECONDS)
             except errors.HistoryLost as exc:
                 logs.LOG.warning('history lost, reading all: %s', exc)
                 self._is_loaded = False
@@ -79,7 +83,8 @@
         self._proof.prove(started)
         self.has_loaded.set()
 
-    async def _poll(self) -> None:
+    async def _poll(self) -> bool:
+        """Waits for changes once; returns whether there were any."""
         started = freshness.read_clock()
         changes, after = await self._feed.poll_changes(
             self._prefix, self._after, POLL_SECONDS
@@ -90,6 +95,7 @@
         # An empty answer was made when the wait was over, not before.
         waited = 0.0 if changes else POLL_SECONDS
         self._proof.prove(min(started + waited, freshness.read_clock()))
+        return bool(changes)
 
     def _take(self, change: stores.Change) -> None:
         if change.revision <= self._known.get(change.key, 0):
--- a/chivejunction/coordination/tier_choice.py
+++ b/chivejunction/coordination/tier_choice.py
@@ -7,13 +7,10 @@
 
 import dataclasses
 
-from chivejunction import clock
-from chivejunction.protocol import forwarding
-
 # Confidence below which an answer is asked for again from a larger tier.
 ESCALATION_CONFIDENCE = 0.6
 # Part of the objective after which a larger tier would be late for sure.
-LATEST_SHARE = 1.5
+LATEST_SHARE = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,22 +43,28 @@
         """
         self.index = len(self.tiers) - 1
 
-    def wants_more(
-        self,
-        confidence: float | None,
-        request: forwarding.ForwardRequest,
-        route: forwarding.Route,
-    ) -> bool:
-        """Tells whether an answer should be asked for from a larger tier.
+    @property
+    def largest(self) -> str:
+        """Model of the largest tier, empty without tiers."""
+        return self.tiers[-1] if self.tiers else ''
+
+    def wants_more(self, confidence: float | None) -> bool:
+        """Tells whether an answer is likely to be too poor.
 
         Args:
             confidence: The model's opinion of its answer, 0 to 1, or None.
-            request: The request.
-            route: Its route.
         """
         if self.is_last or confidence is None:
             return False
-        if confidence >= ESCALATION_CONFIDENCE:
-            return False
-        latest = request.received_at + LATEST_SHARE * route.objective
-        return clock.now() < min(latest, request.deadline)
+        return confidence < ESCALATION_CONFIDENCE
+
+    @staticmethod
+    def is_worth(arrival: float, received_at: float, objective: float) -> bool:
+        """Tells whether a larger tier would still answer in time.
+
+        Args:
+            arrival: Monotonic time at which its answer would begin.
+            received_at: Monotonic time of the request.
+            objective: Seconds within which an answer is on time.
+        """
+        return arrival < received_at + LATEST_SHARE * objective
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -80,6 +80,8 @@
 class PlatformFormat(forwarding.WireFormat):
     """Wire format of callers and backend servers on the platform."""
 
+    probe_target = '/v1/report'
+
     def read_request(
         self, method, target, headers, body, received_at
     ) -> forwarding.ForwardRequest:
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -218,7 +218,14 @@
 
 
 class WireFormat(abc.ABC):
-    """Translates between HTTP messages and the types of this module."""
+    """Translates between HTTP messages and the types of this module.
+
+    Attributes:
+        probe_target: Target of a GET that an engine answers at once, however
+            busy it is.
+    """
+
+    probe_target: str
 
     @abc.abstractmethod
     def read_request(
