--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -126,21 +126,11 @@
             self._holdings,
             self._hints,
         )
-        self._front = caller_connections.Listener(
+        self.front = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
         )
         self._is_leaving = False
         self._gone: list[str] = []
-        metrics.make_gauge(
-            'forward_active_requests',
-            'Requests in progress.',
-            lambda: self._front.active,
-        )
-        metrics.make_gauge(
-            'configuration_age_seconds',
-            'Age of the proof that the configuration is the newest.',
-            lambda: min(self.proof.age, 1e6),
-        )
 
     def _find_allowance(self) -> float:
         return self._options.retry_allowance / self.members.count()
@@ -229,6 +219,7 @@
         Args:
             apply: Takes the changes of the store, see ``mirrors.Mirror``.
         """
+        self._register_gauges()
         mirror = mirrors.Mirror(self._feed, '', apply, self.proof)
         async with anyio.create_task_group() as group:
             group.start_soon(self._handle_signals, group.cancel_scope)
@@ -242,8 +233,20 @@
             group.start_soon(self._serve_front)
         logs.LOG.info('stopped', extra={'fields': {'event': 'stop'}})
 
+    def _register_gauges(self) -> None:
+        metrics.make_gauge(
+            'forward_active_requests',
+            'Requests in progress.',
+            lambda: self.front.active,
+        )
+        metrics.make_gauge(
+            'configuration_age_seconds',
+            'Age of the proof that the configuration is the newest.',
+            lambda: min(self.proof.age, 1e6),
+        )
+
     async def _serve_front(self) -> None:
-        await self._front.serve(*self._options.front)
+        await self.front.serve(*self._options.front)
 
     async def _serve_ready(self) -> None:
         async def answer(raw, reply) -> None:
@@ -294,15 +297,15 @@
             self._options.grace_seconds - EXIT_SECONDS
         )
         self._is_leaving = True
-        self._front.is_closing = True
+        self.front.is_closing = True
         logs.LOG.info(
             'stopping with %d requests in progress',
-            self._front.active,
+            self.front.active,
             extra={'fields': {'event': 'stopping'}},
         )
         with anyio.move_on_at(deadline):
             await anyio.sleep(LEAVE_SECONDS)
-            self._front.close_idle()
-            while self._front.active:
+            self.front.close_idle()
+            while self.front.active:
                 await anyio.sleep(0.05)
             await self.members.leave()
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -46,6 +46,7 @@
         self._stream = stream
         self._conn = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._body = b''
         self._is_sent = True
         self.uses = 0
         self.idle_until = 0.0
@@ -69,22 +70,23 @@
         self._request = h11.Request(
             method=method, target=target, headers=headers
         )
+        self._body = body
         self._is_sent = False
         self.uses += 1
-        data = self._start_cycle()
-        if body:
-            data += self._conn.send(h11.Data(data=body))
-        data += self._conn.send(h11.EndOfMessage())
+        if self._conn.our_state is not h11.IDLE:
+            self._conn.start_next_cycle()
+        data = self._write_request()
         try:
             await self._stream.send(data)
         except LOST as exc:
             raise errors.TransportError(f'send failed: {exc!r}') from exc
         self._is_sent = True
 
-    def _start_cycle(self) -> bytes:
-        if self._conn.our_state is not h11.IDLE:
-            self._conn.start_next_cycle()
-        return self._conn.send(self._request)
+    def _write_request(self) -> bytes:
+        data = self._conn.send(self._request)
+        if self._body:
+            data += self._conn.send(h11.Data(data=self._body))
+        return data + self._conn.send(h11.EndOfMessage())
 
     async def _next_event(self):
         while True:
@@ -141,8 +143,7 @@
             raise errors.TransportError('closed after a stray answer')
         rest = self._conn.trailing_data[0]
         self._conn = h11.Connection(h11.CLIENT)
-        self._conn.send(self._request)
-        self._conn.send(h11.EndOfMessage())
+        self._write_request()
         if rest:
             self._conn.receive_data(rest)
 
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -128,9 +128,10 @@
         sock.setblocking(False)
         listener = await abc.SocketListener.from_socket(sock)
         async with listener:
-            await listener.serve(self._serve_stream)
+            await listener.serve(self.serve_stream)
 
-    async def _serve_stream(self, stream: abc.SocketStream) -> None:
+    async def serve_stream(self, stream: abc.SocketStream) -> None:
+        """Answers the requests of one connection."""
         connection = CallerConnection(stream, self)
         self.connections.add(connection)
         try:
--- /dev/null
+++ b/fakes/metadata_store.py
@@ -0,0 +1,248 @@
+"""Metadata store of the users' platform, by its published page."""
+
+import base64
+import time
+
+import anyio
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from fakes import programs
+
+PAGE_ITEMS = 50
+
+
+class MetadataStore:
+    """Store with leases, pages, watches and conditional writes.
+
+    Faults (``POST /faults``): ``down`` answers 503, ``silent`` answers
+    nothing, ``busy`` answers 429, ``lose_answers`` is the number of writes
+    that take effect without an answer, ``delay`` slows each call by seconds.
+    ``PUT /operator/{key}`` writes as the operator and the servers do,
+    ``DELETE`` removes; ``POST /forget`` drops the history.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.items: dict[str, dict] = {}
+        self.history: list[dict] = []
+        self.forgotten = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.calls: dict[str, int] = {}
+        self.faults = {
+            'down': False,
+            'silent': False,
+            'busy': False,
+            'lose_answers': 0,
+            'delay': 0.0,
+        }
+        self._changed = anyio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes a key."""
+        self.revision += 1
+        old = self.items.get(key)
+        self.items[key] = {
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+            'revision': self.revision,
+            'created_at': old['created_at'] if old else self.revision,
+            'lease': lease,
+        }
+        self._record(self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Deletes a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record(
+                {'key': key, 'revision': self.revision, 'deleted': True}
+            )
+
+    def _record(self, event: dict) -> None:
+        self.history.append(event)
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    def forget(self) -> None:
+        """Drops the history."""
+        self.history.clear()
+        self.forgotten = self.revision
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    def expire(self) -> None:
+        """Ends the leases whose time is over."""
+        now = time.monotonic()
+        for lease, (deadline, _) in list(self.leases.items()):
+            if deadline < now:
+                self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> bool:
+        """Ends a lease; returns whether there was one."""
+        if self.leases.pop(lease, None) is None:
+            return False
+        for key, item in list(self.items.items()):
+            if item['lease'] == lease:
+                self.remove(key)
+        return True
+
+    async def expire_forever(self) -> None:
+        """Ends leases until cancelled."""
+        while True:
+            self.expire()
+            await anyio.sleep(0.1)
+
+    async def list(self, query) -> dict:
+        """Answers ``kv-range``."""
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query.get('prefix', ''))
+            and key > query.get('after', '')
+        )
+        return {
+            'items': [self.items[key] for key in keys[:PAGE_ITEMS]],
+            'has_more': len(keys) > PAGE_ITEMS,
+            'store_revision': self.revision,
+        }
+
+    async def watch(self, query) -> tuple[int, dict]:
+        """Answers ``kv-watch``."""
+        after = int(query['after'])
+        prefix = query.get('prefix', '')
+        with anyio.move_on_after(int(query['wait_ms']) / 1000):
+            while True:
+                changed = self._changed
+                if after < self.forgotten:
+                    return 410, {}
+                events = [
+                    event
+                    for event in self.history
+                    if event['revision'] > after
+                    and event['key'].startswith(prefix)
+                ]
+                if events:
+                    break
+                await changed.wait()
+        return 200, {'events': events, 'store_revision': self.revision}
+
+    async def commit(self, value: dict) -> tuple[int, dict]:
+        """Answers ``kv-txn``."""
+        found = []
+        for row in value.get('expected_rev', []):
+            item = self.items.get(row['key'])
+            if (item['revision'] if item else 0) != row['revision']:
+                found.append(item or {'key': row['key'], 'revision': 0})
+        if found:
+            return 412, {'items': found}
+        writes = value.get('writes', [])
+        for row in writes:
+            if row.get('lease') and row['lease'] not in self.leases:
+                return 404, {}
+        for row in writes:
+            self.put(
+                row['key'],
+                base64.b64decode(row['value']),
+                row.get('lease', 0),
+            )
+        for key in value.get('deletes', []):
+            self.remove(key)
+        return 200, {'revision': self.revision}
+
+
+def make_app(store: MetadataStore | None = None) -> applications.Starlette:
+    """Returns the application."""
+    store = store or MetadataStore()
+
+    async def handle(request: requests.Request):
+        call = request.path_params['call']
+        store.calls[call] = store.calls.get(call, 0) + 1
+        await anyio.sleep(store.faults['delay'])
+        if store.faults['silent']:
+            await anyio.sleep(3600)
+        for fault, status in (('down', 503), ('busy', 429)):
+            if store.faults[fault]:
+                return responses.Response(status_code=status)
+        status, value = await answer(request, call)
+        is_write = call in ('kv-txn', 'kv-lease')
+        if is_write and store.faults['lose_answers']:
+            store.faults['lose_answers'] -= 1
+            await anyio.sleep(3600)
+        return responses.JSONResponse(value, status)
+
+    async def answer(request, call):
+        query = request.query_params
+        if call == 'kv-key':
+            item = store.items.get(query['key'])
+            if item is None:
+                return 404, {'store_revision': store.revision}
+            return 200, {**item, 'store_revision': store.revision}
+        if call == 'kv-range':
+            return 200, await store.list(query)
+        if call == 'kv-watch':
+            return await store.watch(query)
+        if call == 'kv-txn':
+            return await store.commit(await request.json())
+        if call == 'kv-lease':
+            return make_lease((await request.json())['ttl_ms'])
+        lease = int(request.path_params['lease'])
+        if call == 'kv-keep':
+            return keep_lease(lease)
+        return (200 if store.end_lease(lease) else 404), {}
+
+    def make_lease(ttl_ms):
+        store.revision += 1
+        seconds = ttl_ms / 1000
+        store.leases[store.revision] = (time.monotonic() + seconds, seconds)
+        return 200, {'lease': store.revision, 'ttl_ms': ttl_ms}
+
+    def keep_lease(lease):
+        store.expire()
+        if lease not in store.leases:
+            return 404, {}
+        seconds = store.leases[lease][1]
+        store.leases[lease] = (time.monotonic() + seconds, seconds)
+        return 200, {'ttl_ms': int(1000 * seconds)}
+
+    async def operate(request: requests.Request):
+        key = request.path_params['key']
+        if request.method == 'PUT':
+            store.put(key, await request.body())
+        else:
+            store.remove(key)
+        return responses.JSONResponse({'revision': store.revision})
+
+    async def show(request: requests.Request):
+        item = store.items.get(request.path_params['key'])
+        if item is None:
+            return responses.Response(status_code=404)
+        return responses.Response(base64.b64decode(item['value']))
+
+    async def set_faults(request: requests.Request):
+        store.faults.update(await request.json())
+        return responses.JSONResponse(store.faults)
+
+    async def forget(request: requests.Request):
+        store.forget()
+        return responses.Response()
+
+    methods = ['GET', 'POST', 'DELETE']
+    return applications.Starlette(
+        routes=[
+            routing.Route('/v1/{call}', handle, methods=methods),
+            routing.Route('/v1/{call}/{lease}', handle, methods=methods),
+            routing.Route(
+                '/operator/{key:path}', operate, methods=['PUT', 'DELETE']
+            ),
+            routing.Route('/operator/{key:path}', show, methods=['GET']),
+            routing.Route('/faults', set_faults, methods=['POST']),
+            routing.Route('/forget', forget, methods=['POST']),
+        ]
+    )
+
+
+if __name__ == '__main__':
+    programs.run_fire(make_app)
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -58,6 +58,15 @@
         self._lose_answer()
         return self.revision
 
+    async def delete(self, key, expected):
+        await self._begin(errors.StoreResultUnknown)
+        found = self.entries.get(key)
+        if (found.revision if found else 0) != expected:
+            raise errors.StoreConflict(key)
+        self.revision += 1
+        del self.entries[key]
+        self._lose_answer()
+
     async def grant_lease(self, seconds):
         await self._begin(errors.StoreResultUnknown)
         self.revision += 1
--- /dev/null
+++ b/tests/test_backend_selection.py
@@ -0,0 +1,280 @@
+"""Choice of backend servers for forwarded requests."""
+
+import random
+import statistics
+
+import pytest
+
+from chivejunction import clock
+from chivejunction.coordination import backend_selection
+from chivejunction.protocol import forwarding
+from chivejunction.state import backends
+from chivejunction.state import backlogs
+from chivejunction.state import prompt_holdings
+
+SERVICE = forwarding.BackendService(
+    'pool', max_connections=100, cold_rate=8.0, cache_tokens=200_000
+)
+
+
+class Pool:
+    """Servers of one service with a selector."""
+
+    def __init__(self, gateways=2):
+        self.table = backends.BackendTable()
+        self.work = backlogs.Backlogs()
+        self.speeds = backlogs.ReadingSpeeds()
+        self.holdings = prompt_holdings.PromptHoldings()
+        self.selector = backend_selection.BackendSelector(
+            self.table,
+            'bkk',
+            lambda: gateways,
+            self.work,
+            self.speeds,
+            self.holdings,
+        )
+
+    def add(self, instance, **fields):
+        values = {
+            'failure_domain': 'bkk-a',
+            'region': 'bkk',
+            'version': 'v1',
+            'slots': 8,
+            **fields,
+        }
+        return self.table.update(
+            backends.Backend(
+                instance, 'pool', address='127.0.0.1', port=1, **values
+            )
+        )
+
+    def choose(self, **fields):
+        wish = backend_selection.Wish('pool', **fields)
+        choice = self.selector.choose(wish, SERVICE)
+        return choice.backend.instance if choice else None
+
+
+@pytest.fixture
+def pool():
+    return Pool()
+
+
+class TestEligibility:
+    def test_leaving_server_gets_nothing(self, pool):
+        pool.add('a', is_leaving=True)
+        assert pool.choose() is None
+
+    def test_closed_failure_domain_gets_nothing(self, pool):
+        pool.add('a')
+        pool.table.closed_domains.add('bkk-a')
+        assert pool.choose() is None
+        pool.table.closed_domains.discard('bkk-a')
+        assert pool.choose() == 'a'
+
+    def test_regions_of_the_route_bind(self, pool):
+        pool.add('a')
+        pool.add('b', region='cnx')
+        assert pool.choose(regions=frozenset(['cnx'])) == 'b'
+
+    def test_version_that_is_not_allowed_gets_nothing(self, pool):
+        pool.add('a', version='v2')
+        assert pool.choose(is_version_allowed=lambda v: v == 'v1') is None
+
+    def test_paused_server_is_passed_over(self, pool):
+        pool.add('a').note_unreachable()
+        pool.add('b', region='cnx')
+        assert pool.choose() == 'b'
+
+    def test_lapsed_server_only_where_no_other_is_left(self, pool):
+        pool.add('a')
+        pool.table.set_lapsed('a')
+        assert pool.choose() == 'a'
+        pool.add('b', region='cnx')
+        assert pool.choose() == 'b'
+
+
+class TestColdServers:
+    def test_gateways_together_stay_within_the_rate(self, monkeypatch):
+        now = [50.0]
+        monkeypatch.setattr(clock, 'now', lambda: now[0])
+        monkeypatch.setattr(clock, 'has_passed', lambda at: now[0] >= at)
+        pools = [Pool(gateways=6) for _ in range(6)]
+        for each in pools:
+            each.add('a', cold_until=1000.0)
+        sent = []
+        while now[0] < 60:
+            for each in pools:
+                if each.choose() == 'a':
+                    sent.append(now[0])
+            now[0] += 0.01
+        for start in sent:
+            window = [at for at in sent if start <= at < start + 1]
+            assert len(window) <= 8.0 * 1.5 + 5
+
+    def test_warm_server_has_no_limit(self, pool):
+        pool.add('a')
+        assert all(pool.choose() == 'a' for _ in range(50))
+
+
+class TestPlacement:
+    def test_server_nearby_comes_first(self, pool):
+        pool.add('far', region='cnx')
+        pool.add('near')
+        assert pool.choose(model='m', tokens=1000) == 'near'
+
+    def test_less_work_beats_nearness(self, pool):
+        pool.add('far', region='cnx')
+        pool.add('near')
+        pool.work.start('near', 2.0)
+        assert pool.choose(model='m', tokens=1000) == 'far'
+
+    def test_work_that_peers_told_of_counts(self, pool):
+        pool.add('a')
+        pool.add('b')
+        chosen = pool.choose(model='m', tokens=1000)
+        pool.work.set_peer('gw-2', {chosen: 1.0})
+        assert pool.choose(model='m', tokens=1000) != chosen
+
+    def test_held_prompt_is_used_again(self, pool):
+        for name in 'abc':
+            pool.add(name)
+        prefixes = [('m/x', 20_000)]
+        pool.holdings.add('b', prefixes, SERVICE.cache_tokens)
+        fields = {'model': 'm', 'prefixes': prefixes, 'tokens': 21_000}
+        assert pool.choose(**fields) == 'b'
+
+    def test_gateways_agree_on_a_new_prompt(self):
+        chosen = set()
+        for _ in range(3):
+            pool = Pool()
+            for name in 'abcdef':
+                pool.add(name)
+            chosen.add(pool.choose(model='m', prefixes=[('m/x', 9000)]))
+        assert len(chosen) == 1
+
+    def test_faulty_server_is_avoided_relative_to_the_others(self, pool):
+        pool.add('a').error_share = 0.6
+        pool.add('b').error_share = 0.0
+        assert pool.choose() == 'b'
+        pool.add('c', region='cnx').error_share = 0.0
+        assert pool.choose() == 'b'
+
+
+class TestLongPromptLoad:
+    """Replays long prompts in random order, the load of the scale days."""
+
+    def replay(self, has_hints):
+        """Returns the mean wait of prompts in seconds."""
+        rng = random.Random(7)
+        pools = [Pool(gateways=6) for _ in range(6)]
+        for each in pools:
+            for number in range(9):
+                each.add(f's{number}')
+        busy_until = [0.0] * 9
+        waits, now, ends = [], 0.0, []
+        for _ in range(1500):
+            now += rng.expovariate(7.0)
+            seconds = rng.lognormvariate(-0.5, 0.9)
+            for row in [row for row in ends if row[0] <= now]:
+                ends.remove(row)
+                row[1].work.end(row[2])
+            each = rng.choice(pools)
+            if has_hints:
+                for other in pools:
+                    if other is not each:
+                        each.work.set_peer(id(other), other.work.sum_own())
+            chosen = each.choose(model='m', tokens=1)
+            number = int(chosen[1:])
+            wait = max(0.0, busy_until[number] - now)
+            busy_until[number] = now + wait + seconds
+            work = each.work.start(chosen, seconds)
+            ends.append((busy_until[number], each, work))
+            waits.append(wait)
+        return statistics.mean(waits)
+
+    def test_shared_work_shortens_the_wait_by_half(self):
+        assert self.replay(True) < 0.5 * self.replay(False)
+
+
+class TestBackendTable:
+    def test_observations_stay_with_an_instance(self, pool):
+        pool.add('a').note_failure()
+        assert pool.add('a', is_leaving=True).error_share > 0
+
+    def test_same_id_with_a_new_start_begins_anew(self, pool):
+        pool.add('a', born_at_ms=1).note_failure()
+        assert pool.add('a', born_at_ms=2).error_share == 0
+
+    def test_address_used_by_another_service(self, pool):
+        pool.add('a')
+        pool.table.update(
+            backends.Backend('b', 'desk', '127.0.0.1', 1, 'bkk-a', 'bkk', 'v1')
+        )
+        assert pool.choose() == 'a'
+        assert [b.instance for b in pool.table.list_service('desk')] == ['b']
+
+    def test_lapsed_server_that_stays_missing_is_gone(self, pool, monkeypatch):
+        pool.add('a')
+        pool.table.set_lapsed('a')
+        assert not pool.table.drop_lapsed()
+        now = clock.now() + 2.5
+        monkeypatch.setattr(clock, 'has_passed', lambda at: now >= at)
+        assert [b.instance for b in pool.table.drop_lapsed()] == ['a']
+        assert pool.choose() is None
+
+    def test_listed_again_after_a_lapse(self, pool):
+        pool.add('a')
+        pool.table.set_lapsed('a')
+        pool.add('a')
+        assert pool.table.get('a').lapsed_until == 0
+
+
+class TestPromptHoldings:
+    def test_only_whole_beginnings_count(self):
+        holdings = prompt_holdings.PromptHoldings()
+        holdings.add('a', [('m/x', 100), ('m/x/y', 300)], 10_000)
+        assert holdings.count_held('a', [('m/x', 100), ('m/x/z', 400)]) == 100
+        assert holdings.count_held('a', [('m/q', 100), ('m/x/y', 300)]) == 0
+
+    def test_least_recently_used_yields(self):
+        holdings = prompt_holdings.PromptHoldings()
+        for name in 'xyz':
+            holdings.add('a', [(f'm/{name}', 300)], 1000)
+        assert holdings.count_held('a', [('m/x', 300)]) == 0
+        assert holdings.count_held('a', [('m/z', 300)]) == 300
+
+    def test_last_part_is_not_shared(self):
+        parts = tuple(
+            forwarding.PromptPart(name, 10) for name in ('p', 'q', 'own')
+        )
+        rows = prompt_holdings.list_prefixes(parts, 'm')
+        assert rows == [('m/p', 10), ('m/p/q', 20)]
+
+
+class TestReadingSpeeds:
+    def test_learns_the_speed_through_waits(self):
+        speeds = backlogs.ReadingSpeeds()
+        for number in range(40):
+            wait = 0.5 if number % 2 else 0.0
+            speeds.record('m', 1000, 0.015 + 0.1 + wait)
+        assert speeds.estimate('m', 1000) == pytest.approx(0.115, abs=0.01)
+
+    def test_assumes_a_speed_at_first(self):
+        assert backlogs.ReadingSpeeds().estimate('m', 61_000) > 0.5
+
+
+class TestBacklogs:
+    def test_old_word_of_a_peer_is_forgotten(self, monkeypatch):
+        work = backlogs.Backlogs()
+        work.set_peer('gw-2', {'a': 1.0})
+        assert work.estimate() == {'a': 1.0}
+        later = clock.now() + 2
+        monkeypatch.setattr(clock, 'has_passed', lambda at: later >= at)
+        assert work.estimate() == {}
+
+    def test_ended_work_counts_no_more(self):
+        work = backlogs.Backlogs()
+        number = work.start('a', 1.0)
+        work.end(number)
+        work.end(number)
+        assert work.estimate() == {}
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,131 @@
+"""Connections of callers."""
+
+import contextlib
+
+import anyio
+from anyio import abc
+
+from chivejunction.protocol import forwarding
+from chivejunction.transport import caller_connections
+from tests import forward_rig
+from tests.forward_rig import run_async
+
+LIMITS = forwarding.CallerLimits(
+    header_bytes=600, body_bytes=100, header_seconds=0.3, idle_seconds=0.4
+)
+
+
+async def echo(raw, reply):
+    """Answers with the body."""
+    await reply.answer(200, [], raw.body or b'-')
+
+
+@contextlib.asynccontextmanager
+async def start(handle=echo):
+    """Yields a listener and a function that connects to it."""
+    listener = caller_connections.Listener(handle, lambda: LIMITS)
+    tcp = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+    port = tcp.extra(abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(tcp.serve, listener.serve_stream)
+        yield listener, lambda: anyio.connect_tcp('127.0.0.1', port)
+        group.cancel_scope.cancel()
+
+
+async def send(connect, data):
+    """Sends bytes; returns the answer."""
+    async with await connect() as stream:
+        await stream.send(data)
+        return await forward_rig.read_answer(stream)
+
+
+class TestLimits:
+    @run_async
+    async def test_bytes_that_are_no_request(self):
+        async with start() as (_, connect):
+            assert (await send(connect, b'\x00\x01\r\n\r\n')).status == 400
+
+    @run_async
+    async def test_headers_too_large(self):
+        async with start() as (_, connect):
+            data = b'GET / HTTP/1.1\r\nHost: x\r\nA: %s\r\n\r\n' % (b'a' * 900)
+            assert (await send(connect, data)).status == 431
+
+    @run_async
+    async def test_body_too_large(self):
+        async with start() as (_, connect):
+            head = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200\r\n\r\n'
+            assert (await send(connect, head + b'x' * 200)).status == 413
+
+    @run_async
+    async def test_late_headers(self):
+        async with start() as (_, connect):
+            assert (await send(connect, b'GET / HT')).status == 408
+
+    @run_async
+    async def test_late_body(self):
+        async with start() as (_, connect):
+            head = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n'
+            assert (await send(connect, head + b'x')).status == 408
+
+    @run_async
+    async def test_idle_connection_is_closed_without_an_answer(self):
+        async with start() as (_, connect), await connect() as stream:
+            got = await forward_rig.read_answer(stream)
+            assert got.status == 0
+
+    @run_async
+    async def test_chunked_body(self):
+        async with start() as (_, connect):
+            data = (
+                b'POST / HTTP/1.1\r\nHost: x\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n'
+            )
+            assert (await send(connect, data)).body == b'ab'
+
+
+class TestClosing:
+    @run_async
+    async def test_idle_connections_end_on_leaving(self):
+        async with start() as (listener, connect), await connect() as stream:
+            await stream.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            assert (await forward_rig.read_answer(stream)).status == 200
+            listener.close_idle()
+            assert (await forward_rig.read_answer(stream)).status == 0
+
+    @run_async
+    async def test_answer_in_progress_is_whole_and_says_close(self):
+        async def slow(raw, reply):
+            await anyio.sleep(0.2)
+            await reply.answer(200, [], b'whole')
+
+        async with (
+            start(slow) as (listener, connect),
+            await connect() as stream,
+        ):
+            await stream.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            await anyio.sleep(0.05)
+            listener.close_idle()
+            got = await forward_rig.read_answer(stream)
+            assert (got.body, got.is_whole) == (b'whole', True)
+            assert got.headers['connection'] == 'close'
+
+    @run_async
+    async def test_failed_handler_gets_a_502_and_harms_no_other(self):
+        async def fail(raw, reply):
+            raise ValueError('bug')
+
+        async with start(fail) as (_, connect):
+            data = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+            assert (await send(connect, data)).status == 502
+            assert (await send(connect, data)).status == 502
+
+    @run_async
+    async def test_broken_off_answer_does_not_look_whole(self):
+        async def stop(raw, reply):
+            await reply.start(200, [])
+            await reply.send(b'part')
+
+        async with start(stop) as (_, connect):
+            got = await send(connect, b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            assert not got.is_whole
--- /dev/null
+++ b/tests/test_mirrors.py
@@ -0,0 +1,119 @@
+"""Copies of the store that follow its changes."""
+
+import anyio
+
+from chivejunction import errors
+from chivejunction.coordination import mirrors
+from chivejunction.state import freshness
+from chivejunction.transport import stores
+from tests.forward_rig import run_async
+
+
+class ScriptedFeed(stores.ChangeFeed):
+    """Feed whose answers a test lists; waits for ever after the last one."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.lists = 0
+
+    async def _next(self):
+        if not self.answers:
+            await anyio.sleep_forever()
+        found = self.answers.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        if callable(found):
+            return await found()
+        return found
+
+    async def read_all(self, prefix):
+        self.lists += 1
+        return await self._next()
+
+    async def poll_changes(self, prefix, after, seconds):
+        return await self._next()
+
+
+def put(key, revision):
+    """Returns an entry."""
+    return stores.Entry(key, b'v', revision, 0)
+
+
+def change(key, revision, is_deleted=False):
+    """Returns a change."""
+    entry = None if is_deleted else put(key, revision)
+    return stores.Change(key, revision, entry)
+
+
+async def follow(feed, proof=None, seconds=0.2):
+    """Runs a mirror for a while; returns the changes that it applied."""
+    found = []
+    mirror = mirrors.Mirror(
+        feed,
+        '',
+        lambda c, has_lapsed: found.append(
+            (c.key, c.entry is not None, has_lapsed)
+        ),
+        proof or freshness.Freshness(4.5),
+    )
+    with anyio.move_on_after(seconds):
+        await mirror.run()
+    return found
+
+
+class TestMirror:
+    @run_async
+    async def test_applies_the_list_and_what_follows(self):
+        feed = ScriptedFeed(
+            ([put('a', 3)], 3), ([change('b', 4), change('a', 5, True)], 5)
+        )
+        assert await follow(feed) == [
+            ('a', True, False),
+            ('b', True, False),
+            ('a', False, False),
+        ]
+
+    @run_async
+    async def test_an_older_change_is_not_applied_again(self):
+        feed = ScriptedFeed(([put('a', 7)], 5), ([change('a', 6)], 7))
+        assert await follow(feed) == [('a', True, False)]
+
+    @run_async
+    async def test_lost_history_is_read_anew_with_its_gaps(self):
+        feed = ScriptedFeed(
+            ([put('a', 3), put('b', 3)], 3),
+            errors.HistoryLost('gone'),
+            ([put('b', 3), put('c', 9)], 9),
+        )
+        found = await follow(feed)
+        assert ('a', False, False) in found and ('c', True, False) in found
+        assert feed.lists == 2
+
+    @run_async
+    async def test_entries_missing_after_an_outage_may_return(self):
+        feed = ScriptedFeed(
+            ([put('a', 3)], 3),
+            errors.StoreError('down'),
+            ([change('a', 4, True)], 4),
+        )
+        assert (await follow(feed, seconds=0.8))[-1] == ('a', False, True)
+
+
+class TestProof:
+    @run_async
+    async def test_an_empty_poll_proves_up_to_its_end(self):
+        proof = freshness.Freshness(4.5)
+        await follow(ScriptedFeed(([], 1), ([], 1)), proof)
+        assert proof.age < 0.3
+
+    @run_async
+    async def test_a_poll_that_waits_proves_nothing(self):
+        proof = freshness.Freshness(0.2)
+        await follow(ScriptedFeed(([], 1)), proof, 0.4)
+        assert not proof.holds()
+
+    @run_async
+    async def test_failed_calls_prove_nothing(self):
+        proof = freshness.Freshness(4.5)
+        await follow(ScriptedFeed(errors.StoreError('down')), proof)
+        assert not proof.holds()
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,136 @@
+"""The platform's store client against a stand-in over TCP."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from chivejunction import errors
+from chivejunction.platform import store as platform_store
+from chivejunction.transport import http_client
+from chivejunction.transport import http_server
+from chivejunction.transport import sockets
+from fakes import metadata_store
+from tests.forward_rig import run_async
+
+
+@contextlib.asynccontextmanager
+async def start():
+    """Yields a client and the store behind it."""
+    store = metadata_store.MetadataStore()
+    sock = sockets.bind_socket('127.0.0.1', 0)
+    port = sock.getsockname()[1]
+    client = http_client.Client()
+    async with anyio.create_task_group() as group:
+        group.start_soon(store.expire_forever)
+        group.start_soon(
+            http_server.serve,
+            metadata_store.make_app(store),
+            sock,
+            anyio.Event(),
+        )
+        yield platform_store.PlatformStore(f'127.0.0.1:{port}', client), store
+        await client.close()
+        group.cancel_scope.cancel()
+
+
+class TestReads:
+    @run_async
+    async def test_key_and_missing_key(self):
+        async with start() as (client, store):
+            store.put('op/config', b'{}')
+            entry = await client.get('op/config')
+            assert (entry.value, entry.revision) == (b'{}', 2)
+            assert await client.get('none') is None
+
+    @run_async
+    async def test_all_pages_and_the_first_revision(self):
+        async with start() as (client, store):
+            for number in range(120):
+                store.put(f'servers/{number:03d}', b'x')
+            entries, revision = await client.read_all('servers/')
+            assert len(entries) == 120
+            assert revision == store.revision
+
+    @run_async
+    async def test_refusals_are_store_errors(self):
+        async with start() as (client, store):
+            for fault in ('down', 'busy'):
+                store.faults[fault] = True
+                with pytest.raises(errors.StoreError, match='answered'):
+                    await client.get('x')
+                store.faults[fault] = False
+
+    @run_async
+    async def test_silence_ends_in_time(self):
+        async with start() as (client, store):
+            store.faults['silent'] = True
+            with pytest.raises(errors.StoreError):
+                await client.get('x')
+
+
+class TestChanges:
+    @run_async
+    async def test_events_and_deletions(self):
+        async with start() as (client, store):
+            after = store.revision
+            store.put('a', b'1')
+            store.remove('a')
+            changes, after = await client.poll_changes('', after, 1)
+            assert [c.key for c in changes] == ['a', 'a']
+            assert changes[0].entry.value == b'1'
+            assert changes[1].entry is None
+            assert after == store.revision
+
+    @run_async
+    async def test_quiet_wait_returns_nothing(self):
+        async with start() as (client, store):
+            changes, after = await client.poll_changes('', store.revision, 0.1)
+            assert not changes and after == store.revision
+
+    @run_async
+    async def test_lost_history(self):
+        async with start() as (client, store):
+            store.put('a', b'1')
+            store.forget()
+            with pytest.raises(errors.HistoryLost):
+                await client.poll_changes('', 1, 1)
+
+
+class TestWrites:
+    @run_async
+    async def test_conditional_write_and_conflict(self):
+        async with start() as (client, store):
+            revision = await client.swap('a', b'1', 0, also={'b': b'2'})
+            assert (await client.get('b')).value == b'2'
+            assert (await client.get('a')).revision <= revision
+            with pytest.raises(errors.StoreConflict):
+                await client.swap('a', b'2', 0)
+
+    @run_async
+    async def test_lost_answer_leaves_the_result_unknown(self):
+        async with start() as (client, store):
+            store.faults['lose_answers'] = 1
+            with pytest.raises(errors.StoreResultUnknown):
+                await client.swap('a', b'1', 0)
+            assert (await client.get('a')).value == b'1'
+
+    @run_async
+    async def test_refused_write_was_not_done(self):
+        async with start() as (client, store):
+            store.faults['down'] = True
+            with pytest.raises(errors.StoreError) as caught:
+                await client.swap('a', b'1', 0)
+            assert not isinstance(caught.value, errors.StoreResultUnknown)
+
+    @run_async
+    async def test_lease_ends_with_its_keys(self):
+        async with start() as (client, store):
+            lease = await client.grant_lease(1)
+            await client.swap('a', b'1', 0, lease)
+            assert await client.keep_alive(lease) == 1
+            await client.revoke_lease(lease)
+            assert await client.get('a') is None
+            assert await client.keep_alive(lease) == 0
+            with pytest.raises(errors.StoreError, match='lease'):
+                await client.swap('a', b'1', 0, lease)
