Keep sessions on one version after a withdrawn version is active again

Change: a version that was withdrawn once says so in the configuration from then on; sessions without a token are placed elsewhere at every gateway, a pure function of session and configuration. Tokens keep their version. Ruled out: more replicas of pins; they are lost with their gateways. Test: test_gateways_agree_when_a_version_is_active_again failed first.

--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -415,6 +415,13 @@
         raise errors.RefusalError(
             'invalid_request', f'the resource must be named {change.name}'
         )
+    if isinstance(parsed, resources.ModelVersion):
+        present = entries.get(parsed.name, {})
+        has_moved = parsed.moved_sessions or (
+            present.get('moved_sessions', False)
+            or parsed.state is resources.VersionState.WITHDRAWN
+        )
+        parsed = parsed.model_copy(update={'moved_sessions': has_moved})
     entries[parsed.name] = parsed.model_dump(
         mode='json', exclude_defaults=True
     )
--- a/chivejunction/coordination/pins.py
+++ b/chivejunction/coordination/pins.py
@@ -205,6 +205,7 @@
             call.session = found.id
             if call.model in (found.model, chat.AUTO_MODEL, found.version):
                 call.pin = found.version
+                call.is_pin_signed = True
         elif call.session:
             call.pin = await self._keeper.lookup(call)
 
--- a/chivejunction/coordination/routing.py
+++ b/chivejunction/coordination/routing.py
@@ -275,6 +275,7 @@
         excluded: dict[str, str] = {}
         if call.pin:
             reason = self._judge(call, call.pin, now, has_session=True)
+            reason = reason or self._find_former(call)
             if not reason:
                 return self._plan_session(call, call.pin, now)
             excluded[call.pin] = reason
@@ -307,6 +308,17 @@
                 return f'rollout {halted} is halted'
         return ''
 
+    def _find_former(self, call: calls.Call) -> str:
+        """Returns why a pin counts no more, empty if it does.
+
+        Gateways that saw a session while its version was withdrawn and those
+        that did not must agree when the version is active again.
+        """
+        has_moved = self._view.versions[call.pin].moved_sessions
+        if has_moved and not call.is_pin_signed:
+            return 'was withdrawn'
+        return ''
+
     def _check_steps(self, call: calls.Call, steps: list[str]) -> None:
         for version in steps:
             if not self._view.is_allowed(call.organisation, version):
@@ -542,8 +554,10 @@
 
     Only the configuration counts, since gateways have different estimates
     but must agree: the cheapest version whose declared quality meets the
-    organisation's target in every class, or else the best one.
+    organisation's target in every class, or else the best one. A version
+    that was withdrawn once comes last.
     """
+    versions = [v for v in versions if not v.moved_sessions] or versions
 
     def declared(version: resources.ModelVersion) -> float:
         return min(version.quality.values(), default=estimates.UNKNOWN_QUALITY)
--- a/chivejunction/protocol/resources.py
+++ b/chivejunction/protocol/resources.py
@@ -86,6 +86,8 @@
     prior estimate for each request class (0 to 1). ``drain_deadline`` is in
     seconds since the epoch; a draining version keeps its sessions until then.
     ``replicas`` is the number of servers that hold it, all by default.
+    ``moved_sessions`` is set with a withdrawal and stays: sessions without a
+    token have moved to other versions then and do not come back.
     """
 
     model: Name
@@ -95,6 +97,7 @@
     quality: dict[str, Share] = {}
     state: VersionState = VersionState.ACTIVE
     drain_deadline: float | None = None
+    moved_sessions: bool = False
     replicas: Annotated[int, pydantic.Field(ge=1)] | None = None
 
 
--- a/chivejunction/state/calls.py
+++ b/chivejunction/state/calls.py
@@ -28,6 +28,7 @@
         request_hash: Hash of what the caller sent, to compare repeats.
         contested: Whether an earlier step of a cascade has run.
         pin: Version that the session has had so far, empty if unknown.
+        is_pin_signed: Whether a token of the caller says so.
     """
 
     id: str
@@ -50,3 +51,4 @@
     request_hash: str = ''
     contested: bool = False
     pin: str = ''
+    is_pin_signed: bool = False
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -286,3 +286,19 @@
         deleted = [key for key in document.changed if 'short' in key]
         assert deleted == ['pool/short-2', 'pool/short-3']
         assert document.forgotten == document.revision - 4
+
+
+class TestWithdrawnVersion:
+    def test_remembers_that_its_sessions_have_moved(self):
+        document = make_document()
+        for state in ('withdrawn', 'active'):
+            version = put(
+                'modelversion', 'm-1', model='m', pool='p', state=state
+            )
+            document = configuration.make_changes(
+                document, [version], None, state
+            )
+            found = document.resources['modelversion']['m-1']
+            assert found['moved_sessions'] is True
+        other = document.resources['modelversion']['o-1']
+        assert 'moved_sessions' not in other
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -218,6 +218,20 @@
         assert plan.steps == ['small-1']
         assert plan.excluded['large-1'] == 'withdrawn'
 
+    def test_gateways_agree_when_a_version_is_active_again(self):
+        view = make_view({'small-1': {'moved_sessions': True}})
+        saw_withdrawal = make_call(session='s', pin='large-1')
+        saw_none = make_call(session='s', pin='small-1')
+        knows_nothing = make_call(session='s')
+        for call in (saw_withdrawal, saw_none, knows_nothing):
+            plan = make_router(view).plan(call, 1.0)
+            assert plan.steps == ['large-1']
+
+    def test_token_keeps_a_version_that_is_active_again(self):
+        view = make_view({'small-1': {'moved_sessions': True}})
+        call = make_call(session='s', pin='small-1', is_pin_signed=True)
+        assert make_router(view).plan(call, 1.0).steps == ['small-1']
+
     def test_draining_version_keeps_its_sessions(self):
         view = make_view({'large-1': {'state': 'draining'}})
         router = make_router(view)
