Choose servers by the pace of their streams as well

Change: the time between events at each server counts, with the caller's guess of the length; an escalation that could not end in time is left out. Ruled out: the tier as the reason: both tiers show the same pace.

--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -25,6 +25,12 @@
 # Reading a part again that another server holds is priced beyond the time
 # of the engine: 13,300 tokens cost about as much as bytes between regions.
 REREAD_SECONDS_PER_TOKEN = 0.2 / 13_300
+# Each second that the events after the first one will take counts little
+# unless they would not end in time.
+PACE_WEIGHT = 0.05
+LATE_WEIGHT = 1.0
+# Pace of a server that no stream was seen on lately (users' engines idle).
+ASSUMED_PACE_SECONDS = 0.03
 # Gateways agree on a server for a prompt that nobody holds yet, unless it
 # has this much more work than another.
 AGREED_SECONDS = 0.08
@@ -42,6 +48,8 @@
         regions: Regions that may serve; empty for all.
         prefixes: Shared beginnings of the prompt, see ``list_prefixes``.
         tokens: Tokens of the whole prompt.
+        events: Events that the answer will have.
+        seconds_left: Time until the whole answer must be there.
         tried: Instances that were tried already.
         is_version_allowed: Tells whether a software version may be used.
     """
@@ -51,6 +59,8 @@
     regions: frozenset[str] = frozenset()
     prefixes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     tokens: int = 0
+    events: float = 0.0
+    seconds_left: float = math.inf
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
 
@@ -64,12 +74,19 @@
         seconds: Estimated work of the attempt there.
         wait: Estimated work that is before it.
         held_tokens: Prompt tokens that the server is thought to hold.
+        stream_seconds: Estimated time of the events after the first one.
     """
 
     backend: backends.Backend
     seconds: float
     wait: float
     held_tokens: int
+    stream_seconds: float = 0.0
+
+    @property
+    def total_seconds(self) -> float:
+        """Estimated time of the whole answer."""
+        return self.wait + self.seconds + self.stream_seconds
 
 
 def rank(key: str, instance: str) -> int:
@@ -163,7 +180,10 @@
         held = self._holdings.count_held(backend.instance, wish.prefixes)
         tokens = max(0, wish.tokens - held)
         seconds = self._speeds.estimate(wish.model, tokens)
-        return Choice(backend, seconds, wait, held)
+        pace = backend.find_pace()
+        if pace is None:
+            pace = ASSUMED_PACE_SECONDS
+        return Choice(backend, seconds, wait, held, wish.events * pace)
 
     def _estimate(self, wish: Wish, choice: Choice) -> float:
         """Returns the estimated cost of a choice in seconds."""
@@ -172,6 +192,9 @@
         is_far = backend.region != self._region
         if wish.model:
             cost += RUNNING_SECONDS * backend.running
+            cost += PACE_WEIGHT * choice.stream_seconds
+            late = choice.total_seconds - wish.seconds_left
+            cost += LATE_WEIGHT * max(0.0, late)
             cost += FAR_SECONDS * is_far
         else:
             cost += SLOT_SECONDS * backend.running / backend.slots
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -60,6 +60,9 @@
 # of a version; the slack covers a round trip between regions.
 MAX_JUDGED_WAIT_SECONDS = 0.1
 SLACK_SECONDS = 0.08
+# Callers' guesses of the length are right in the middle and often far off; an
+# answer that would be late even if it were this much shorter is not begun.
+HOPE_SHARE = 0.7
 # A body up to this size fits any connection's window, so that sending it
 # cannot block.
 SMALL_BODY_BYTES = 4096
@@ -113,6 +116,7 @@
         resume_after: Last event passed on.
         kept: Failure of a server to pass on if nothing better comes.
         first_byte_at: Monotonic time of the first byte passed on.
+        events: Events passed on.
         reason: Why the latest attempt failed.
         confidence: The latest model's opinion of its answer, or None.
         wish: What the latest server had to offer.
@@ -134,6 +138,7 @@
     resume_after: int | None = None
     kept: KeptAnswer | None = None
     first_byte_at: float = 0.0
+    events: int = 0
     reason: str = ''
     confidence: float | None = None
     wish: backend_selection.Wish | None = None
@@ -337,6 +342,8 @@
             regions=regions,
             prefixes=prefixes,
             tokens=trip.request.input_tokens,
+            events=trip.request.expected_tokens / trip.service.event_tokens,
+            seconds_left=clock.remaining(trip.deadline),
             tried=frozenset(trip.tried),
             is_version_allowed=self._moves.choose_versions(
                 trip.service.name, find_session(trip.request)
@@ -551,7 +558,7 @@
         arrival = clock.now() + choice.wait + choice.seconds
         if not trip.tier.is_worth(
             arrival, trip.request.received_at, trip.route.objective
-        ):
+        ) or (HOPE_SHARE * choice.total_seconds > wish.seconds_left):
             return False
         if not self._get_budget(trip.service.name).take():
             return False
@@ -697,6 +704,7 @@
         reader = sse.EventReader()
         gap = max(MIN_GAP_SECONDS, GAP_SHARE * trip.route.event_gap)
         is_first = True
+        event_at = clock.now()
         while True:
             data = await self._read_event_data(
                 trip, backend, connection, gap, is_first
@@ -705,9 +713,13 @@
                 break
             self._heard_at[backend.instance] = clock.now()
             for number, event in reader.feed(data):
+                now = clock.now()
                 if is_first:
                     self._note_success(trip, backend, sent_at)
                     is_first = False
+                else:
+                    backend.note_pace(now - event_at)
+                event_at = now
                 await self._pass_event(trip, head, number, event)
         if reader.has_rest() or is_first:
             raise AttemptFailed('stream ended inside an event', MAY_HAVE_RUN)
@@ -744,6 +756,7 @@
             trip.first_byte_at = clock.now()
             await trip.reply.start(head.status, head.headers)
         await trip.reply.send(event)
+        trip.events += 1
         if number is not None:
             trip.resume_after = number
 
@@ -821,6 +834,13 @@
             attempts=trip.sends,
             model=trip.tier.model,
             reason=trip.reason,
+            events=trip.events,
+            input_tokens=trip.request.input_tokens,
+            expected_tokens=trip.request.expected_tokens,
+            max_output_tokens=trip.request.max_output_tokens,
+            first_byte=round(
+                max(0.0, trip.first_byte_at - trip.request.received_at), 4
+            ),
             seconds=round(clock.now() - trip.request.received_at, 4),
         )
 
--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -10,9 +10,12 @@
 from chivejunction.state import freshness
 from chivejunction.transport import stores
 
-# Longest wait of one poll. Each finished poll proves that nothing newer
-# exists, and a silent connection is noticed soon after it.
-POLL_SECONDS = 1.5
+# Longest wait of one poll: calls are priced. Each finished poll proves that
+# nothing newer exists, and a silent connection is noticed soon after it; both
+# must come within the time to withdraw a key (5 s on the users' sheets).
+POLL_SECONDS = 2.4
+# Wait of the first poll after a failed one, whose proof is overdue.
+SHORT_POLL_SECONDS = 0.05
 # Pause after changes, so that those that follow come in one call.
 GATHER_SECONDS = 0.3
 # Pause after a failed call; spread so that gateways do not return together.
@@ -86,14 +89,15 @@
     async def _poll(self) -> bool:
         """Waits for changes once; returns whether there were any."""
         started = freshness.read_clock()
+        seconds = SHORT_POLL_SECONDS if self._lost_at else POLL_SECONDS
         changes, after = await self._feed.poll_changes(
-            self._prefix, self._after, POLL_SECONDS
+            self._prefix, self._after, seconds
         )
         for change in changes:
             self._take(change)
         self._after = max(self._after, after)
         # An empty answer was made when the wait was over, not before.
-        waited = 0.0 if changes else POLL_SECONDS
+        waited = 0.0 if changes else seconds
         self._proof.prove(min(started + waited, freshness.read_clock()))
         return bool(changes)
 
--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -69,10 +69,11 @@
 
 
 class EngineRow(settings.Model):
-    """Size of the engines of a service."""
+    """Size of the engines; ``stride`` counts the tokens of an event."""
 
     slots: int = 0
     kv_tokens: int = 0
+    stride: int = pydantic.Field(1, ge=1)
     models: list[ModelRow] = []
 
 
@@ -156,6 +157,7 @@
         cold_rate=row.cold_per_s,
         slots=engine.slots,
         cache_tokens=engine.kv_tokens,
+        event_tokens=engine.stride,
         tier_costs={model.name: model.cost for model in engine.models},
     )
 
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -15,6 +15,7 @@
 LAST_EVENT = b'last-event-id'
 URGENCY = b'request-priority'
 SESSION = b'session'
+LENGTH = b'length-hint'
 SIGNATURE = b'response-seal'
 NOT_EXECUTED = b'not-executed'
 CONFIDENCE = b'confidence'
@@ -109,6 +110,7 @@
                 prompt=read_prompt(found.get(PROMPT, '')),
                 input_tokens=tokens[0],
                 max_output_tokens=tokens[1] if len(tokens) > 1 else 0,
+                expected_tokens=int(found.get(LENGTH) or 0),
                 session=found.get(SESSION, ''),
             )
         except ValueError as exc:
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -91,6 +91,7 @@
         cold_rate: Requests a second that a cold server bears; 0 for no limit.
         slots: Requests that one engine runs at a time; 0 if not known.
         cache_tokens: Memory of one engine in tokens; 0 if not an engine.
+        event_tokens: Tokens that one event of a stream holds.
         tier_costs: Cost of each model for 1,000 tokens.
     """
 
@@ -99,6 +100,7 @@
     cold_rate: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
+    event_tokens: int = 1
     tier_costs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -146,6 +148,8 @@
         prompt: Parts of the prompt in order; the last one is its own.
         input_tokens: Tokens of the prompt.
         max_output_tokens: Most tokens that are generated.
+        expected_tokens: The caller's guess of the tokens generated; 0
+            without one.
         session: Session id, empty without one.
     """
 
@@ -163,6 +167,7 @@
     prompt: tuple[PromptPart, ...] = ()
     input_tokens: int = 0
     max_output_tokens: int = 0
+    expected_tokens: int = 0
     session: str = ''
 
     @property
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -7,6 +7,8 @@
 
 # Weight of a new observation; about the last ten count.
 OBSERVATION_WEIGHT = 0.15
+# An observed pace tells little about the present one after this time.
+PACE_SECONDS = 3.0
 # First pause of a server that could not be reached, doubled each time.
 FIRST_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 4.0
@@ -41,6 +43,8 @@
         failures: Failures in a row.
         error_share: Recent share of attempts that failed.
         latency: Recent time to the first byte in units of the objective.
+        event_pace: Recent seconds between the events of a stream.
+        paced_at: Monotonic time of its latest observation.
         lapsed_until: Monotonic time until which a server counts that went
             missing from the store during an outage; 0 if it is listed.
         cold_bucket: Limits requests while cold; None if not limited.
@@ -63,6 +67,8 @@
     failures: int = 0
     error_share: float = 0.0
     latency: float = 0.0
+    event_pace: float = 0.0
+    paced_at: float = 0.0
     lapsed_until: float = 0.0
     cold_bucket: limits.TokenBucket | None = None
 
@@ -80,6 +86,20 @@
         self.error_share *= 1 - OBSERVATION_WEIGHT
         self.latency += OBSERVATION_WEIGHT * (latency - self.latency)
 
+    def note_pace(self, seconds: float) -> None:
+        """Records the time between two events of a stream."""
+        now = clock.now()
+        if now - self.paced_at > PACE_SECONDS:
+            self.event_pace = seconds
+        self.event_pace += OBSERVATION_WEIGHT * (seconds - self.event_pace)
+        self.paced_at = now
+
+    def find_pace(self) -> float | None:
+        """Returns the recent seconds between events, None if unknown."""
+        if clock.now() - self.paced_at > PACE_SECONDS:
+            return None
+        return self.event_pace
+
     def note_failure(self) -> None:
         """Records an answer that failed or never came."""
         self.failures += 1
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -15,6 +15,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.lists = 0
+        self.waits = []
 
     async def _next(self):
         if not self.answers:
@@ -31,6 +32,7 @@
         return await self._next()
 
     async def poll_changes(self, prefix, after, seconds):
+        self.waits.append(seconds)
         return await self._next()
 
 
@@ -100,6 +102,14 @@
 
 
 class TestProof:
+    @run_async
+    async def test_first_poll_after_a_failed_one_is_short(self):
+        feed = ScriptedFeed(
+            ([], 1), errors.StoreError('silent'), ([], 1), ([], 1)
+        )
+        await follow(feed, seconds=0.8)
+        assert feed.waits[1] < 0.1 < feed.waits[2]
+
     @run_async
     async def test_an_empty_poll_proves_up_to_its_end(self):
         proof = freshness.Freshness(4.5)
