--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -144,6 +144,18 @@
             (lapsed if backend.lapsed_until else found).append(backend)
         return found or lapsed
 
+    def has_version(
+        self,
+        wish: Wish,
+        service: forwarding.BackendService,
+        version: str,
+    ) -> bool:
+        """Tells whether a server of a version may be used now."""
+        return any(
+            backend.version == version
+            for backend in self.list_candidates(wish, service)
+        )
+
     def choose(
         self, wish: Wish, service: forwarding.BackendService
     ) -> Choice | None:
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -336,7 +336,7 @@
             prefixes = prompt_holdings.list_prefixes(
                 trip.request.prompt, model
             )
-        return backend_selection.Wish(
+        wish = backend_selection.Wish(
             service=trip.service.name,
             model=model,
             regions=regions,
@@ -345,10 +345,15 @@
             events=trip.request.expected_tokens / trip.service.event_tokens,
             seconds_left=clock.remaining(trip.deadline),
             tried=frozenset(trip.tried),
-            is_version_allowed=self._moves.choose_versions(
-                trip.service.name, find_session(trip.request)
+        )
+        wish.is_version_allowed = self._moves.choose_versions(
+            trip.service.name,
+            find_session(trip.request),
+            lambda version: self._selector.has_version(
+                wish, trip.service, version
             ),
         )
+        return wish
 
     async def _find_backend(
         self, trip: Trip
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -25,6 +25,11 @@
 PREFIX = 'chivejunction/moves/'
 
 
+def allow_all(version: str) -> bool:
+    """Allows every version."""
+    return True
+
+
 class State(enum.Enum):
     """State of a move."""
 
@@ -258,9 +263,19 @@
             )
 
     def choose_versions(
-        self, service: str, session: str
+        self,
+        service: str,
+        session: str,
+        is_usable: Callable[[str], bool] = allow_all,
     ) -> Callable[[str], bool]:
-        """Returns what tells whether a version may serve a session."""
+        """Returns what tells whether a version may serve a session.
+
+        Args:
+            service: The service.
+            session: The session.
+            is_usable: Tells whether a version has servers with room. A
+                session does not begin on a new version without.
+        """
         move = self._moves.get(service)
         if move is None:
             return allow_all
@@ -269,10 +284,12 @@
             move.ended_at + SETTLE_SECONDS
         ):
             return allow_all
-        is_new = self._place_session(move, session)
+        is_new = self._place_session(move, session, is_usable)
         return lambda version: (version == target) is is_new
 
-    def _place_session(self, move: Move, session: str) -> bool:
+    def _place_session(
+        self, move: Move, session: str, is_usable: Callable[[str], bool]
+    ) -> bool:
         key = (move.order.service, session)
         share = move.share
         now = clock.now()
@@ -283,7 +300,7 @@
             is_new = was_new
         else:
             place = route_tables.hash_fraction(f'{key[0]}/{session}')
-            is_new = place < share
+            is_new = place < share and is_usable(move.order.target)
         self._sessions[key] = (is_new, now + SESSION_SECONDS)
         self._sessions.move_to_end(key)
         if len(self._sessions) > MAX_SESSIONS:
@@ -436,8 +453,3 @@
             return
         if entry is not None:
             self.set_record(entry)
-
-
-def allow_all(version: str) -> bool:
-    """Allows every version."""
-    return True
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -27,12 +27,6 @@
 OPENED = metrics.make_counter(
     'backend_connections_opened', 'Connections opened to backend servers.'
 )
-LOST = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
 
 
 class BackendConnection:
@@ -78,7 +72,7 @@
         data = self._write_request()
         try:
             await self._stream.send(data)
-        except LOST as exc:
+        except sockets.LOST as exc:
             raise errors.TransportError(f'send failed: {exc!r}') from exc
         self._is_sent = True
 
@@ -101,7 +95,7 @@
                 self._conn.receive_data(data)
             except h11.RemoteProtocolError as exc:
                 raise errors.ProtocolError(f'bad answer: {exc}') from exc
-            except LOST as exc:
+            except sockets.LOST as exc:
                 raise errors.TransportError(f'reset: {exc!r}') from exc
 
     async def read_head(self) -> tuple[int, forwarding.Headers]:
@@ -162,7 +156,7 @@
 
     async def close(self) -> None:
         """Closes the connection; a server drops what runs on it."""
-        with contextlib.suppress(*LOST):
+        with contextlib.suppress(*sockets.LOST):
             await self._stream.aclose()
 
 
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -22,11 +22,6 @@
 READ_BYTES = 65536
 # What a caller may send ahead of the answer to its request.
 AHEAD_BYTES = 65536
-LOST = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,7 +133,7 @@
             await connection.serve()
         finally:
             self.connections.discard(connection)
-            with contextlib.suppress(OSError, *LOST):
+            with contextlib.suppress(*sockets.LOST):
                 await stream.aclose()
 
     def close_idle(self) -> None:
@@ -199,7 +194,7 @@
         try:
             while await self._serve_one():
                 self._conn.start_next_cycle()
-        except LOST:
+        except sockets.LOST:
             return
         except (h11.LocalProtocolError, OSError) as exc:
             logs.LOG.info('caller connection failed: %r', exc)
@@ -237,7 +232,7 @@
                 while len(self._ahead) < AHEAD_BYTES:
                     try:
                         self._ahead += await self._stream.receive(READ_BYTES)
-                    except LOST:
+                    except sockets.LOST:
                         self._at_end = True
                         group.cancel_scope.cancel()
                         return
@@ -245,7 +240,7 @@
             group.start_soon(watch)
             try:
                 await self._listener.handle(raw, reply)
-            except LOST:
+            except sockets.LOST:
                 self._at_end = True
             except Exception:
                 # One faulty request must not end the others of the process.
--- a/chivejunction/transport/sockets.py
+++ b/chivejunction/transport/sockets.py
@@ -3,6 +3,7 @@
 import select
 import socket
 
+import anyio
 from anyio import abc
 
 # A peer whose host has lost power answers no probe; with these the kernel
@@ -12,6 +13,13 @@
 PROBE_AFTER_SECONDS = 2
 PROBE_EVERY_SECONDS = 1
 PROBES = 2
+# Errors by which a stream tells that its connection has ended.
+LOST = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
 
 
 def set_probes(sock) -> None:
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -13,7 +13,7 @@
 from chivejunction.platform import headers as platform_headers
 from chivejunction.state import backends
 from chivejunction.state import freshness
-from chivejunction.transport import caller_connections
+from chivejunction.transport import sockets
 from tests import stores
 
 SEAL = 'seal-1'
@@ -119,7 +119,7 @@
     async def _serve(self, stream):
         self._connections += 1
         number = self._connections
-        with contextlib.suppress(*caller_connections.LOST):
+        with contextlib.suppress(*sockets.LOST):
             async with stream:
                 await self._talk(stream, number)
         self.closed.append(number)
@@ -355,7 +355,7 @@
         if event is h11.NEED_DATA:
             try:
                 conn.receive_data(await stream.receive())
-            except caller_connections.LOST:
+            except sockets.LOST:
                 return Answer(status, headers, body, False)
         elif isinstance(event, h11.Response):
             status, headers = event.status_code, list(event.headers)
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -85,6 +85,14 @@
         set_stage(moves, 2)
         assert count_new(moves, new) == len(new)
 
+    def test_no_session_begins_on_a_version_without_room(self, now):
+        moves = make_moves()
+        for number in range(500):
+            allows = moves.choose_versions(
+                'pool', f's{number}', lambda version: False
+            )
+            assert allows('v1') and not allows('v2')
+
     def test_full_stage_moves_all(self, now):
         moves = make_moves()
         set_stage(moves, 3)
