Let connections change while expired ones close; tell all gateways of work

Also: hints go to up to 40 gateways in place of 16, changes of the store gather for 0.6 s, and a request whose caller leaves is logged.

--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -245,12 +245,17 @@
         except errors.RefusalError as exc:
             await self._refuse(reply, request, exc)
             return
-        with anyio.move_on_at(trip.deadline) as scope:
-            await self._run(trip)
-        if scope.cancelled_caught:
-            trip.reason = 'time limit reached'
-            await self._fail(trip)
-        self._record_end(trip)
+        try:
+            with anyio.move_on_at(trip.deadline) as scope:
+                await self._run(trip)
+            if scope.cancelled_caught:
+                trip.reason = 'time limit reached'
+                await self._fail(trip)
+        except anyio.get_cancelled_exc_class():
+            trip.reason = 'the caller left'
+            raise
+        finally:
+            self._record_end(trip)
 
     def _start_trip(self, request, reply) -> Trip:
         """Checks a request against the configuration.
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -27,7 +27,7 @@
 MAX_DATAGRAM_BYTES = 1200
 # Peers that one gateway tells; more would pass the bytes for control that a
 # process may use at the target size.
-MAX_PEERS = 16
+MAX_PEERS = 40
 # New prompt beginnings in one hint.
 MAX_PREFIXES = 12
 RECEIVED = metrics.make_counter('hints_received', 'Hints from gateways.')
--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -17,7 +17,7 @@
 # Wait of the first poll after a failed one, whose proof is overdue.
 SHORT_POLL_SECONDS = 0.05
 # Pause after changes, so that those that follow come in one call.
-GATHER_SECONDS = 0.3
+GATHER_SECONDS = 0.6
 # Pause after a failed call; spread so that gateways do not return together.
 RETRY_SECONDS = 0.25
 # Silence of the store beyond which entries that went missing may have lapsed
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -191,8 +191,7 @@
         Raises:
             TransportError: No connection could be made; nothing was sent.
         """
-        kept = self._idle.get(instance, [])
-        while kept:
+        while kept := self._idle.get(instance):
             connection = kept.pop()
             idle = clock.now() - connection.released_at
             if (
@@ -250,13 +249,18 @@
 
     async def close_expired(self) -> None:
         """Closes kept connections whose idle time is over."""
+        expired = []
         for instance, kept in list(self._idle.items()):
-            for connection in list(kept):
-                if clock.has_passed(connection.idle_until):
-                    kept.remove(connection)
-                    await self.discard(instance, connection)
-            if not kept:
-                self._idle.pop(instance, None)
+            late = [c for c in kept if clock.has_passed(c.idle_until)]
+            expired.extend((instance, connection) for connection in late)
+            left = [c for c in kept if c not in late]
+            if left:
+                self._idle[instance] = left
+            else:
+                del self._idle[instance]
+        # Other tasks use the pool while connections close.
+        for instance, connection in expired:
+            await self.discard(instance, connection)
 
     async def close_instance(self, instance: str) -> None:
         """Closes the kept connections to a server that is gone."""
