--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -14,7 +14,9 @@
 # nothing newer exists, and a silent connection is noticed soon after it; both
 # must come within the time to withdraw a key (5 s on the users' sheets).
 POLL_SECONDS = 2.4
-# Wait of the first poll after a failed one, whose proof is overdue.
+# Part of the time for which a proof holds, by which the next one should come.
+PROOF_SHARE = 0.6
+# Wait of a poll whose proof is overdue.
 SHORT_POLL_SECONDS = 0.05
 # Pause after changes, so that those that follow come in one call.
 GATHER_SECONDS = 0.6
@@ -89,7 +91,7 @@
     async def _poll(self) -> bool:
         """Waits for changes once; returns whether there were any."""
         started = freshness.read_clock()
-        seconds = SHORT_POLL_SECONDS if self._lost_at else POLL_SECONDS
+        seconds = self._find_wait()
         changes, after = await self._feed.poll_changes(
             self._prefix, self._after, seconds
         )
@@ -101,6 +103,17 @@
         self._proof.prove(min(started + waited, freshness.read_clock()))
         return bool(changes)
 
+    def _find_wait(self) -> float:
+        """Returns the longest wait after which the proof is still young.
+
+        An answer with changes proves only what was so when it was asked for,
+        so the proof may be old already.
+        """
+        if self._lost_at:
+            return SHORT_POLL_SECONDS
+        left = PROOF_SHARE * self._proof.bound - self._proof.age
+        return max(SHORT_POLL_SECONDS, min(POLL_SECONDS, left))
+
     def _take(self, change: stores.Change) -> None:
         if change.revision <= self._known.get(change.key, 0):
             return
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -110,6 +110,19 @@
         await follow(feed, seconds=1.5)
         assert feed.waits[1] < 0.1 < feed.waits[2]
 
+    @run_async
+    async def test_poll_after_late_changes_is_short(self):
+        """Found on siamsound-rfp inc-07ea: proofs lapsed by a slow store."""
+
+        async def come_late():
+            await anyio.sleep(0.4)
+            return [change('a', 2)], 2
+
+        feed = ScriptedFeed(([], 1), come_late, ([], 2))
+        await follow(feed, freshness.Freshness(1.0), 1.4)
+        assert feed.waits[0] > 0.5
+        assert feed.waits[1] < 0.1
+
     @run_async
     async def test_an_empty_poll_proves_up_to_its_end(self):
         proof = freshness.Freshness(4.5)
