--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -7,6 +7,7 @@
 import anyio
 
 from chivejunction import clock
+from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
 from chivejunction.coordination import backend_selection
@@ -129,6 +130,7 @@
         self.front = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
         )
+        self._read_options: Callable = lambda: None
         self._is_leaving = False
         self._gone: list[str] = []
 
@@ -213,12 +215,19 @@
             and self.proof.holds()
         )
 
-    async def run(self, apply: Callable) -> None:
+    async def run(
+        self,
+        apply: Callable,
+        read_options: Callable[[], GatewayOptions | None],
+    ) -> None:
         """Serves until SIGTERM.
 
         Args:
             apply: Takes the changes of the store, see ``mirrors.Mirror``.
+            read_options: Returns the options if they have changed. Bounds
+                are taken over; addresses stay until the next start.
         """
+        self._read_options = read_options
         self._register_gauges()
         mirror = mirrors.Mirror(self._feed, '', apply, self.proof)
         async with anyio.create_task_group() as group:
@@ -275,6 +284,8 @@
                 await self._pool.close_instance(instance)
             await self._pool.close_expired()
             self._forwarder.set_allowance(self._find_allowance())
+            # The file may also change without a signal.
+            self._reload()
 
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
@@ -282,15 +293,32 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    logs.LOG.info(
-                        'settings file changed; addresses stay as they are',
-                        extra={'fields': {'event': 'reload'}},
-                    )
+                    self._reload()
                     continue
                 break
             await self._leave()
             scope.cancel()
 
+    def _reload(self) -> None:
+        """Takes over options that have changed."""
+        try:
+            found = self._read_options()
+        except errors.SettingError as exc:
+            logs.LOG.error(
+                'changed settings are not accepted, the former ones stay: %s',
+                exc,
+                extra={'fields': {'event': 'reload'}},
+            )
+            return
+        if found is None:
+            return
+        self._options = found
+        self.proof.bound = found.key_seconds
+        logs.LOG.info(
+            'settings changed; addresses stay as they are',
+            extra={'fields': {'event': 'reload'}},
+        )
+
     async def _leave(self) -> None:
         """Ends gracefully: no new callers, then the answers in progress."""
         deadline = clock.make_deadline(
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -287,7 +287,9 @@
             service=service,
             organisation=organisation,
             reply=reply,
-            tier=tier_choice.TierChoice(route.tiers),
+            tier=tier_choice.TierChoice.start(
+                route.tiers, route.repeat is not forwarding.Repeat.NEVER
+            ),
             deadline=min(
                 request.deadline, request.received_at + route.timeout
             ),
--- a/chivejunction/coordination/tier_choice.py
+++ b/chivejunction/coordination/tier_choice.py
@@ -25,6 +25,18 @@
     tiers: tuple[str, ...]
     index: int = 0
 
+    @classmethod
+    def start(cls, tiers: tuple[str, ...], may_repeat: bool) -> 'TierChoice':
+        """Returns the first choice for a request.
+
+        Args:
+            tiers: Models that may answer, the smallest first.
+            may_repeat: Whether the request may run again. Otherwise the
+                first answer is the last, so the largest model makes it.
+        """
+        index = 0 if may_repeat or not tiers else len(tiers) - 1
+        return cls(tiers, index)
+
     @property
     def model(self) -> str:
         """Model of the tier in use, empty without tiers."""
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -66,8 +66,14 @@
     )
     regions = {found.zone: found.region, **found.zones}
     reader = entries.EntryReader(gateway, regions)
+    file = settings.SettingsFile()
+
+    def read_options() -> forward_gateway.GatewayOptions | None:
+        changed = file.read_changes()
+        return None if changed is None else make_options(changed)
+
     logs.LOG.info('started', extra={'fields': {'event': 'start'}})
-    await gateway.run(reader.apply)
+    await gateway.run(reader.apply, read_options)
 
 
 def main() -> None:
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -127,3 +127,35 @@
         for row in exc.errors(include_url=False)
     ]
     return f'{path}: ' + '; '.join(rows)
+
+
+class SettingsFile:
+    """Settings file that may change while the program runs.
+
+    Args:
+        path: Path of the file; None for the one that the platform names.
+    """
+
+    def __init__(self, path: str | None = None):
+        self._path = path or os.environ.get(PATH_VARIABLE, '')
+        self._stamp = self._find_stamp()
+
+    def _find_stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            # The file is being replaced, or gone; what was read stays.
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    def read_changes(self) -> Settings | None:
+        """Returns the settings if the file has changed since the last call.
+
+        Raises:
+            SettingError: The file has changed and is not accepted.
+        """
+        stamp = self._find_stamp()
+        if stamp in (self._stamp, (0, 0)):
+            return None
+        self._stamp = stamp
+        return read_settings(self._path)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -436,3 +436,16 @@
             rig.gateway._work.start(instance, 60.0)
             got = await rig.call('/tiers/x', b'p', Model='*')
             assert got.is_whole and len(server.seen) == 1
+
+    @run_async
+    async def test_request_that_must_not_repeat_asks_the_largest_tier(self):
+        config = forward_rig.make_config()
+        config['routes'][3]['can_resume'] = False
+        async with forward_rig.start(config) as rig:
+            server = await rig.add(
+                forward_rig.stream_events(2, confidence=5), 'pool'
+            )
+            got = await rig.call('/tiers/x', b'p', Model='*')
+            assert got.is_whole
+            models = [seen.headers['model'] for seen in server.seen]
+            assert models == ['large']
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,9 @@
 """Translation of the platform's settings, configuration and entries."""
 
+import dataclasses
 import json
 
+import anyio
 import pytest
 import yaml
 
@@ -81,6 +83,47 @@
             settings.read_settings('/nowhere/boot.yaml')
 
 
+class TestSettingsFile:
+    def test_tells_of_changes_once(self, tmp_path):
+        path = write_settings(tmp_path)
+        file = settings.SettingsFile(path)
+        assert file.read_changes() is None
+        write_settings(tmp_path, bounds={'revoke_ms': 7777})
+        assert file.read_changes().bounds.revoke_ms == 7777
+        assert file.read_changes() is None
+
+    def test_wrong_change_is_an_error_and_a_missing_file_is_none(
+        self, tmp_path
+    ):
+        path = write_settings(tmp_path)
+        file = settings.SettingsFile(path)
+        write_settings(tmp_path, node_name='')
+        with pytest.raises(errors.SettingError, match='node_name'):
+            file.read_changes()
+        (tmp_path / 'boot.yaml').unlink()
+        assert file.read_changes() is None
+
+    def test_gateway_takes_over_bounds_and_keeps_them_on_errors(self):
+        async def check():
+            async with forward_rig.start() as rig:
+                gateway = rig.gateway
+                changed = dataclasses.replace(
+                    gateway._options, key_seconds=2.0
+                )
+                gateway._read_options = lambda: changed
+                gateway._reload()
+                assert gateway.proof.bound == 2.0
+
+                def fail():
+                    raise errors.SettingError('x: 7 (accepted is 8)')
+
+                gateway._read_options = fail
+                gateway._reload()
+                assert gateway.proof.bound == 2.0
+
+        anyio.run(check)
+
+
 class TestConfiguration:
     def read(self, **fields):
         config = forward_rig.make_config(**fields)
