Split forwarding into trips, choice, attempts, liveness and the gateway's answer

No change of behaviour; each part has one job: trips (state of a request), attempt_choice (server, tier, budget), direct_attempts (one send and its answer), liveness (busy or dead), forwarding (checks and final answers). Tests unchanged.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -10,7 +10,9 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
+from chivejunction.coordination import attempt_choice
 from chivejunction.coordination import backend_selection
+from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import forwarding
 from chivejunction.coordination import hints
 from chivejunction.coordination import members
@@ -113,20 +115,26 @@
             self._speeds,
             self._holdings,
         )
-        self._forwarder = forwarding.Forwarder(
-            lambda: self.table,
-            self.backends,
+        self._chooser = attempt_choice.AttemptChooser(
             selector,
-            self._pool,
-            wire,
-            self.proof,
             self._make_budget,
             self.moves,
             self._work,
-            self._speeds,
             self._holdings,
             self._hints,
         )
+        attempts = direct_attempts.DirectAttempts(
+            self.backends,
+            self._pool,
+            wire,
+            self.proof,
+            self.moves,
+            self._speeds,
+            self._chooser,
+        )
+        self._forwarder = forwarding.Forwarder(
+            lambda: self.table, wire, self.proof, self._chooser, attempts
+        )
         self.front = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
         )
@@ -283,7 +291,7 @@
                 self._holdings.forget(instance)
                 await self._pool.close_instance(instance)
             await self._pool.close_expired()
-            self._forwarder.set_allowance(self._find_allowance())
+            self._chooser.set_allowance(self._find_allowance())
             # The file may also change without a signal.
             self._reload()
 
