--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -34,7 +34,7 @@
 # gateways by then.
 LEAVE_SECONDS = 2.4
 # Left of the grace period for the end of the process itself.
-EXIT_SECONDS = 0.8
+EXIT_SECONDS = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
