Share a cold server among five gateways at most

With 6 the sum stays within the bound. Change: five gateways by rendezvous hashing send to a cold server. Test: test_gateways_together_stay_within_the_rate failed first for 31 and 100 gateways, passed for 1 and 6. Ruled out: entries that arrive late (the server was listed as cold). Also: the soak takes the platform's documents from fakes/platform_documents.

--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -29,6 +29,7 @@
 from chivejunction.platform import settings
 from chivejunction.transport import sockets
 from fakes import forward_server
+from fakes import platform_documents
 
 DOMAINS = ('bkk-a', 'cnx-a', 'hkt-a')
 KEYS = ('key-a', 'key-b', 'key-c')
@@ -38,6 +39,7 @@
 DRAIN_SECONDS = 3.0
 CONFIG_SECONDS = 3.0
 GRACE_SECONDS = 8.0
+BODY_BYTES = 300
 # Clients and servers read different clocks of one machine; scheduling slack.
 SLACK_SECONDS = 0.3
 SETTLE_SECONDS = 6.0
@@ -140,29 +142,19 @@
         address = self.addresses[number]
         domain = DOMAINS[number % len(DOMAINS)]
         path = self.folder / f'gw-{number}.yaml'
-        path.write_text(
-            yaml.safe_dump(
-                {
-                    'node_name': f'gw-{number}',
-                    'zone': domain,
-                    'region': domain[:3],
-                    'zones': {name: name[:3] for name in DOMAINS},
-                    'ip': address,
-                    'listen': {
-                        'front': f'{address}:{self.front}',
-                        'ready': f'{address}:{self.ready}',
-                    },
-                    'internal_ports': [self.hints, self.hints],
-                    'bounds': {
-                        'revoke_ms': 1000 * REVOKE_SECONDS,
-                        'grace_period_s': GRACE_SECONDS,
-                        'retry_budget_ratio': 0.9,
-                        'retry_slack': 60,
-                    },
-                    'platform': {'address': f'127.0.0.1:{proxy}'},
-                }
-            )
+        found = platform_documents.write_settings(
+            f'gw-{number}',
+            DOMAINS,
+            domain,
+            address,
+            (self.front, self.ready, self.hints),
+            f'127.0.0.1:{proxy}',
+            revoke_ms=1000 * REVOKE_SECONDS,
+            grace_period_s=GRACE_SECONDS,
+            retry_budget_ratio=0.9,
+            retry_slack=60,
         )
+        path.write_text(yaml.safe_dump(found))
         self.spawn(
             f'gw-{number}',
             [sys.executable, '-m', 'chivejunction.platform.program'],
@@ -188,15 +180,7 @@
     async def list_server(self, instance: str, state: str = 'ready') -> None:
         """Writes a server's entry."""
         service, port, domain = self.servers[instance]
-        entry = {
-            'service': service,
-            'address': f'127.0.0.1:{port}',
-            'zone': domain,
-            'version': 'v1',
-            'slots': 16,
-            'state': state,
-            'cold_left_ms': 0,
-        }
+        entry = platform_documents.write_entry(service, port, domain, state)
         await self.operate('PUT', f'servers/{instance}', entry)
 
     def stop_all(self) -> None:
@@ -231,29 +215,7 @@
         self.version += self.rng.randint(1, 3)
         names = ['safe', 'once', 'stream']
         names += [f'extra{n}' for n in range(self.extra_routes)]
-        kinds = {'once': 'non_idempotent', 'stream': 'streaming'}
-        value = {
-            'version': self.version,
-            'routes': [
-                {
-                    'name': name,
-                    'host': 'shop.example',
-                    'prefix': f'/{name}/',
-                    'kind': kinds.get(name, 'idempotent'),
-                    'service': 'pool' if name == 'stream' else 'desk',
-                    'timeout_ms': 3000,
-                    'target_latency_ms': 500,
-                    'max_attempts': 1 if name == 'once' else 3,
-                    'can_resume': name == 'stream',
-                    'gap_target_ms': 600,
-                }
-                for name in names
-            ],
-            'services': [{'name': 'desk'}, {'name': 'pool'}],
-            'tenants': [
-                {'name': f't-{k}', 'api_keys': [k]} for k in self.keys
-            ],
-        }
+        value = platform_documents.write_config(self.version, names, self.keys)
         await self.operate('PUT', 'op/config', value)
         return time.time()
 
@@ -291,20 +253,10 @@
                 stream = await anyio.connect_tcp(
                     self.addresses[call.gateway], self.front
                 )
-            body = b'x' * 300
-            head = '\r\n'.join(
-                [
-                    f'POST /{call.kind}/x HTTP/1.1',
-                    'Host: shop.example',
-                    f'Request-Id: {call.id}',
-                    f'X-Api-Key: {call.key}',
-                    'Deadline-Ms: 3000',
-                    f'Content-Length: {len(body)}',
-                    '',
-                    '',
-                ]
+            request = platform_documents.write_request(
+                call.kind, call.id, call.key, 3000, b'x' * BODY_BYTES
             )
-            await stream.send(head.encode() + body)
+            await stream.send(request)
             is_kept = await self.read_answer(call, stream)
         except (*sockets.LOST, h11.RemoteProtocolError):
             return None
@@ -384,7 +336,10 @@
         if call.kind == 'once' and call.status in PROMISES and rows:
             self.violations.append(f'true_not_run: {call.id} {call.status}')
         for row in rows:
-            if row['organisation'] != f't-{call.key}' or row['length'] != 300:
+            if (
+                row['organisation'] != f't-{call.key}'
+                or row['length'] != BODY_BYTES
+            ):
                 self.violations.append(f'unasked: {call.id} ran as {row}')
         revoked = self.revoked.get(call.key)
         if revoked and rows and call.sent_at > revoked + REVOKE_SECONDS:
@@ -422,7 +377,7 @@
     """Returns what is wrong with a successful answer, empty if nothing."""
     if headers.get('request-id') != call.id:
         return f'answers {headers.get("request-id")}'
-    seal = headers.get('response-seal', '')
+    seal = platform_documents.read_seal(headers)
     if call.kind != 'stream':
         instance = seal.removeprefix(forward_server.SIGNATURE)
         wanted = f'{call.id}@{instance}'
--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -15,6 +15,7 @@
 
 # Part of the objective for which a request waits for a server with room.
 WAIT_SHARE = 1 / 8
+# Time between two looks for a server with room.
 WAIT_STEP_SECONDS = 0.02
 # Callers' guesses of the length are right in the middle and often far off; an
 # answer that would be late even if it were this much shorter is not begun.
--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -34,6 +34,9 @@
 # Gateways agree on a server for a prompt that nobody holds yet, unless it
 # has this much more work than another.
 AGREED_SECONDS = 0.08
+# Gateways that send to a cold server. Each may send one request at once, and
+# users bear 5 requests beyond one and a half times the rate of such a server.
+COLD_GATEWAYS = 5
 # Part of a server's connections that one gateway leaves to the others.
 CONNECTION_SHARE = 0.9
 
@@ -101,6 +104,8 @@
         table: Backend servers.
         region: Region of this gateway.
         count_gateways: Returns the number of gateways at work.
+        count_sharing: Returns among how many gateways this one shares a
+            cold server, see ``members.Members``.
         work: Work that waits at servers.
         speeds: Reading speeds of the models.
         holdings: Prompt beginnings that servers hold.
@@ -111,6 +116,7 @@
         table: backends.BackendTable,
         region: str,
         count_gateways: Callable[[], int],
+        count_sharing: Callable[[str, int], int],
         work: backlogs.Backlogs,
         speeds: backlogs.ReadingSpeeds,
         holdings: prompt_holdings.PromptHoldings,
@@ -118,6 +124,7 @@
         self._table = table
         self._region = region
         self._count_gateways = count_gateways
+        self._count_sharing = count_sharing
         self._work = work
         self._speeds = speeds
         self._holdings = holdings
@@ -222,7 +229,10 @@
     def _bears_another(self, backend, service) -> bool:
         if not service.cold_rate or not backend.is_cold():
             return True
-        rate = service.cold_rate / (self._count_gateways() + 1)
+        sharing = self._count_sharing(backend.instance, COLD_GATEWAYS)
+        if not sharing:
+            return False
+        rate = service.cold_rate / (sharing + 1)
         if backend.cold_bucket is None:
             backend.cold_bucket = limits.TokenBucket(rate, backends.COLD_BURST)
         elif backend.cold_bucket.rate != rate:
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -22,11 +22,13 @@
 # to another server: of a server that answers nobody, and of a busy one.
 SILENT_SHARE = 0.5
 BUSY_SHARE = 2.0
+# The same for answers in one piece, which an idle server gives at once.
 PLAIN_SHARE = 0.55
 # Pause between events, in parts of the longest one on time, after which a
 # stream goes on at another server.
 GAP_SHARE = 0.7
 LONG_GAP_SHARE = 2.0
+# Engines that read long prompts pause this long between events.
 MIN_GAP_SECONDS = 0.5
 # A connection that was idle for longer may have been dropped by the server
 # without notice; a request that must not run twice does not risk it.
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -111,6 +111,7 @@
             self.backends,
             options.region,
             self.members.count,
+            self.members.count_sharing,
             self._work,
             self._speeds,
             self._holdings,
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -21,6 +21,7 @@
 
 # Retry-After of a refusal: a spread keeps callers from returning together.
 RETRY_AFTER_SECONDS = (0.3, 1.2)
+# Callers honour up to a third of the time that they have left.
 RETRY_AFTER_SHARE = 0.3
 # Time left below which an attempt cannot end in time.
 MIN_LEFT_SECONDS = 0.02
--- a/chivejunction/coordination/members.py
+++ b/chivejunction/coordination/members.py
@@ -52,6 +52,19 @@
             raise errors.ProtocolError(f'member {name}: {exc}') from exc
         self._addresses[name] = (str(address), int(port))
 
+    def count_sharing(self, key: str, most: int) -> int:
+        """Returns among how many gateways this one shares something.
+
+        Args:
+            key: What is shared, for example an instance id.
+            most: Gateways that share it, chosen by rendezvous hashing.
+
+        Returns:
+            The number of them; 0 if this gateway is none of them.
+        """
+        chosen = rendezvous.rank_hosts(key, self._addresses)[:most]
+        return len(chosen) if self._name in chosen else 0
+
     def list_addresses(self, most: int) -> list[tuple[str, int]]:
         """Returns addresses of other gateways.
 
--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -7,10 +7,13 @@
 
 from chivejunction import clock
 from chivejunction.coordination import backend_selection
+from chivejunction.coordination import members
 from chivejunction.protocol import forwarding
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prompt_holdings
+from chivejunction.transport import stores as transport_stores
+from tests import stores
 
 SERVICE = forwarding.BackendService(
     'pool', max_connections=100, cold_rate=8.0, cache_tokens=200_000
@@ -20,7 +23,12 @@
 class Pool:
     """Servers of one service with a selector."""
 
-    def __init__(self, gateways=2):
+    def __init__(self, gateways=2, name='gw-0'):
+        found = members.Members(stores.MemoryStore(), name, ('', 1))
+        for number in range(gateways):
+            key = f'{members.PREFIX}gw-{number}'
+            entry = transport_stores.Entry(key, b'["", 1]', 1, 0)
+            found.apply(transport_stores.Change(key, 1, entry))
         self.table = backends.BackendTable()
         self.work = backlogs.Backlogs()
         self.speeds = backlogs.ReadingSpeeds()
@@ -28,7 +36,8 @@
         self.selector = backend_selection.BackendSelector(
             self.table,
             'bkk',
-            lambda: gateways,
+            found.count,
+            found.count_sharing,
             self.work,
             self.speeds,
             self.holdings,
@@ -94,11 +103,15 @@
 
 
 class TestColdServers:
-    def test_gateways_together_stay_within_the_rate(self, monkeypatch):
+    @pytest.mark.parametrize('gateways', [1, 6, 31, 100])
+    def test_gateways_together_stay_within_the_rate(
+        self, monkeypatch, gateways
+    ):
+        """31 failed on raamwerk-hub-grown scale-1 --seed 1028896647429."""
         now = [50.0]
         monkeypatch.setattr(clock, 'now', lambda: now[0])
         monkeypatch.setattr(clock, 'has_passed', lambda at: now[0] >= at)
-        pools = [Pool(gateways=6) for _ in range(6)]
+        pools = [Pool(gateways, f'gw-{n}') for n in range(gateways)]
         for each in pools:
             each.add('a', cold_until=1000.0)
         sent = []
@@ -106,7 +119,8 @@
             for each in pools:
                 if each.choose() == 'a':
                     sent.append(now[0])
-            now[0] += 0.01
+            now[0] += 0.05
+        assert len(sent) > 20
         for start in sent:
             window = [at for at in sent if start <= at < start + 1]
             assert len(window) <= 8.0 * 1.5 + 5
