Take a caller that leaves inside its body for no error of a stand-in

Test: test_caller_that_leaves_inside_its_body_is_no_error failed first. Ruled out: the agent (agent_restart was the fault played, it closes its connections). Only stand-ins changed.

--- a/fakes/programs.py
+++ b/fakes/programs.py
@@ -5,12 +5,27 @@
 
 import anyio
 import fire
+from starlette import applications
+from starlette import requests
+from starlette import responses
 
 from chivejunction import logs
 from chivejunction.transport import http_server
 from chivejunction.transport import sockets
 
 
+async def answer_nobody(
+    request: requests.Request, exc: Exception
+) -> responses.Response:
+    """Ends a request whose caller left before its body had come."""
+    return responses.Response(status_code=400)
+
+
+def tolerate_leavers(app: applications.Starlette) -> None:
+    """Makes a caller that leaves early no error of the fake."""
+    app.add_exception_handler(requests.ClientDisconnect, answer_nobody)
+
+
 def run_app(
     make_app: Callable,
     port: int,
@@ -30,6 +45,7 @@
 
     async def serve() -> None:
         app = make_app(**options)
+        tolerate_leavers(app)
         sock = sockets.bind_socket('127.0.0.1', port)
         context = (
             make_context(app) if make_context else contextlib.nullcontext()
