Drop state that nothing reads, and hash shares in one place

Read again as a newcomer. sessions.hash_share and route_tables.hash_fraction were the same function and are rendezvous.hash_share now, with the same values. Gone: latency and running_tokens of backends, start times and a change counter of backlogs, uses of connections, an except clause that could not be reached. Comments that had become wrong are mended; the store client's method texts stand in the interface only; the soak takes the platform's keys from the adapter. No behaviour changed; tests keep their assertions.

--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -26,6 +26,8 @@
 import yaml
 
 from bench import ports
+from chivejunction.platform import configuration
+from chivejunction.platform import servers
 from chivejunction.platform import settings
 from chivejunction.transport import sockets
 from fakes import forward_server
@@ -181,7 +183,7 @@
         """Writes a server's entry."""
         service, port, domain = self.servers[instance]
         entry = platform_documents.write_entry(service, port, domain, state)
-        await self.operate('PUT', f'servers/{instance}', entry)
+        await self.operate('PUT', servers.PREFIX + instance, entry)
 
     def stop_all(self) -> None:
         """Ends all processes of this run."""
@@ -216,7 +218,7 @@
         names = ['safe', 'once', 'stream']
         names += [f'extra{n}' for n in range(self.extra_routes)]
         value = platform_documents.write_config(self.version, names, self.keys)
-        await self.operate('PUT', 'op/config', value)
+        await self.operate('PUT', configuration.CONFIG_KEY, value)
         return time.time()
 
     # Clients.
@@ -495,7 +497,7 @@
     soak.note_harm('servers', 4)
     soak.processes[instance].kill()
     await anyio.sleep(rng.uniform(0, 3))
-    await soak.operate('DELETE', f'servers/{instance}')
+    await soak.operate('DELETE', servers.PREFIX + instance)
     soak.server_count += 1
     await soak.start_server(service, soak.server_count)
 
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -372,7 +372,7 @@
             self._chooser.end_work(trip.work)
             tokens = trip.request.input_tokens - choice.held_tokens
             self._speeds.record(trip.wish.model, tokens, seconds)
-        backend.note_success(seconds / trip.route.objective)
+        backend.note_success()
         self._moves.record(
             trip.service.name,
             backend.version,
@@ -393,7 +393,7 @@
     """
     if choice.wait > MAX_JUDGED_WAIT_SECONDS:
         return None
-    usual = choice.seconds if choice.seconds else route.objective / 4
+    usual = choice.seconds or route.objective / 4
     return seconds / (SLACK_SECONDS + choice.wait + usual)
 
 
--- a/chivejunction/coordination/rollouts.py
+++ b/chivejunction/coordination/rollouts.py
@@ -12,11 +12,11 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
+from chivejunction import rendezvous
 from chivejunction.coordination import configuration
 from chivejunction.coordination import ratings
 from chivejunction.protocol import resources
 from chivejunction.state import calls
-from chivejunction.state import sessions
 from chivejunction.state import views
 
 RUNNING = resources.RolloutState.RUNNING
@@ -308,7 +308,7 @@
             if rollout.state is COMPLETE:
                 continue
             reach = max(find_next_share(rollout), rollout.share)
-            if sessions.hash_share(rollout.name, key) < reach:
+            if rendezvous.hash_share(rollout.name, key) < reach:
                 return rollout.name
         return ''
 
@@ -328,7 +328,7 @@
                 rollout.from_version != version
                 or rollout.state not in (RUNNING, PAUSED)
                 or rollout.name in self.halts
-                or sessions.hash_share(rollout.name, key) >= rollout.share
+                or rendezvous.hash_share(rollout.name, key) >= rollout.share
             ):
                 continue
             if self._reserve(rollout, request, now):
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -19,7 +19,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
-from chivejunction.state import route_tables
+from chivejunction import rendezvous
 from chivejunction.transport import stores
 
 PREFIX = 'chivejunction/moves/'
@@ -299,7 +299,7 @@
         elif now < until and (was_new or move.stage == 0):
             is_new = was_new
         else:
-            place = route_tables.hash_fraction(f'{key[0]}/{session}')
+            place = rendezvous.hash_share(*key)
             is_new = place < share and is_usable(move.order.target)
         self._sessions[key] = (is_new, now + SESSION_SECONDS)
         self._sessions.move_to_end(key)
--- a/chivejunction/rendezvous.py
+++ b/chivejunction/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: the same ranking at every process."""
+"""Hashing that gives the same ranking and shares at every process."""
 
 from collections.abc import Iterable
 
@@ -13,3 +13,8 @@
 def rank_hosts(key: str, hosts: Iterable[str]) -> list[str]:
     """Returns hosts in rendezvous order for a key, the first one first."""
     return sorted(hosts, key=lambda host: score(key, host), reverse=True)
+
+
+def hash_share(name: str, key: str) -> float:
+    """Returns the place of a key in what a name divides, 0 up to 1."""
+    return xxhash.xxh3_64_intdigest(f'{name}/{key}'.encode()) / 2**64
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -17,7 +17,7 @@
 # Entries that lapsed during an outage of the store are written again within
 # two seconds of its return (the platform's page on discovery).
 LAPSED_SECONDS = 2.3
-# Requests a second beyond which a restarted server counts as warm.
+# Requests that one gateway may send to a cold server at once.
 COLD_BURST = 1.0
 
 
@@ -38,11 +38,9 @@
         cold_until: Monotonic time until which it bears few requests.
         born_at_ms: Unix milliseconds of its start; 0 if not known.
         running: Attempts of this gateway in progress.
-        running_tokens: Uncached prompt tokens of those.
         paused_until: Monotonic time until which it is passed over.
         failures: Failures in a row.
         error_share: Recent share of attempts that failed.
-        latency: Recent time to the first byte in units of the objective.
         event_pace: Recent seconds between the events of a stream.
         paced_at: Monotonic time of its latest observation.
         lapsed_until: Monotonic time until which a server counts that went
@@ -62,11 +60,9 @@
     cold_until: float = 0.0
     born_at_ms: int = 0
     running: int = 0
-    running_tokens: int = 0
     paused_until: float = 0.0
     failures: int = 0
     error_share: float = 0.0
-    latency: float = 0.0
     event_pace: float = 0.0
     paced_at: float = 0.0
     lapsed_until: float = 0.0
@@ -76,15 +72,10 @@
         """Tells whether the server bears only few requests."""
         return not clock.has_passed(self.cold_until)
 
-    def note_success(self, latency: float) -> None:
-        """Records an answer with its time to the first byte.
-
-        Args:
-            latency: Time in units of the route's objective.
-        """
+    def note_success(self) -> None:
+        """Records an answer."""
         self.failures = 0
         self.error_share *= 1 - OBSERVATION_WEIGHT
-        self.latency += OBSERVATION_WEIGHT * (latency - self.latency)
 
     def note_pace(self, seconds: float) -> None:
         """Records the time between two events of a stream."""
@@ -124,9 +115,6 @@
         self._by_service: dict[str, list[Backend]] = {}
         self.closed_domains: set[str] = set()
 
-    def __len__(self) -> int:
-        return len(self._backends)
-
     def get(self, instance: str) -> Backend | None:
         """Returns the server with an instance id."""
         return self._backends.get(instance)
--- a/chivejunction/state/backlogs.py
+++ b/chivejunction/state/backlogs.py
@@ -51,12 +51,10 @@
     Attributes:
         instance: Server that has it.
         seconds: Estimated time of the engine.
-        started_at: Monotonic time at which it was sent.
     """
 
     instance: str
     seconds: float
-    started_at: float
 
 
 class Backlogs:
@@ -66,19 +64,16 @@
         self._own: dict[int, Work] = {}
         self._next = 0
         self._peers: dict[str, tuple[float, Mapping[str, float]]] = {}
-        self.changes = 0
 
     def start(self, instance: str, seconds: float) -> int:
         """Notes that an attempt was sent; returns its number."""
         self._next += 1
-        self._own[self._next] = Work(instance, seconds, clock.now())
-        self.changes += 1
+        self._own[self._next] = Work(instance, seconds)
         return self._next
 
     def end(self, number: int) -> None:
         """Notes that an attempt has its first byte, or has failed."""
-        if self._own.pop(number, None) is not None:
-            self.changes += 1
+        self._own.pop(number, None)
 
     def sum_own(self) -> dict[str, float]:
         """Returns the seconds of this gateway's own work by server."""
--- a/chivejunction/state/route_tables.py
+++ b/chivejunction/state/route_tables.py
@@ -2,16 +2,10 @@
 
 import dataclasses
 
-import xxhash
-
+from chivejunction import rendezvous
 from chivejunction.protocol import forwarding
 
 
-def hash_fraction(text: str) -> float:
-    """Returns a number from 0 up to 1 that depends on a text alone."""
-    return xxhash.xxh3_64_intdigest(text.encode()) / 2**64
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTable:
     """One version of the routing configuration.
@@ -73,7 +67,7 @@
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
-    place = hash_fraction(f'{route.name}/{request_id}') * total
+    place = rendezvous.hash_share(route.name, request_id) * total
     for share in route.shares:
         place -= share.weight
         if place < 0:
--- a/chivejunction/state/sessions.py
+++ b/chivejunction/state/sessions.py
@@ -6,7 +6,6 @@
 import math
 
 import itsdangerous
-import xxhash
 
 from chivejunction import errors
 
@@ -85,11 +84,6 @@
         return found
 
 
-def hash_share(rollout: str, key: str) -> float:
-    """Returns the place of a session in a rollout, 0 up to 1."""
-    return xxhash.xxh3_64_intdigest(f'{rollout}/{key}'.encode()) / 2**64
-
-
 class PinTable:
     """Versions of the sessions that a gateway has seen, by PinKey.
 
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -42,7 +42,6 @@
         self._request: h11.Request | None = None
         self._body = b''
         self._is_sent = True
-        self.uses = 0
         self.idle_until = 0.0
         self.released_at = 0.0
 
@@ -66,7 +65,6 @@
         )
         self._body = body
         self._is_sent = False
-        self.uses += 1
         if self._conn.our_state is not h11.IDLE:
             self._conn.start_next_cycle()
         data = self._write_request()
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -98,8 +98,6 @@
     Attributes:
         handle: Answers a request.
         get_limits: Returns what callers may send at present.
-        refuse: Returns the headers of an answer to a request that could
-            not be read.
         is_closing: Whether connections end after the answer in progress.
         active: Requests in progress.
         connections: Open connections.
@@ -196,7 +194,7 @@
                 self._conn.start_next_cycle()
         except sockets.LOST:
             return
-        except (h11.LocalProtocolError, OSError) as exc:
+        except h11.LocalProtocolError as exc:
             logs.LOG.info('caller connection failed: %r', exc)
 
     async def _serve_one(self) -> bool:
--- a/chivejunction/transport/store_client.py
+++ b/chivejunction/transport/store_client.py
@@ -86,22 +86,7 @@
         lease: int = 0,
         also: dict[str, bytes] | None = None,
     ) -> int:
-        """Writes a key if its modification revision is the expected one.
-
-        Args:
-            key: Key to write.
-            value: New value.
-            expected: Expected modification revision; 0 for a new key.
-            lease: Lease that removes the key when it expires, or 0.
-            also: Further keys and values, written in the same transaction.
-
-        Returns:
-            The new modification revision.
-
-        Raises:
-            StoreConflict: The key has another modification revision.
-            StoreResultUnknown: The answer was lost.
-        """
+        """Writes a key if its modification revision is the expected one."""
         put = {'key': _encode(key), 'value': _encode(value)}
         if lease:
             put['lease'] = str(lease)
@@ -129,12 +114,7 @@
         return int(answer['header']['revision'])
 
     async def delete(self, key: str, expected: int) -> None:
-        """Deletes a key if it has the expected modification revision.
-
-        Raises:
-            StoreConflict: The key has another modification revision.
-            StoreResultUnknown: The answer was lost.
-        """
+        """Deletes a key if it has the expected modification revision."""
         answer = await self._post(
             'kv/txn',
             {
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,12 +7,12 @@
 import pytest
 
 from chivejunction import errors
+from chivejunction import rendezvous
 from chivejunction.coordination import configuration
 from chivejunction.coordination import ratings
 from chivejunction.coordination import rollouts
 from chivejunction.protocol import resources
 from chivejunction.state import estimates
-from chivejunction.state import sessions
 from tests import stores
 from tests import test_routing
 
@@ -149,7 +149,7 @@
             if plan.steps == ['small-2']:
                 moved.add(i)
                 assert plan.rollout == 'r'
-        place = {i: sessions.hash_share('r', f'a/s{i}') for i in range(400)}
+        place = {i: rendezvous.hash_share('r', f'a/s{i}') for i in range(400)}
         assert moved == {i for i in place if place[i] < 0.25}
         assert 70 <= len(moved) <= 130
 
