Announce loaded versions at once

Cause (make test, test_draining test_sigterm_under_streams_cuts_none, once, on a machine without other load): the gateway excluded lm-2 with 'version not loaded' 0.17 s after its agent had logged the versions; agents told of them with the next heartbeat only, up to 1 s later. With lm-1 leaving, four requests were refused next to an idle server. Change: an agent sends a heartbeat to its gateways when its versions change, by the piece that announces its leaving. Test: test_changed_versions_are_announced_at_once failed first.

--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -221,6 +221,7 @@
             self.gate,
             self.window,
             config.load_seconds,
+            self._send_heartbeats,
         )
         self._peers: dict[str, peers.GatewayPeer] = {}
         self._reports: dict[str, Report] = {}
@@ -315,6 +316,9 @@
 
     def _announce(self) -> None:
         self.spread.leave()
+        self._send_heartbeats()
+
+    def _send_heartbeats(self) -> None:
         for gateway, peer in self._peers.items():
             peer.send(self._reports[gateway].make_heartbeat())
 
--- a/chivejunction/coordination/load_reports.py
+++ b/chivejunction/coordination/load_reports.py
@@ -1,5 +1,7 @@
 """Load reports of the agent's own engine."""
 
+from collections.abc import Callable
+
 import anyio
 
 from chivejunction import clock
@@ -26,6 +28,7 @@
         gate: Admission, told which versions are loaded.
         window: Concurrency window, reset after a restart.
         seconds: Seconds between two reports.
+        announce: Tells the gateways of versions that have changed.
     """
 
     def __init__(
@@ -35,12 +38,14 @@
         gate: admission.Admission,
         window: windows.SlowStartWindow,
         seconds: float,
+        announce: Callable[[], None],
     ):
         self._url = f'{url.rstrip("/")}/load'
         self._client = client
         self._gate = gate
         self._window = window
         self._seconds = seconds
+        self._announce = announce
         self.incarnation = ''
         self.latest: dict = {}
 
@@ -76,4 +81,5 @@
             loaded = frozenset(map(str, versions))
             if loaded != self._gate.versions:
                 logs.LOG.info('loaded versions: %s', sorted(loaded))
-            self._gate.versions = loaded
+                self._gate.versions = loaded
+                self._announce()
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -18,13 +18,14 @@
     return 'asyncio'
 
 
-def make_reports(rig):
+def make_reports(rig, announce=lambda: None):
     return load_reports.LoadReports(
         f'http://127.0.0.1:{fleet.find_port()}',
         rig.executor._client,
         rig.gate,
         rig.window,
         0.05,
+        announce,
     )
 
 
@@ -45,6 +46,21 @@
             reports.apply({'incarnation': 'b', 'versions': None})
             assert rig.gate.window == 1
 
+    async def test_changed_versions_are_announced_at_once(self):
+        """Guards against refusals next to an idle server.
+
+        Found by make test: its versions came with the next heartbeat, up to
+        a second later.
+        """
+        announced = []
+        async with rigs.open_rig() as rig:
+            reports = make_reports(
+                rig, lambda: announced.append(rig.gate.versions)
+            )
+            for _ in range(2):
+                reports.apply({'incarnation': 'a', 'versions': ['small-7']})
+        assert announced == [frozenset({'small-7'})]
+
     async def test_refused_connection_resets_and_is_reported(self):
         async with rigs.open_rig() as rig:
             warm(rig)
