--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -159,7 +159,7 @@
         path.write_text(yaml.safe_dump(found))
         self.spawn(
             f'gw-{number}',
-            [sys.executable, '-m', 'chivejunction.platform.program'],
+            [sys.executable, '-m', 'chivejunction.platform'],
             **{settings.PATH_VARIABLE: str(path)},
         )
 
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -1,7 +1,4 @@
-"""The gateway as a program of the platform.
-
-Run as ``python3 -m chivejunction.platform.program``.
-"""
+"""The gateway as a program of the platform; ``__main__`` starts it."""
 
 import sys
 
@@ -53,7 +50,7 @@
     )
 
 
-async def run(found: settings.Settings) -> None:
+async def run(found: settings.Settings, file: settings.SettingsFile) -> None:
     """Runs the gateway until SIGTERM."""
     client = http_client.Client()
     platform = store.PlatformStore(found.platform.address, client)
@@ -66,7 +63,6 @@
     )
     regions = {found.zone: found.region, **found.zones}
     reader = entries.EntryReader(gateway, regions)
-    file = settings.SettingsFile()
 
     def read_options() -> forward_gateway.GatewayOptions | None:
         changed = file.read_changes()
@@ -78,6 +74,8 @@
 
 def main() -> None:
     """Starts the program; exits with status 2 on a wrong setting."""
+    # Made first, so that it notices a change during the start.
+    file = settings.SettingsFile()
     try:
         found = settings.read_settings()
         make_options(found)
@@ -85,8 +83,4 @@
         print(exc, file=sys.stderr)
         sys.exit(2)
     logs.configure_bounded_logs(found.node_name)
-    anyio.run(run, found)
-
-
-if __name__ == '__main__':
-    main()
+    anyio.run(run, found, file)
--- a/tests/test_forward_soak.py
+++ b/tests/test_forward_soak.py
@@ -9,6 +9,7 @@
 # ``make forward-soak SEED=N`` too.
 SEEDS = {
     13: 'kept connections changed while expired ones were being closed',
+    61: 'SIGHUP ended a gateway whose start had just begun',
 }
 
 
