Pass the store's changes on between gateways, and start faster

(4) After a loss of power callers were refused until the configuration was there, 0.6 to 1.3 s after the start. Ruled out: a second store or consensus of our own; what is passed on is only what the store said, with its age.

--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -33,7 +33,10 @@
 from fakes import forward_server
 from fakes import platform_documents
 
+# Of odd seeds: a region each; of even ones: one region, in which gateways
+# follow one another.
 DOMAINS = ('bkk-a', 'cnx-a', 'hkt-a')
+ONE_REGION = ('bkk-a', 'bkk-b', 'bkk-c')
 KEYS = ('key-a', 'key-b', 'key-c')
 PROMISES = (408, 421, 429, 503)
 # Bounds of the users' pages, in seconds.
@@ -76,6 +79,7 @@
 
     def __init__(self, seed, gateways, servers, folder):
         self.rng = random.Random(seed)
+        self.domains = DOMAINS if seed % 2 else ONE_REGION
         self.folder = pathlib.Path(folder)
         self.ports = ports.PortAllocator()
         self.processes: dict[str, subprocess.Popen] = {}
@@ -142,11 +146,11 @@
             target_port=self.store,
         )
         address = self.addresses[number]
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = self.domains[number % len(self.domains)]
         path = self.folder / f'gw-{number}.yaml'
         found = platform_documents.write_settings(
             f'gw-{number}',
-            DOMAINS,
+            self.domains,
             domain,
             address,
             (self.front, self.ready, self.hints),
@@ -167,7 +171,7 @@
         """Starts and lists a server; returns its instance id."""
         instance = f'{service}-{number}'
         port = self.ports.find_port()
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = self.domains[number % len(self.domains)]
         self.servers[instance] = (service, port, domain)
         self.spawn_module(
             instance,
--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -39,7 +39,7 @@
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
-from chivejunction.transport import sockets
+from chivejunction.transport import listening
 from chivejunction.transport import store_client
 from chivejunction.transport import traffic
 
@@ -381,7 +381,7 @@
                 web_routing.Route('/metrics', self._render_metrics),
             ]
         )
-        admin_socket = sockets.bind_socket(
+        admin_socket = listening.bind_socket(
             self.config.address, self.config.admin_port
         )
         drain = draining.Drain(
--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -60,7 +60,7 @@
     service: str
     model: str = ''
     regions: frozenset[str] = frozenset()
-    prefixes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    prefixes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
     tokens: int = 0
     events: float = 0.0
     seconds_left: float = math.inf
@@ -92,7 +92,7 @@
         return self.wait + self.seconds + self.stream_seconds
 
 
-def rank(key: str, instance: str) -> int:
+def rank(key: str | int, instance: str) -> int:
     """Returns the rendezvous score of an instance for a key."""
     return xxhash.xxh3_64_intdigest(f'{key}|{instance}'.encode())
 
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import signal
+import socket
 
 import anyio
 
@@ -17,6 +18,7 @@
 from chivejunction.coordination import hints
 from chivejunction.coordination import members
 from chivejunction.coordination import mirrors
+from chivejunction.coordination import relays
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.state import backends
@@ -27,12 +29,17 @@
 from chivejunction.state import route_tables
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
+from chivejunction.transport import http_client
+from chivejunction.transport import listening
 from chivejunction.transport import stores
 
 TICK_SECONDS = 0.25
 # A balancer that asks once a second and wants two misses has turned to other
 # gateways by then.
 LEAVE_SECONDS = 2.4
+# Time that callers wait for the first configuration; they give a gateway that
+# does not read their request up after a second.
+FIRST_LOAD_SECONDS = 0.4
 # Left of the grace period for the end of the process itself.
 EXIT_SECONDS = 1.2
 
@@ -47,13 +54,15 @@
         front: IP address and port for callers.
         ready: IP address and port that tell whether it is ready.
         metrics: IP address and port of the metrics.
-        hints: IP address and port for hints from other gateways.
+        hints: IP address and port for hints (UDP) and polls (TCP) of other
+            gateways.
         key_seconds: Age of the configuration up to which keys are honoured.
         grace_seconds: Seconds from SIGTERM to the end.
         retry_share: Extra attempts for each request, all gateways together.
         retry_allowance: Extra attempts that need no requests, all gateways
             together.
         retry_window: Seconds over which they are counted.
+        capacity: Cores of this host.
     """
 
     name: str
@@ -67,6 +76,7 @@
     retry_share: float
     retry_allowance: float
     retry_window: float
+    capacity: float = 1.0
 
 
 class ForwardGateway:
@@ -89,23 +99,34 @@
         describe_move: Callable,
     ):
         self._options = options
-        self._feed = feed
         self.table: route_tables.RouteTable | None = None
         self.backends = backends.BackendTable()
         self.moves = version_moves.VersionMoves(store, describe_move)
-        self.members = members.Members(store, options.name, options.hints)
+        self.members = members.Members(
+            store,
+            options.name,
+            options.hints,
+            options.region,
+            options.capacity,
+        )
         self._work = backlogs.Backlogs()
         self._speeds = backlogs.ReadingSpeeds()
         self._holdings = prompt_holdings.PromptHoldings()
         self._hints = hints.Hints(
             options.name,
+            options.region,
             options.hints,
             self.members,
+            self.backends,
             self._work,
             self._holdings,
             self._find_memory,
         )
         self.proof = freshness.Freshness(options.key_seconds)
+        self._feed = relays.RelayedFeed(
+            feed, self.members, http_client.Client()
+        )
+        self._relay: relays.RelayServer | None = None
         self._pool = backend_connections.ConnectionPool()
         selector = backend_selection.BackendSelector(
             self.backends,
@@ -134,7 +155,12 @@
             self._chooser,
         )
         self._forwarder = forwarding.Forwarder(
-            lambda: self.table, wire, self.proof, self._chooser, attempts
+            lambda: self.table,
+            wire,
+            self.proof,
+            self._feed.is_outage_shared,
+            self._chooser,
+            attempts,
         )
         self.front = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
@@ -228,6 +254,7 @@
         self,
         apply: Callable,
         read_options: Callable[[], GatewayOptions | None],
+        front: socket.socket | None = None,
     ) -> None:
         """Serves until SIGTERM.
 
@@ -235,6 +262,7 @@
             apply: Takes the changes of the store, see ``mirrors.Mirror``.
             read_options: Returns the options if they have changed. Bounds
                 are taken over; addresses stay until the next start.
+            front: Listening socket for callers; None to make it here.
         """
         self._read_options = read_options
         self._register_gauges()
@@ -242,13 +270,14 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._handle_signals, group.cancel_scope)
             group.start_soon(mirror.run)
+            group.start_soon(self._serve_relay, mirror)
             group.start_soon(self.members.run)
             group.start_soon(self.moves.run)
             group.start_soon(self._hints.run)
             group.start_soon(self._tidy)
             group.start_soon(self._serve_ready)
             group.start_soon(self._serve_metrics)
-            group.start_soon(self._serve_front)
+            group.start_soon(self._serve_front, mirror, front)
         logs.LOG.info('stopped', extra={'fields': {'event': 'stop'}})
 
     def _register_gauges(self) -> None:
@@ -263,8 +292,19 @@
             lambda: min(self.proof.age, 1e6),
         )
 
-    async def _serve_front(self) -> None:
-        await self.front.serve(*self._options.front)
+    async def _serve_front(
+        self, mirror: mirrors.Mirror, sock: socket.socket | None
+    ) -> None:
+        """Takes callers, who wait meanwhile for the first configuration."""
+        sock = sock or listening.bind_socket(*self._options.front)
+        with anyio.move_on_after(FIRST_LOAD_SECONDS):
+            await mirror.has_loaded.wait()
+        await self.front.serve_socket(sock)
+
+    async def _serve_relay(self, mirror: mirrors.Mirror) -> None:
+        self._relay = relays.RelayServer(mirror, self.proof)
+        listener = caller_connections.Listener(self._relay.handle)
+        await listener.serve(*self._options.hints)
 
     async def _serve_ready(self) -> None:
         async def answer(raw, reply) -> None:
@@ -334,6 +374,8 @@
             self._options.grace_seconds - EXIT_SECONDS
         )
         self._is_leaving = True
+        if self._relay is not None:
+            self._relay.is_leaving = True
         self.front.is_closing = True
         logs.LOG.info(
             'stopping with %d requests in progress',
--- a/chivejunction/coordination/members.py
+++ b/chivejunction/coordination/members.py
@@ -1,6 +1,8 @@
 """Gateways at work, as they list themselves in the store."""
 
+import dataclasses
 import json
+import math
 
 import anyio
 
@@ -17,6 +19,28 @@
 # Gateways assumed before the first list is there; shares of common bounds
 # are then rather too small than too large.
 ASSUMED_GATEWAYS = 8
+# Gateways of a region that follow the store itself, see ``relays``: one in
+# this many, so that a relay's followers cost it about 1% of a core, and two
+# at least, so that one may fail.
+FOLLOWERS = 8
+MIN_DIRECT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A gateway at work.
+
+    Attributes:
+        address: IP address for hints and polls.
+        port: Port for both.
+        region: Its region.
+        capacity: Cores of its host.
+    """
+
+    address: str
+    port: int
+    region: str
+    capacity: float
 
 
 class Members:
@@ -26,31 +50,43 @@
         store: Store with the list.
         name: Name of this gateway.
         address: IP address and port for hints from the others.
+        region: Region of this gateway.
+        capacity: Cores of this host.
     """
 
     def __init__(
-        self, store: stores.Store, name: str, address: tuple[str, int]
+        self,
+        store: stores.Store,
+        name: str,
+        address: tuple[str, int],
+        region: str,
+        capacity: float = 1.0,
     ):
         self._store = store
-        self._name = name
+        self.name = name
         self._address = address
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._region = region
+        self._capacity = capacity
+        self._members: dict[str, Member] = {}
 
     def count(self) -> int:
         """Returns the number of gateways at work, this one included."""
-        return len(self._addresses) or ASSUMED_GATEWAYS
+        return len(self._members) or ASSUMED_GATEWAYS
 
     def apply(self, change: stores.Change) -> None:
         """Takes a change of the list."""
         name = change.key[len(PREFIX) :]
         if change.entry is None:
-            self._addresses.pop(name, None)
+            self._members.pop(name, None)
             return
         try:
-            address, port = json.loads(change.entry.value)
+            address, port, region, capacity = json.loads(change.entry.value)
+            found = Member(
+                str(address), int(port), str(region), float(capacity)
+            )
         except (ValueError, TypeError) as exc:
             raise errors.ProtocolError(f'member {name}: {exc}') from exc
-        self._addresses[name] = (str(address), int(port))
+        self._members[name] = found
 
     def count_sharing(self, key: str, most: int) -> int:
         """Returns among how many gateways this one shares something.
@@ -62,19 +98,61 @@
         Returns:
             The number of them; 0 if this gateway is none of them.
         """
-        chosen = rendezvous.rank_hosts(key, self._addresses)[:most]
-        return len(chosen) if self._name in chosen else 0
+        chosen = rendezvous.rank_hosts(key, self._members)[:most]
+        return len(chosen) if self.name in chosen else 0
+
+    def _rank_direct(self) -> list[str]:
+        """Returns who follows the store itself, from the largest hosts."""
+        names = [
+            name
+            for name, member in self._members.items()
+            if member.region == self._region
+        ]
+        most = max(MIN_DIRECT, math.ceil(len(names) / FOLLOWERS))
+        ranked = rendezvous.rank_hosts('store', names)
+        ranked.sort(key=lambda name: -self._members[name].capacity)
+        return ranked[:most]
+
+    def is_direct(self) -> bool:
+        """Tells whether this gateway follows the store itself."""
+        return self.name not in self._members or (
+            self.name in self._rank_direct()
+        )
+
+    def list_direct(self) -> list[str]:
+        """Returns the others of this region that follow the store itself."""
+        return [name for name in self._rank_direct() if name != self.name]
+
+    def count_followers(self) -> int:
+        """Returns the gateways of this region that follow another one."""
+        near = [m for m in self._members.values() if m.region == self._region]
+        return len(near) - len(self._rank_direct())
+
+    def get_address(self, name: str) -> tuple[str, int]:
+        """Returns where a gateway takes hints and polls."""
+        member = self._members[name]
+        return member.address, member.port
+
+    def list_regions(self) -> set[str]:
+        """Returns the regions of all gateways at work."""
+        return {member.region for member in self._members.values()}
 
-    def list_addresses(self, most: int) -> list[tuple[str, int]]:
-        """Returns addresses of other gateways.
+    def list_addresses(self, region: str, most: int) -> list[tuple[str, int]]:
+        """Returns addresses of other gateways of a region.
 
         Args:
+            region: Their region.
             most: Limit; beyond it the ones closest by rendezvous hashing.
         """
-        others = [name for name in self._addresses if name != self._name]
+        others = [
+            name
+            for name, member in self._members.items()
+            if member.region == region and name != self.name
+        ]
         if len(others) > most:
-            others = rendezvous.rank_hosts(self._name, others)[:most]
-        return [self._addresses[name] for name in others]
+            others = rendezvous.rank_hosts(self.name, others)[:most]
+        found = [self._members[name] for name in others]
+        return [(member.address, member.port) for member in found]
 
     async def run(self) -> None:
         """Keeps this gateway listed until cancelled."""
@@ -92,10 +170,12 @@
             await anyio.sleep(clock.jitter(pause))
 
     async def _join(self) -> int:
-        key = PREFIX + self._name
+        key = PREFIX + self.name
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = await self._store.get(key)
-        value = json.dumps(self._address).encode()
+        value = json.dumps(
+            [*self._address, self._region, self._capacity]
+        ).encode()
         await self._store.swap(
             key, value, entry.revision if entry else 0, lease
         )
@@ -104,7 +184,7 @@
     async def leave(self) -> None:
         """Takes this gateway off the list."""
         try:
-            entry = await self._store.get(PREFIX + self._name)
+            entry = await self._store.get(PREFIX + self.name)
             if entry is not None:
                 await self._store.delete(entry.key, entry.revision)
         except errors.StoreError as exc:
--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -7,6 +7,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction.state import change_log
 from chivejunction.state import freshness
 from chivejunction.transport import stores
 
@@ -21,7 +22,10 @@
 # Pause after changes, so that those that follow come in one call.
 GATHER_SECONDS = 0.6
 # Pause after a failed call; spread so that gateways do not return together.
-RETRY_SECONDS = 0.25
+RETRY_SECONDS = 0.15
+# While the store is away, every other call waits only this long for it, so
+# that its return is noticed soon; the calls between bear a slow store.
+LOST_PATIENCE_SECONDS = 0.45
 # Silence of the store beyond which entries that went missing may have lapsed
 # with it rather than ended.
 OUTAGE_SECONDS = 1.0
@@ -55,6 +59,10 @@
         self._is_loaded = False
         self._lost_at = 0.0
         self._back_at = 0.0
+        self._failures = 0
+        self.log = change_log.ChangeLog()
+        # Set, and replaced, whenever the log has grown.
+        self.changed = anyio.Event()
         self.has_loaded = anyio.Event()
 
     async def run(self) -> None:
@@ -63,9 +71,9 @@
             try:
                 if not self._is_loaded:
                     await self._load()
-                has_changes = await self._poll()
+                poll = await self._poll()
                 self._note_return()
-                if has_changes:
+                if poll.changes and poll.is_priced:
                     await anyio.sleep(GATHER_SECONDS)
             except errors.HistoryLost as exc:
                 logs.LOG.warning('history lost, reading all: %s', exc)
@@ -86,22 +94,33 @@
         self._after = revision
         self._is_loaded = True
         self._proof.prove(started)
+        self.log.restart(revision)
+        self._tell_followers()
         self.has_loaded.set()
 
-    async def _poll(self) -> bool:
-        """Waits for changes once; returns whether there were any."""
+    async def _poll(self) -> stores.Poll:
+        """Waits for changes once."""
         started = freshness.read_clock()
-        seconds = self._find_wait()
-        changes, after = await self._feed.poll_changes(
-            self._prefix, self._after, seconds
+        patience = stores.PATIENCE_SECONDS
+        if self._lost_at and self._failures % 2:
+            patience = LOST_PATIENCE_SECONDS
+        poll = await self._feed.poll_changes(
+            self._prefix, self._after, self._find_wait(), patience
         )
-        for change in changes:
-            self._take(change)
-        self._after = max(self._after, after)
-        # An empty answer was made when the wait was over, not before.
-        waited = 0.0 if changes else seconds
-        self._proof.prove(min(started + waited, freshness.read_clock()))
-        return bool(changes)
+        for change in poll.changes:
+            self._take(change, poll.was_away)
+        self._after = max(self._after, poll.after)
+        # The answer was made at this time or later.
+        made_at = min(started + poll.waited, freshness.read_clock())
+        self._proof.prove(made_at - poll.age)
+        if poll.after > self.log.revision:
+            self.log.extend(poll.changes, poll.after)
+            self._tell_followers()
+        return poll
+
+    def _tell_followers(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
 
     def _find_wait(self) -> float:
         """Returns the longest wait after which the proof is still young.
@@ -114,20 +133,21 @@
         left = PROOF_SHARE * self._proof.bound - self._proof.age
         return max(SHORT_POLL_SECONDS, min(POLL_SECONDS, left))
 
-    def _take(self, change: stores.Change) -> None:
+    def _take(self, change: stores.Change, was_away: bool = False) -> None:
         if change.revision <= self._known.get(change.key, 0):
             return
         if change.entry is None:
             self._known.pop(change.key, None)
         else:
             self._known[change.key] = change.revision
-        self._apply(change, self._is_recovering())
+        self._apply(change, was_away or self.is_recovering())
 
-    def _is_recovering(self) -> bool:
+    def is_recovering(self) -> bool:
         """Tells whether the store was away a moment ago."""
         return bool(self._lost_at) or not clock.has_passed(self._back_at)
 
     def _note_loss(self, exc: errors.StoreError) -> None:
+        self._failures += 1
         if not self._lost_at:
             self._lost_at = clock.now()
             logs.LOG.warning(
@@ -141,6 +161,7 @@
             return
         away = clock.now() - self._lost_at
         self._lost_at = 0.0
+        self._failures = 0
         if away >= OUTAGE_SECONDS:
             self._back_at = clock.make_deadline(OUTAGE_SECONDS)
         logs.LOG.info(
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -45,7 +45,7 @@
 from chivejunction.transport import http_client
 from chivejunction.transport import http_server
 from chivejunction.transport import links
-from chivejunction.transport import sockets
+from chivejunction.transport import listening
 from chivejunction.transport import store_client
 from chivejunction.transport import traffic
 
@@ -364,8 +364,8 @@
                 *self.operators.routes(),
             ]
         )
-        listen = sockets.bind_socket(config.address, config.listen_port)
-        admin_socket = sockets.bind_socket(config.address, config.admin_port)
+        listen = listening.bind_socket(config.address, config.listen_port)
+        admin_socket = listening.bind_socket(config.address, config.admin_port)
         async with anyio.create_task_group() as group:
             group.start_soon(self._wait_for_signal)
             group.start_soon(self._receive)
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -1,5 +1,6 @@
 """The gateway as a program of the platform; ``__main__`` starts it."""
 
+import socket
 import sys
 
 import anyio
@@ -17,9 +18,9 @@
 # Named as ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
 # Part of the time to withdraw a key up to which the configuration is taken
-# for the newest one; the rest is for clocks that differ and requests on
-# their way.
-KEY_SHARE = 0.9
+# for the newest one. Proofs and requests are dated by when they were asked
+# for and arrived, so the rest is only for clocks that run unevenly.
+KEY_SHARE = 0.97
 # Part of the retry budget of all gateways that is used; gateways do not see
 # one another's windows.
 RETRY_SHARE = 0.85
@@ -47,10 +48,15 @@
         retry_share=RETRY_SHARE * bounds.retry_budget_ratio,
         retry_allowance=RETRY_ALLOWANCE_SHARE * bounds.retry_slack,
         retry_window=bounds.retry_window_s,
+        capacity=found.limits.cpu_share * found.limits.cores,
     )
 
 
-async def run(found: settings.Settings, file: settings.SettingsFile) -> None:
+async def run(
+    found: settings.Settings,
+    file: settings.SettingsFile,
+    front: socket.socket | None,
+) -> None:
     """Runs the gateway until SIGTERM."""
     client = http_client.Client()
     platform = store.PlatformStore(found.platform.address, client)
@@ -69,11 +75,15 @@
         return None if changed is None else make_options(changed)
 
     logs.LOG.info('started', extra={'fields': {'event': 'start'}})
-    await gateway.run(reader.apply, read_options)
+    await gateway.run(reader.apply, read_options, front)
+
 
+def main(front: socket.socket | None = None) -> None:
+    """Starts the program; exits with status 2 on a wrong setting.
 
-def main() -> None:
-    """Starts the program; exits with status 2 on a wrong setting."""
+    Args:
+        front: Listening socket for callers; None to make it here.
+    """
     # Made first, so that it notices a change during the start.
     file = settings.SettingsFile()
     try:
@@ -83,4 +93,4 @@
         print(exc, file=sys.stderr)
         sys.exit(2)
     logs.configure_bounded_logs(found.node_name)
-    anyio.run(run, found, file)
+    anyio.run(run, found, file, front)
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -30,8 +30,17 @@
 
 
 class Resources(Model):
-    """What the host gives to this process."""
+    """What the host gives to this process.
 
+    Attributes:
+        cpu_share: Part of a core of usual speed.
+        cores: Times by which the core is faster than usual.
+        memory_mb: Memory in MB.
+        max_fds: Descriptors.
+    """
+
+    cpu_share: float = pydantic.Field(1.0, gt=0)
+    cores: float = pydantic.Field(1.0, gt=0)
     memory_mb: float = 256
     max_fds: int = 1024
 
--- a/chivejunction/platform/store.py
+++ b/chivejunction/platform/store.py
@@ -9,8 +9,9 @@
 from chivejunction.transport import http_client
 from chivejunction.transport import stores
 
-# A slow store takes up to about 0.35 s; one that takes longer is away.
-CALL_SECONDS = 1.0
+# Time for an answer that keeps coming: a configuration of 1 MB takes a second
+# over the slowest link of the users (10 Mbit/s), with callers beside it more.
+BODY_SECONDS = 4.0
 # Longest page count of a listing before it is given up.
 MAX_PAGES = 200
 
@@ -78,8 +79,12 @@
         raise errors.StoreError(f'{prefix} has more than {MAX_PAGES} pages')
 
     async def poll_changes(
-        self, prefix: str, after: int, seconds: float
-    ) -> tuple[list[stores.Change], int]:
+        self,
+        prefix: str,
+        after: int,
+        seconds: float,
+        patience: float = stores.PATIENCE_SECONDS,
+    ) -> stores.Poll:
         """Waits for changes after a revision."""
         status, answer = await self._read(
             'kv-watch',
@@ -89,12 +94,14 @@
                 'wait_ms': str(int(seconds * 1000)),
             },
             (410,),
-            seconds + CALL_SECONDS,
+            seconds + patience,
         )
         if status == 410:
             raise errors.HistoryLost(f'no history after {after}')
         changes = [_parse_change(item) for item in answer.get('events', [])]
-        return changes, int(answer['store_revision'])
+        # An empty answer was made when the wait was over, not before.
+        waited = 0.0 if changes else seconds
+        return stores.Poll(changes, int(answer['store_revision']), waited)
 
     async def swap(
         self,
@@ -153,7 +160,9 @@
             raise errors.StoreError(f'{key}: the lease has ended')
         return int(answer['revision'])
 
-    async def _read(self, call, query, accepted=(), seconds=CALL_SECONDS):
+    async def _read(
+        self, call, query, accepted=(), seconds=stores.PATIENCE_SECONDS
+    ):
         url = f'{self._url}{call}?{parse.urlencode(query)}'
         try:
             return await self._call('GET', url, None, accepted, seconds)
@@ -165,7 +174,11 @@
     async def _write(self, method, call, value, accepted=()):
         try:
             return await self._call(
-                method, self._url + call, value, accepted, CALL_SECONDS
+                method,
+                self._url + call,
+                value,
+                accepted,
+                stores.PATIENCE_SECONDS,
             )
         except errors.StoreError:
             raise
@@ -178,7 +191,12 @@
         body = b'' if value is None else json.dumps(value).encode()
         headers = {'content-type': 'application/json'} if body else {}
         status, _, content = await self._client.call(
-            method, url, clock.make_deadline(seconds), headers, body
+            method,
+            url,
+            clock.make_deadline(seconds),
+            headers,
+            body,
+            BODY_SECONDS,
         )
         if status != 200 and status not in accepted:
             raise errors.StoreError(f'store answered {status} to {url}')
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from chivejunction import clock
 from chivejunction.state import limits
 
@@ -21,6 +23,15 @@
 COLD_BURST = 1.0
 
 
+def make_code(instance: str) -> int:
+    """Returns a short code of an instance id, for messages that are many.
+
+    Two of some thousand instances share one with a chance below one in a
+    thousand; then a hint about one is taken for the other.
+    """
+    return xxhash.xxh32_intdigest(instance.encode())
+
+
 @dataclasses.dataclass(slots=True)
 class Backend:
     """One backend server.
@@ -113,12 +124,17 @@
     def __init__(self):
         self._backends: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
+        self._by_code: dict[int, Backend] = {}
         self.closed_domains: set[str] = set()
 
     def get(self, instance: str) -> Backend | None:
         """Returns the server with an instance id."""
         return self._backends.get(instance)
 
+    def find_by_code(self, code: int) -> Backend | None:
+        """Returns the server with a code of ``make_code``."""
+        return self._by_code.get(code)
+
     def list_service(self, service: str) -> list[Backend]:
         """Returns the servers of a service."""
         return self._by_service.get(service, [])
@@ -135,6 +151,7 @@
             if known is not None:
                 self.remove(entry.instance)
             self._backends[entry.instance] = entry
+            self._by_code[make_code(entry.instance)] = entry
             self._by_service.setdefault(entry.service, []).append(entry)
             return entry
         known.version = entry.version
@@ -149,6 +166,7 @@
         found = self._backends.pop(instance, None)
         if found is not None:
             found.is_leaving = True
+            self._by_code.pop(make_code(instance), None)
             self._by_service[found.service].remove(found)
         return found
 
--- a/chivejunction/state/backlogs.py
+++ b/chivejunction/state/backlogs.py
@@ -7,7 +7,7 @@
 from chivejunction import clock
 
 # A peer's word counts for this long; it is repeated more often than that.
-PEER_SECONDS = 1.5
+PEER_SECONDS = 1.9
 # Reading speed before the first observation: 61 prompt tokens a ms at a
 # model of pace 1 (users' sheets).
 ASSUMED_SECONDS_PER_TOKEN = 1 / 61_000
--- a/chivejunction/state/prompt_holdings.py
+++ b/chivejunction/state/prompt_holdings.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import xxhash
+
 from chivejunction.protocol import forwarding
 
 # Part of a server's memory that prompts may fill; running requests need the
@@ -11,15 +13,17 @@
 
 def list_prefixes(
     prompt: tuple[forwarding.PromptPart, ...], model: str
-) -> list[tuple[str, int]]:
+) -> list[tuple[int, int]]:
     """Returns the keys of a prompt's shared beginnings, shortest first.
 
     Returns:
-        Rows of the key and the tokens up to its end.
+        Rows of the key, a 64-bit hash of the model and all parts up to its
+        end, and the tokens up to there.
     """
-    key, tokens, found = model, 0, []
+    tokens, found = 0, []
+    key = xxhash.xxh3_64_intdigest(model.encode())
     for part in prompt[:-1]:
-        key = f'{key}/{part.id}'
+        key = xxhash.xxh3_64_intdigest(part.id.encode(), seed=key)
         tokens += part.tokens
         found.append((key, tokens))
     return found
@@ -29,11 +33,11 @@
     """Prompt beginnings by server; the least recently used ones yield."""
 
     def __init__(self):
-        self._held: dict[str, collections.OrderedDict[str, int]] = {}
+        self._held: dict[str, collections.OrderedDict[int, int]] = {}
         self._used: dict[str, int] = {}
 
     def add(
-        self, instance: str, prefixes: list[tuple[str, int]], memory: int
+        self, instance: str, prefixes: list[tuple[int, int]], memory: int
     ) -> None:
         """Notes that a server has read a prompt's beginnings.
 
@@ -56,7 +60,7 @@
         self._used[instance] = used
 
     def count_held(
-        self, instance: str, prefixes: list[tuple[str, int]]
+        self, instance: str, prefixes: list[tuple[int, int]]
     ) -> int:
         """Returns how many tokens of a prompt's beginning a server holds."""
         held = self._held.get(instance)
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
 
 import anyio
 from anyio import abc
@@ -17,6 +18,7 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction.protocol import forwarding
+from chivejunction.transport import listening
 from chivejunction.transport import sockets
 
 READ_BYTES = 65536
@@ -117,7 +119,10 @@
         Raises:
             OSError: The address is in use or is not one of this host.
         """
-        sock = sockets.bind_socket(address, port)
+        await self.serve_socket(listening.bind_socket(address, port))
+
+    async def serve_socket(self, sock: socket.socket) -> None:
+        """Takes the connections of a listening socket until cancelled."""
         sock.setblocking(False)
         listener = await abc.SocketListener.from_socket(sock)
         async with listener:
--- a/chivejunction/transport/http_client.py
+++ b/chivejunction/transport/http_client.py
@@ -98,14 +98,23 @@
         deadline: float,
         headers: dict[str, str] | None = None,
         body: bytes = b'',
+        body_seconds: float = 0.0,
     ) -> tuple[int, dict[str, str], bytes]:
         """Makes a request; returns status, headers and body.
 
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            deadline: Monotonic time by which the answer must have begun.
+            headers: Request headers.
+            body: Request body.
+            body_seconds: Further time for a long answer that keeps coming.
+
         Raises:
-            TransportError: The call failed or the deadline passed.
+            TransportError: The call failed or the time has passed.
         """
         try:
-            with anyio.fail_after(clock.remaining(deadline)):
+            with anyio.fail_after(clock.remaining(deadline) + body_seconds):
                 async with self.stream(
                     method, url, deadline, headers, body
                 ) as response:
--- a/chivejunction/transport/sockets.py
+++ b/chivejunction/transport/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets: listening ones, and options against silent peers."""
+"""Options of sockets against silent peers, and their ends."""
 
 import select
 import socket
@@ -60,16 +60,3 @@
     except OSError:
         # The connection has already ended, so there is nothing to reset.
         return
-
-
-def bind_socket(address: str, port: int) -> socket.socket:
-    """Returns a listening TCP socket.
-
-    Raises:
-        OSError: The address is in use or is not one of this host.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(1024)
-    return sock
--- a/chivejunction/transport/stores.py
+++ b/chivejunction/transport/stores.py
@@ -3,6 +3,9 @@
 import abc
 import dataclasses
 
+# A slow store takes up to about 0.35 s; one that takes longer is away.
+PATIENCE_SECONDS = 1.0
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -29,6 +32,28 @@
     entry: Entry | None
 
 
+@dataclasses.dataclass(slots=True)
+class Poll:
+    """Answer to a wait for changes.
+
+    Attributes:
+        changes: The changes, none if nothing happened.
+        after: Revision to go on from.
+        waited: Seconds for which the source surely waited before it answered.
+        age: Age in seconds of what the answer says, when it was made.
+        was_away: Whether the source has regained the store just now, so that
+            entries that went missing may have lapsed.
+        is_priced: Whether the call is paid for.
+    """
+
+    changes: list[Change]
+    after: int
+    waited: float = 0.0
+    age: float = 0.0
+    was_away: bool = False
+    is_priced: bool = True
+
+
 class Store(abc.ABC):
     """Calls a key-value store.
 
@@ -105,18 +130,19 @@
 
     @abc.abstractmethod
     async def poll_changes(
-        self, prefix: str, after: int, seconds: float
-    ) -> tuple[list[Change], int]:
+        self,
+        prefix: str,
+        after: int,
+        seconds: float,
+        patience: float = PATIENCE_SECONDS,
+    ) -> Poll:
         """Waits for changes after a revision.
 
         Args:
             prefix: Prefix of the keys to follow.
             after: Revision that is known.
             seconds: Longest wait.
-
-        Returns:
-            The changes, none if nothing happened, and the revision to go
-            on from.
+            patience: Seconds beyond it after which the store is away.
 
         Raises:
             HistoryLost: The store no longer has these changes.
--- a/fakes/programs.py
+++ b/fakes/programs.py
@@ -11,7 +11,7 @@
 
 from chivejunction import logs
 from chivejunction.transport import http_server
-from chivejunction.transport import sockets
+from chivejunction.transport import listening
 
 
 async def answer_nobody(
@@ -46,7 +46,7 @@
     async def serve() -> None:
         app = make_app(**options)
         tolerate_leavers(app)
-        sock = sockets.bind_socket('127.0.0.1', port)
+        sock = listening.bind_socket('127.0.0.1', port)
         context = (
             make_context(app) if make_context else contextlib.nullcontext()
         )
--- a/fakes/proxy.py
+++ b/fakes/proxy.py
@@ -10,7 +10,7 @@
 
 from chivejunction import logs
 from chivejunction.transport import http_server
-from chivejunction.transport import sockets
+from chivejunction.transport import listening
 
 CHUNK_BYTES = 64 * 1024
 
@@ -121,7 +121,7 @@
     async def start() -> None:
         proxy = Proxy(target_port)
         app = applications.Starlette(routes=proxy.routes())
-        sock = sockets.bind_socket('127.0.0.1', control_port)
+        sock = listening.bind_socket('127.0.0.1', control_port)
         async with anyio.create_task_group() as group:
             group.start_soon(proxy.serve, port)
             await http_server.serve(app, sock, anyio.Event())
