Let engines copy prompt memory where reading is dearer

Cause: a shared part that one busy server holds was read again elsewhere; by the largest model 13,300 tokens take 0.65 s of an engine, a copy 0.016 s (the sheets' bytes and link). Ruled out: moves of running requests and backups, whose price (0.13 a GB) is more than what they save.

Change: backend_selection compares reading again with copying, both with their price in seconds, from a server of the same version among those that may be used.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -147,7 +147,8 @@
         if not wish.model:
             return 0
         if wish.prefixes and trip.service.cache_tokens:
-            if choice.held_tokens < wish.prefixes[-1][1]:
+            held = choice.held_tokens - choice.copied_tokens
+            if held < wish.prefixes[-1][1]:
                 self._hints.add_prefixes(instance, wish.prefixes)
             self._holdings.add(
                 instance, wish.prefixes, trip.service.cache_tokens
--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -25,6 +25,12 @@
 # Reading a part again that another server holds is priced beyond the time
 # of the engine: 13,300 tokens cost about as much as bytes between regions.
 REREAD_SECONDS_PER_TOKEN = 0.2 / 13_300
+# Copying prompt memory between engines is priced too: a GB costs as much as
+# reading 15,000 tokens again (users' sheets), which is 0.22 s by the line
+# above.
+COPY_SECONDS_PER_GB = 0.22
+# Time before a copy starts (users' sheets: 1.7 ms at each end).
+COPY_SETUP_SECONDS = 0.004
 # Each second that the events after the first one will take counts little
 # unless they would not end in time.
 PACE_WEIGHT = 0.05
@@ -76,8 +82,12 @@
         backend: The server.
         seconds: Estimated work of the attempt there.
         wait: Estimated work that is before it.
-        held_tokens: Prompt tokens that the server is thought to hold.
+        held_tokens: Prompt tokens that the server need not read: those that
+            it is thought to hold, and those that it copies.
         stream_seconds: Estimated time of the events after the first one.
+        source: Server from which it copies a part of the prompt, or None.
+        copied_tokens: Tokens of that part.
+        price: What reading again and copying cost the users, in seconds.
     """
 
     backend: backends.Backend
@@ -85,6 +95,16 @@
     wait: float
     held_tokens: int
     stream_seconds: float = 0.0
+    source: backends.Backend | None = None
+    copied_tokens: int = 0
+    price: float = 0.0
+
+    @property
+    def copy_from(self) -> str:
+        """``IP:PORT`` of the server to copy from, empty for none."""
+        if self.source is None:
+            return ''
+        return f'{self.source.address}:{self.source.port}'
 
     @property
     def total_seconds(self) -> float:
@@ -97,6 +117,19 @@
     return xxhash.xxh3_64_intdigest(f'{key}|{instance}'.encode())
 
 
+def find_holders(choices: list[Choice]) -> dict[str, Choice]:
+    """Returns for each version the server that holds most of a prompt.
+
+    Memory that another version has filled is of no use.
+    """
+    found: dict[str, Choice] = {}
+    for choice in choices:
+        known = found.get(choice.backend.version)
+        if known is None or choice.held_tokens > known.held_tokens:
+            found[choice.backend.version] = choice
+    return found
+
+
 class BackendSelector:
     """Chooses the server with the least estimated time to the first byte.
 
@@ -177,13 +210,15 @@
             key = wish.prefixes[-1][0]
             agreed = max(candidates, key=lambda b: rank(key, b.instance))
         choices = [self._make_choice(wish, b, waits) for b in candidates]
+        holders = find_holders(choices)
         most_held = max(choice.held_tokens for choice in choices)
         best, best_cost = None, math.inf
         for choice in choices:
             backend = choice.backend
+            self._plan_copy(
+                wish, service, choice, holders[backend.version], most_held
+            )
             cost = self._estimate(wish, choice)
-            missed = most_held - choice.held_tokens
-            cost += REREAD_SECONDS_PER_TOKEN * missed
             cost += FAULT_SECONDS * max(0.0, backend.error_share - usual)
             if backend is agreed:
                 cost -= AGREED_SECONDS
@@ -204,10 +239,40 @@
             pace = ASSUMED_PACE_SECONDS
         return Choice(backend, seconds, wait, held, wish.events * pace)
 
+    def _plan_copy(
+        self,
+        wish: Wish,
+        service: forwarding.BackendService,
+        choice: Choice,
+        holder: Choice,
+        most_held: int,
+    ) -> None:
+        """Lets a server copy what another one holds where that is cheaper.
+
+        A small model reads a prompt about as fast as it is copied; the
+        largest one takes some ten times as long.
+        """
+        choice.price = REREAD_SECONDS_PER_TOKEN * (
+            most_held - choice.held_tokens
+        )
+        copied = holder.held_tokens - choice.held_tokens
+        speed = service.copy_bytes_per_second
+        if copied <= 0 or not speed or not service.cache_token_bytes:
+            return
+        size = copied * service.cache_token_bytes
+        tokens = max(0, wish.tokens - holder.held_tokens)
+        seconds = self._speeds.estimate(wish.model, tokens)
+        seconds += COPY_SETUP_SECONDS + size / speed
+        price = COPY_SECONDS_PER_GB * size / 1e9
+        if seconds + price < choice.seconds + choice.price:
+            choice.seconds, choice.price = seconds, price
+            choice.held_tokens += copied
+            choice.copied_tokens, choice.source = copied, holder.backend
+
     def _estimate(self, wish: Wish, choice: Choice) -> float:
         """Returns the estimated cost of a choice in seconds."""
         backend = choice.backend
-        cost = choice.wait + choice.seconds
+        cost = choice.wait + choice.seconds + choice.price
         is_far = backend.region != self._region
         if wish.model:
             cost += RUNNING_SECONDS * backend.running
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -127,6 +127,8 @@
                 estimated_wait=round(choice.wait, 3),
                 estimated_work=round(choice.seconds, 3),
                 held_tokens=choice.held_tokens,
+                copied_tokens=choice.copied_tokens,
+                copy_from=choice.copy_from,
                 error_share=round(backend.error_share, 3),
                 attempt=trip.sends,
                 outcome=outcome,
@@ -158,6 +160,7 @@
             urgency=trip.urgency if trip.route.is_stream else None,
             resume_after=trip.resume_after,
             deadline=trip.deadline,
+            copy_from=trip.choice.copy_from,
         )
         if trip.route.needs_key and not self._proof.holds():
             raise trips.AttemptFailed(
--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -69,10 +69,21 @@
 
 
 class EngineRow(settings.Model):
-    """Size of the engines; ``stride`` counts the tokens of an event."""
+    """Size of the engines.
+
+    Attributes:
+        slots: Requests that run at a time.
+        kv_tokens: Memory for prompts and answers in tokens.
+        kv_bytes: Bytes of that memory for each token.
+        link_mbps: Speed at which engines copy it from one another.
+        stride: Tokens of an event.
+        models: Models that the engines run.
+    """
 
     slots: int = 0
     kv_tokens: int = 0
+    kv_bytes: float = pydantic.Field(0.0, ge=0)
+    link_mbps: float = pydantic.Field(0.0, ge=0)
     stride: int = pydantic.Field(1, ge=1)
     models: list[ModelRow] = []
 
@@ -157,6 +168,8 @@
         cold_rate=row.cold_per_s,
         slots=engine.slots,
         cache_tokens=engine.kv_tokens,
+        cache_token_bytes=engine.kv_bytes,
+        copy_bytes_per_second=engine.link_mbps * 1e6 / 8,
         event_tokens=engine.stride,
         tier_costs={model.name: model.cost for model in engine.models},
     )
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -15,6 +15,7 @@
 LAST_EVENT = b'last-event-id'
 URGENCY = b'request-priority'
 SESSION = b'session'
+COPY_FROM = b'kv-fetch'
 LENGTH = b'length-hint'
 SIGNATURE = b'response-seal'
 NOT_EXECUTED = b'not-executed'
@@ -48,7 +49,7 @@
         b'pin-ms',
         b'kv-backup',
         b'kv-from',
-        b'kv-fetch',
+        COPY_FROM,
     }
 )
 # Any tier may answer.
@@ -139,6 +140,8 @@
             headers.append((URGENCY, b'%d' % rank))
         if dispatch.resume_after is not None:
             headers.append((LAST_EVENT, b'%d' % dispatch.resume_after))
+        if dispatch.copy_from:
+            headers.append((COPY_FROM, dispatch.copy_from.encode()))
         return headers
 
     def read_answer(
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -91,6 +91,9 @@
         cold_rate: Requests a second that a cold server bears; 0 for no limit.
         slots: Requests that one engine runs at a time; 0 if not known.
         cache_tokens: Memory of one engine in tokens; 0 if not an engine.
+        cache_token_bytes: Bytes of that memory for each token.
+        copy_bytes_per_second: Speed at which one engine copies it from
+            another one; 0 if it cannot.
         event_tokens: Tokens that one event of a stream holds.
         tier_costs: Cost of each model for 1,000 tokens.
     """
@@ -100,6 +103,8 @@
     cold_rate: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
+    cache_token_bytes: float = 0.0
+    copy_bytes_per_second: float = 0.0
     event_tokens: int = 1
     tier_costs: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -187,6 +192,8 @@
         urgency: Rank at the server, 0 is first; None for the default.
         resume_after: Last event that the caller has got, or None.
         deadline: Monotonic time at which the server may stop.
+        copy_from: ``IP:PORT`` of the server from which it first copies what
+            that one holds of the prompt; empty for none.
     """
 
     instance: str
@@ -195,6 +202,7 @@
     urgency: int | None
     resume_after: int | None
     deadline: float
+    copy_from: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -1,5 +1,6 @@
 """Choice of backend servers for forwarded requests."""
 
+import dataclasses
 import random
 import statistics
 
@@ -45,6 +46,7 @@
 
     def add(self, instance, **fields):
         values = {
+            'port': 1,
             'failure_domain': 'bkk-a',
             'region': 'bkk',
             'version': 'v1',
@@ -52,9 +54,7 @@
             **fields,
         }
         return self.table.update(
-            backends.Backend(
-                instance, 'pool', address='127.0.0.1', port=1, **values
-            )
+            backends.Backend(instance, 'pool', address='127.0.0.1', **values)
         )
 
     def choose(self, **fields):
@@ -243,6 +243,69 @@
         assert pool.table.get('a').lapsed_until == 0
 
 
+class TestCopies:
+    """Prompts whose shared parts a busy server holds."""
+
+    ENGINE = dataclasses.replace(
+        SERVICE,
+        cache_token_bytes=163_840.0,
+        copy_bytes_per_second=1.375e11,
+    )
+    PREFIXES = [(7, 13_000)]
+
+    def choose(self, pool, seconds_per_token, service=ENGINE, **fields):
+        """Returns the choice when server a holds the prompt and is busy."""
+        for _ in range(10):
+            pool.speeds.record('m', 10_000, 10_000 * seconds_per_token)
+        pool.holdings.add('a', self.PREFIXES, 400_000)
+        pool.work.start('a', 3.0)
+        wish = backend_selection.Wish(
+            'pool', model='m', prefixes=self.PREFIXES, tokens=16_000, **fields
+        )
+        return pool.selector.choose(wish, service)
+
+    def test_slow_model_copies(self, pool):
+        pool.add('a', port=81)
+        pool.add('b', port=82)
+        choice = self.choose(pool, 1 / 20_000)
+        assert choice.backend.instance == 'b'
+        assert choice.copy_from == '127.0.0.1:81'
+        assert choice.copied_tokens == choice.held_tokens == 13_000
+        assert choice.seconds < 0.25
+
+    def test_fast_model_reads_again(self, pool):
+        pool.add('a')
+        pool.add('b')
+        choice = self.choose(pool, 1 / 200_000)
+        assert choice.backend.instance == 'b'
+        assert choice.copy_from == '' and choice.held_tokens == 0
+
+    def test_idle_holder_is_taken(self, pool):
+        pool.add('a')
+        pool.add('b')
+        pool.work.start('b', 3.5)
+        choice = self.choose(pool, 1 / 20_000)
+        assert choice.backend.instance == 'a' and choice.copy_from == ''
+
+    def test_another_version_has_nothing_to_copy(self, pool):
+        pool.add('a')
+        pool.add('b', version='v2')
+        choice = self.choose(pool, 1 / 20_000)
+        assert choice.backend.instance == 'b' and choice.copy_from == ''
+
+    def test_holder_outside_the_allowed_regions(self, pool):
+        pool.add('a', region='cnx')
+        pool.add('b')
+        choice = self.choose(pool, 1 / 20_000, regions=frozenset(['bkk']))
+        assert choice.backend.instance == 'b' and choice.copy_from == ''
+
+    def test_engines_that_cannot_copy(self, pool):
+        pool.add('a')
+        pool.add('b')
+        choice = self.choose(pool, 1 / 20_000, SERVICE)
+        assert choice.backend.instance == 'b' and choice.copy_from == ''
+
+
 class TestPromptHoldings:
     def test_only_whole_beginnings_count(self):
         holdings = prompt_holdings.PromptHoldings()
