Leave engines to more urgent routes while they are busy

With a burst the engines fell behind: events came 0.25 s apart, streams took 4 to 8 s. A stream of the least urgent route takes a quarter of a second of an engine when the largest model answers it, and earns a tenth of a long one.

Change: an escalation is made only while the mean work that waits at the servers is below a part of the objective: all of it for rank 0, a quarter for rank 1, a fifth beyond. A server's own first answer counts no more as waiting work by then.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -132,7 +132,11 @@
             return False
         arrival = clock.now() + choice.wait + choice.seconds
         if not trip.tier.is_worth(
-            arrival, trip.request.received_at, trip.route.objective
+            arrival,
+            trip.request.received_at,
+            trip.route.objective,
+            choice.busy_seconds,
+            trip.route.urgency,
         ) or (HOPE_SHARE * choice.total_seconds > wish.seconds_left):
             return False
         if not self.get_budget(trip.service.name).take():
--- a/chivejunction/coordination/backend_selection.py
+++ b/chivejunction/coordination/backend_selection.py
@@ -88,6 +88,7 @@
         source: Server from which it copies a part of the prompt, or None.
         copied_tokens: Tokens of that part.
         price: What reading again and copying cost the users, in seconds.
+        busy_seconds: Mean work that waits at all servers that may be used.
     """
 
     backend: backends.Backend
@@ -98,6 +99,7 @@
     source: backends.Backend | None = None
     copied_tokens: int = 0
     price: float = 0.0
+    busy_seconds: float = 0.0
 
     @property
     def copy_from(self) -> str:
@@ -225,6 +227,7 @@
             if cost < best_cost:
                 best, best_cost = choice, cost
         self._take_cold(best.backend)
+        best.busy_seconds = sum(c.wait for c in choices) / len(choices)
         return best
 
     def _make_choice(self, wish, backend, waits) -> Choice:
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -126,6 +126,7 @@
                 running=backend.running,
                 estimated_wait=round(choice.wait, 3),
                 estimated_work=round(choice.seconds, 3),
+                busy_seconds=round(choice.busy_seconds, 3),
                 held_tokens=choice.held_tokens,
                 copied_tokens=choice.copied_tokens,
                 copy_from=choice.copy_from,
@@ -226,6 +227,8 @@
                 'answer without signature', trips.MAY_HAVE_RUN
             )
         if trip.route.is_stream:
+            # Its work does not wait any more, and must not count as such.
+            self._chooser.end_work(trip.work)
             if self._chooser.escalate(trip, head.confidence):
                 self._note_success(trip, backend, sent_at)
                 trip.verdict = trips.RAN
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -158,7 +158,6 @@
             lambda: self.table,
             wire,
             self.proof,
-            self._feed.is_outage_shared,
             self._chooser,
             attempts,
         )
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -23,9 +23,6 @@
 RETRY_AFTER_SECONDS = (0.3, 1.2)
 # Callers honour up to a third of the time that they have left.
 RETRY_AFTER_SHARE = 0.3
-# The same while all gateways have lost the store: an outage lasts seconds, and
-# a caller that returns into it is lost.
-OUTAGE_SHARE = (0.6, 1.0)
 # Time left below which an attempt cannot end in time.
 MIN_LEFT_SECONDS = 0.02
 REQUESTS = metrics.make_counter(
@@ -44,8 +41,6 @@
             first one.
         wire: Wire format of callers and servers.
         proof: Age of the configuration.
-        is_outage_shared: Tells whether the other gateways have lost the
-            store too.
         chooser: Chooses attempts.
         attempts: Makes attempts.
     """
@@ -55,14 +50,12 @@
         get_table: Callable[[], route_tables.RouteTable | None],
         wire: forwarding.WireFormat,
         proof: freshness.Freshness,
-        is_outage_shared: Callable[[], bool],
         chooser: attempt_choice.AttemptChooser,
         attempts: direct_attempts.DirectAttempts,
     ):
         self._get_table = get_table
         self._wire = wire
         self._proof = proof
-        self._is_outage_shared = is_outage_shared
         self._chooser = chooser
         self._attempts = attempts
 
@@ -198,8 +191,7 @@
         status = refusals.REFUSALS[error.code].status
         retry_after = None
         if status in (429, 503):
-            is_outage = error.code == 'not_ready' and self._is_outage_shared()
-            retry_after = find_retry_after(request, is_outage)
+            retry_after = find_retry_after(request)
         REQUESTS.labels('', error.code).inc()
         logs.log_decision(
             'refusal',
@@ -244,19 +236,10 @@
         )
 
 
-def find_retry_after(
-    request: forwarding.ForwardRequest | None, is_outage: bool = False
-) -> float:
-    """Returns the seconds after which a refused caller should return.
-
-    Args:
-        request: The request, None if it could not be read.
-        is_outage: Whether all gateways refuse.
-    """
+def find_retry_after(request: forwarding.ForwardRequest | None) -> float:
+    """Returns the seconds after which a refused caller should return."""
     wait = random.uniform(*RETRY_AFTER_SECONDS)
     if request is not None:
         left = RETRY_AFTER_SHARE * clock.remaining(request.deadline)
-        if is_outage:
-            wait = max(wait, left * random.uniform(*OUTAGE_SHARE))
         wait = min(wait, left)
     return round(max(0.05, wait), 2)
--- a/chivejunction/coordination/members.py
+++ b/chivejunction/coordination/members.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import math
+import random
 
 import anyio
 
@@ -123,6 +124,11 @@
         """Returns the others of this region that follow the store itself."""
         return [name for name in self._rank_direct() if name != self.name]
 
+    def sample_others(self, most: int) -> list[str]:
+        """Returns some other gateways at random, of any region."""
+        others = [name for name in self._members if name != self.name]
+        return random.sample(others, min(most, len(others)))
+
     def count_followers(self) -> int:
         """Returns the gateways of this region that follow another one."""
         near = [m for m in self._members.values() if m.region == self._region]
--- a/chivejunction/coordination/relays.py
+++ b/chivejunction/coordination/relays.py
@@ -45,9 +45,7 @@
 MAX_AGE_SECONDS = 2.0
 # A relay that did not answer, or the store, is passed over for this long.
 AVOID_SECONDS = 3.0
-# Another gateway that has lost the store is asked again within this time.
-SHARED_SECONDS = 3.0
-# Relays that are asked before the store is.
+# Relays that are asked before the store is, and other gateways after it.
 MAX_TRIES = 2
 # Wait at the next source after one has failed; the proof ages meanwhile.
 SHORT_SECONDS = 0.05
@@ -175,11 +173,6 @@
         self._client = client
         self._avoided: dict[str, float] = {}
         self._store_avoided_until = 0.0
-        self._heard_until = 0.0
-
-    def is_outage_shared(self) -> bool:
-        """Tells whether another gateway answers and has lost the store too."""
-        return not clock.has_passed(self._heard_until)
 
     async def read_all(self, prefix: str) -> tuple[list[stores.Entry], int]:
         """Returns the entries of a prefix and the revision to follow from."""
@@ -210,7 +203,17 @@
             if found is not None:
                 return found
             seconds = SHORT_SECONDS
-        return await self._poll_store(prefix, after, seconds, patience)
+        try:
+            return await self._poll_store(prefix, after, seconds, patience)
+        except errors.HistoryLost:
+            raise
+        except errors.StoreError:
+            # Some other gateway may have a way to the store of its own.
+            for name in self._peers.sample_others(MAX_TRIES):
+                found = await self._poll_relay(name, after, SHORT_SECONDS)
+                if found is not None:
+                    return found
+            raise
 
     async def _poll_store(self, prefix, after, seconds, patience):
         POLLS.labels('store').inc()
@@ -250,13 +253,11 @@
             logs.log_decision('relay passed over', relay=name, reason=str(exc))
             return None
         if found is None or found.age > MAX_AGE_SECONDS:
-            self._heard_until = clock.make_deadline(SHARED_SECONDS)
             logs.log_decision(
                 'relay has lost the store',
                 relay=name,
                 age=None if found is None else found.age,
             )
             return None
-        self._heard_until = 0.0
         POLLS.labels('relay').inc()
         return found
--- a/chivejunction/coordination/tier_choice.py
+++ b/chivejunction/coordination/tier_choice.py
@@ -11,6 +11,11 @@
 ESCALATION_CONFIDENCE = 0.6
 # Part of the objective after which a larger tier would be late for sure.
 LATEST_SHARE = 1.0
+# Mean work that waits at the servers, in parts of the objective, beyond which
+# the answer at hand stays, by the rank of the route (0 is first; the last one
+# holds for all further ranks). A larger tier takes ten times the time of the
+# engines; when that runs short, it goes to the more urgent routes.
+BUSY_SHARES = (1.0, 0.25, 0.2)
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,12 +76,24 @@
         return confidence < ESCALATION_CONFIDENCE
 
     @staticmethod
-    def is_worth(arrival: float, received_at: float, objective: float) -> bool:
-        """Tells whether a larger tier would still answer in time.
+    def is_worth(
+        arrival: float,
+        received_at: float,
+        objective: float,
+        busy_seconds: float = 0.0,
+        rank: int = 0,
+    ) -> bool:
+        """Tells whether a larger tier is worth its time.
 
         Args:
             arrival: Monotonic time at which its answer would begin.
             received_at: Monotonic time of the request.
             objective: Seconds within which an answer is on time.
+            busy_seconds: Mean work that waits at the servers.
+            rank: Rank of the route, 0 is first.
         """
-        return arrival < received_at + LATEST_SHARE * objective
+        share = BUSY_SHARES[min(max(rank, 0), len(BUSY_SHARES) - 1)]
+        return (
+            arrival < received_at + LATEST_SHARE * objective
+            and busy_seconds <= share * objective
+        )
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -228,6 +228,26 @@
             assert not cut.mirror.is_recovering()
             group.cancel_scope.cancel()
 
+    @run_async
+    async def test_any_gateway_with_a_way_to_the_store_helps(self):
+        """Load of raamwerk-hub-grown scale-2 from second 7 to 13.
+
+        Both relays of a region had no power while a third of the gateways
+        were cut from the store.
+        """
+        store = FakeStore()
+        gateways = make_gateways(5, PORT + 90, store)
+        cut, others = gateways[-1], gateways[2:-1]
+        cut.feed._store = FakeStore()
+        async with anyio.create_task_group() as group:
+            # The direct ones do not run.
+            start(group, [cut, *others])
+            await cut.wait(lambda g: g.mirror.has_loaded.is_set())
+            cut.feed._store.is_down = True
+            store.put('d', b'4')
+            await cut.wait(lambda g: 'd' in g.applied, 4.5)
+            group.cancel_scope.cancel()
+
     @run_async
     async def test_nobody_believes_what_the_store_did_not_say(self):
         store = FakeStore()
