Keep the caller of a test connected until it is meant to leave

The test took the first chunk from an iterator that nobody held; httpcore closes the connection when its iterator is collected, so the caller had left before the check, and only a fast health call still saw the attempt. Ruled out: a refusal (status 200, first token of the engine), and a second attempt (logs of the failed run).

Change: the iterator is held until the caller leaves; checks and bounds are the same.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -196,7 +196,9 @@
             headers={**faults.KEY, 'content-type': 'application/json'},
             content=body,
         ) as answer:
-            next(answer.iter_stream())
+            # Held on to: httpcore closes the connection with its iterator.
+            chunks = answer.iter_stream()
+            next(chunks)
             assert parts.fleet.read_health('lm-1')['running'] == 1
         parts.fleet.wait_until(
             lambda: parts.fleet.read_health('lm-1')['running'] == 0,
