Derive what the relays' change stored twice

Found when the change was read once more; behaviour stays.

- Mirror kept the revision that its change log keeps too.
- The work of an attempt was ended at the head of the answer and again at the first event, where it was dead since less urgent routes give way; and the end of a plain request woke the sender of hints for nothing.
- RelayServer had a flag of its own for a gateway that leaves, and the gateway an optional relay to set it; it asks the gateway now.
- Members listed the gateways of a region in three places.

make test: 939 passed, no assertion changed (one test sets the flag on the gateway in place of the relay).

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -162,6 +162,11 @@
         return number
 
     def end_work(self, number: int) -> None:
-        """Tells that an attempt has its first byte, or has failed."""
-        self._work.end(number)
-        self._hints.notify()
+        """Tells that an attempt has its first byte, or has failed.
+
+        Args:
+            number: What ``start_work`` returned; 0 for work of no engine.
+        """
+        if number:
+            self._work.end(number)
+            self._hints.notify()
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -375,7 +375,6 @@
         seconds = clock.now() - sent_at
         choice = trip.choice
         if trip.wish.model:
-            self._chooser.end_work(trip.work)
             tokens = trip.request.input_tokens - choice.held_tokens
             self._speeds.record(trip.wish.model, tokens, seconds)
         backend.note_success()
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -126,7 +126,6 @@
         self._feed = relays.RelayedFeed(
             feed, self.members, http_client.Client()
         )
-        self._relay: relays.RelayServer | None = None
         self._pool = backend_connections.ConnectionPool()
         selector = backend_selection.BackendSelector(
             self.backends,
@@ -301,8 +300,10 @@
         await self.front.serve_socket(sock)
 
     async def _serve_relay(self, mirror: mirrors.Mirror) -> None:
-        self._relay = relays.RelayServer(mirror, self.proof)
-        listener = caller_connections.Listener(self._relay.handle)
+        relay = relays.RelayServer(
+            mirror, self.proof, lambda: self._is_leaving
+        )
+        listener = caller_connections.Listener(relay.handle)
         await listener.serve(*self._options.hints)
 
     async def _serve_ready(self) -> None:
@@ -373,8 +374,6 @@
             self._options.grace_seconds - EXIT_SECONDS
         )
         self._is_leaving = True
-        if self._relay is not None:
-            self._relay.is_leaving = True
         self.front.is_closing = True
         logs.LOG.info(
             'stopping with %d requests in progress',
--- a/chivejunction/coordination/members.py
+++ b/chivejunction/coordination/members.py
@@ -102,13 +102,16 @@
         chosen = rendezvous.rank_hosts(key, self._members)[:most]
         return len(chosen) if self.name in chosen else 0
 
-    def _rank_direct(self) -> list[str]:
-        """Returns who follows the store itself, from the largest hosts."""
-        names = [
+    def _list_region(self, region: str) -> list[str]:
+        return [
             name
             for name, member in self._members.items()
-            if member.region == self._region
+            if member.region == region
         ]
+
+    def _rank_direct(self) -> list[str]:
+        """Returns who follows the store itself, from the largest hosts."""
+        names = self._list_region(self._region)
         most = max(MIN_DIRECT, math.ceil(len(names) / FOLLOWERS))
         ranked = rendezvous.rank_hosts('store', names)
         ranked.sort(key=lambda name: -self._members[name].capacity)
@@ -131,7 +134,7 @@
 
     def count_followers(self) -> int:
         """Returns the gateways of this region that follow another one."""
-        near = [m for m in self._members.values() if m.region == self._region]
+        near = self._list_region(self._region)
         return len(near) - len(self._rank_direct())
 
     def get_address(self, name: str) -> tuple[str, int]:
@@ -150,15 +153,10 @@
             region: Their region.
             most: Limit; beyond it the ones closest by rendezvous hashing.
         """
-        others = [
-            name
-            for name, member in self._members.items()
-            if member.region == region and name != self.name
-        ]
+        others = [n for n in self._list_region(region) if n != self.name]
         if len(others) > most:
             others = rendezvous.rank_hosts(self.name, others)[:most]
-        found = [self._members[name] for name in others]
-        return [(member.address, member.port) for member in found]
+        return [self.get_address(name) for name in others]
 
     async def run(self) -> None:
         """Keeps this gateway listed until cancelled."""
--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -55,7 +55,6 @@
         self._apply = apply
         self._proof = proof
         self._known: dict[str, int] = {}
-        self._after = 0
         self._is_loaded = False
         self._lost_at = 0.0
         self._back_at = 0.0
@@ -91,7 +90,6 @@
             self._take(stores.Change(key, revision, None))
         for entry in entries:
             self._take(stores.Change(entry.key, entry.revision, entry))
-        self._after = revision
         self._is_loaded = True
         self._proof.prove(started)
         self.log.restart(revision)
@@ -105,11 +103,10 @@
         if self._lost_at and self._failures % 2:
             patience = LOST_PATIENCE_SECONDS
         poll = await self._feed.poll_changes(
-            self._prefix, self._after, self._find_wait(), patience
+            self._prefix, self.log.revision, self._find_wait(), patience
         )
         for change in poll.changes:
             self._take(change, poll.was_away)
-        self._after = max(self._after, poll.after)
         # The answer was made at this time or later.
         made_at = min(started + poll.waited, freshness.read_clock())
         self._proof.prove(made_at - poll.age)
--- a/chivejunction/coordination/relays.py
+++ b/chivejunction/coordination/relays.py
@@ -7,6 +7,7 @@
 the configuration is the newest one stays true over any number of steps.
 """
 
+from collections.abc import Callable
 from urllib import parse
 import zlib
 
@@ -64,12 +65,18 @@
     Args:
         mirror: Copy of the store.
         proof: Age of the configuration.
+        is_leaving: Tells whether this gateway is about to end.
     """
 
-    def __init__(self, mirror: mirrors.Mirror, proof: freshness.Freshness):
+    def __init__(
+        self,
+        mirror: mirrors.Mirror,
+        proof: freshness.Freshness,
+        is_leaving: Callable[[], bool],
+    ):
         self._mirror = mirror
         self._proof = proof
-        self.is_leaving = False
+        self._is_leaving = is_leaving
 
     async def handle(
         self,
@@ -85,8 +92,11 @@
             logs.LOG.warning('poll of a gateway is not valid: %r', exc)
             await reply.answer(400, [], b'after and wait_ms are needed')
             return
-        if self.is_leaving or target.path != PATH:
-            await reply.answer(404 if target.path != PATH else 503, [], b'')
+        if target.path != PATH:
+            await reply.answer(404, [], b'')
+            return
+        if self._is_leaving():
+            await reply.answer(503, [], b'')
             return
         started = freshness.read_clock()
         with anyio.move_on_after(min(wait, RELAY_SECONDS)):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -77,7 +77,10 @@
         self.applied = {}
         self.lapsed = set()
         self.mirror = mirrors.Mirror(self.feed, '', self.apply, self.proof)
-        self.server = relays.RelayServer(self.mirror, self.proof)
+        self.is_leaving = False
+        self.server = relays.RelayServer(
+            self.mirror, self.proof, lambda: self.is_leaving
+        )
 
     def apply(self, change, has_lapsed):
         """Takes a change."""
@@ -187,7 +190,7 @@
             start(group, gateways)
             await follower.wait(lambda g: g.mirror.has_loaded.is_set())
             for relay in gateways[:2]:
-                relay.server.is_leaving = True
+                relay.is_leaving = True
             follower.store.put('b', b'2')
             await follower.wait(lambda g: 'b' in g.applied, 3.0)
             group.cancel_scope.cancel()
