--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -98,6 +98,7 @@
         started_at = clock.now()
         backend = choice.backend
         context.choice = choice
+        context.progress = request_context.Progress.UNSENT
         backend.running += 1
         work_id = self._chooser.start_work(context, choice)
         connection = None
@@ -157,6 +158,7 @@
                 error_share=round(backend.error_share, 3),
                 attempt=context.sent_attempts,
                 outcome=outcome,
+                progress=context.progress.value,
                 confidence=context.confidence,
                 seconds=round(clock.now() - started_at, 4),
             )
@@ -218,6 +220,7 @@
             context.request, dispatch
         )
         context.sent_attempts += 1
+        context.progress = request_context.Progress.SENT
         verdict_before = context.verdict
         context.verdict = max(context.verdict, request_context.MAY_HAVE_RUN)
         try:
@@ -269,6 +272,7 @@
         head = await self._read_response_head(
             context, backend, connection, sent_at
         )
+        context.progress = request_context.Progress.BEGUN
         context.confidence = head.confidence
         if head.has_not_run:
             if head.status == 421:
@@ -303,6 +307,7 @@
             )
         else:
             body = await self._read_body(connection)
+            context.progress = request_context.Progress.RESPONDED
             self._record_success(context, backend, sent_at)
             context.first_byte_at = clock.now()
             await context.reply.send_response(head.status, head.headers, body)
@@ -405,6 +410,7 @@
             for number, event in self._split_events(reader, data):
                 now = clock.now()
                 if is_first:
+                    context.progress = request_context.Progress.RESPONDED
                     self._record_success(context, backend, sent_at)
                     is_first = False
                 else:
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -22,6 +22,8 @@
 
 # An attempt cannot complete in less remaining time than this.
 MIN_REMAINING_SECONDS = 0.02
+# Parts of a prompt that the line of a request names.
+MAX_LOGGED_PARTS = 12
 REQUESTS = metrics.make_counter(
     'forward_requests', 'Forwarded requests by result.', 'route', 'result'
 )
@@ -254,6 +256,9 @@
             events=context.events,
             session=context.request.session,
             shared_part=context.request.shared_part_id,
+            prompt_parts=[
+                part.id for part in context.request.prompt[:MAX_LOGGED_PARTS]
+            ],
             shared_tokens=context.request.shared_tokens,
             input_tokens=context.request.input_tokens,
             expected_tokens=context.request.expected_tokens,
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -31,6 +31,22 @@
     STOP = 'stop'
 
 
+class Progress(enum.Enum):
+    """How far an attempt has come.
+
+    Attributes:
+        UNSENT: The request was not sent.
+        SENT: The request was sent, no response has begun.
+        BEGUN: The head of the response has arrived.
+        RESPONDED: An event, or a whole response, has arrived.
+    """
+
+    UNSENT = 'unsent'
+    SENT = 'sent'
+    BEGUN = 'begun'
+    RESPONDED = 'responded'
+
+
 @dataclasses.dataclass(slots=True)
 class ErrorResponse:
     """Error response of a backend server.
@@ -72,6 +88,7 @@
         next_choice: Backend server already chosen for the next attempt, or
             None.
         work_id: Id of the latest attempt's entry in the backlog; 0 for none.
+        progress: How far the latest attempt has come.
     """
 
     request: forwarding.ForwardRequest
@@ -94,6 +111,7 @@
     choice: backend_selection.Choice | None = None
     next_choice: backend_selection.Choice | None = None
     work_id: int = 0
+    progress: Progress = Progress.UNSENT
 
     @property
     def is_retry_safe(self) -> bool:
