--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -22,6 +22,8 @@
 from tests import stores
 
 SEAL = 'seal-1'
+# Time that a crashed server needs to serve again.
+RESTART_SECONDS = 0.4
 
 
 def run_async(test):
@@ -109,6 +111,7 @@
         received_requests: Requests received so far, without probes.
         closed: Numbers of the connections that were closed.
         port: TCP port; 0 until the server runs.
+        crashes: Number of calls of ``crash``.
 
     Args:
         script: Script that writes the responses.
@@ -119,16 +122,33 @@
         self.received_requests: list[ReceivedRequest] = []
         self.closed: list[int] = []
         self.port = 0
+        self.crashes = 0
         self._connections = 0
+        self._scope = anyio.CancelScope()
 
     async def run(self, *, task_status):
-        """Serves until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host='127.0.0.1', local_port=0
-        )
-        self.port = listener.extra(abc.SocketAttribute.local_port)
-        task_status.started()
-        await listener.serve(self._serve)
+        """Serves until cancelled, again after each crash."""
+        status = task_status
+        while True:
+            listener = await anyio.create_tcp_listener(
+                local_host='127.0.0.1', local_port=self.port
+            )
+            self.port = listener.extra(abc.SocketAttribute.local_port)
+            if status is not None:
+                status.started()
+                status = None
+            with anyio.CancelScope() as self._scope:
+                await listener.serve(self._serve)
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
+            if not self._scope.cancel_called:
+                return
+            await anyio.sleep(RESTART_SECONDS)
+
+    def crash(self):
+        """Ends all connections and refuses new ones for a while."""
+        self.crashes += 1
+        self._scope.cancel()
 
     async def _serve(self, stream):
         self._connections += 1
