Replicate short notices among all gateways without the store

Hints reach 16 gateways of a region and are sent once; the store may be away. What all gateways must heed needs neither.

--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -26,10 +26,12 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
+from chivejunction.coordination import bulletins
 from chivejunction.coordination import gateway_membership
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
+from chivejunction.transport import datagrams
 
 MIN_INTERVAL_SECONDS = 0.05
 # While a gateway has a backlog, it repeats its hint after this time even if
@@ -90,6 +92,7 @@
             tokens, 0 if it is unknown.
         receive_session: Called with the hash of each session that another
             gateway announced.
+        board: Bulletins, which use the same socket; None without them.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
         get_cache_tokens: Callable[[str], int],
         receive_session: Callable[[int], None] = lambda session_hash: None,
+        board: bulletins.BulletinBoard | None = None,
     ):
         self._name = name
         self._region = region
@@ -115,6 +119,7 @@
         self._prefix_cache_index = prefix_cache_index
         self._get_cache_tokens = get_cache_tokens
         self._receive_session = receive_session
+        self._board = board
         self._pending_sessions: set[int] = set()
         self._region_states: dict[str, RegionState] = {}
         self._changed = anyio.Event()
@@ -164,13 +169,19 @@
             ) as udp,
             anyio.create_task_group() as group,
         ):
+            sender = datagrams.DatagramSender(udp)
             group.start_soon(self._receive, udp)
-            await self._send_all(udp)
+            if self._board is not None:
+                group.start_soon(self._board.run, sender)
+            await self._send_all(sender)
 
     async def _receive(self, udp) -> None:
-        async for data, _ in udp:
+        async for data, sender in udp:
             try:
-                self._handle_datagram(data)
+                if self._board and data.startswith(bulletins.FIRST_BYTE):
+                    self._board.handle_datagram(data, sender)
+                else:
+                    self._handle_datagram(data)
             except errors.ProtocolError as exc:
                 logs.LOG.warning('hint ignored: %s', exc)
 
@@ -230,17 +241,17 @@
                     instance, server_prefixes, cache_tokens
                 )
 
-    async def _send_all(self, udp) -> None:
+    async def _send_all(self, sender) -> None:
         while True:
             with anyio.move_on_after(REMOTE_MIN_INTERVAL_SECONDS):
                 await self._changed.wait()
             self._changed = anyio.Event()
             local_backlogs = self._server_backlogs.sum_local()
             has_sent = bool(self._pending_sessions)
-            await self._send_sessions(udp)
+            await self._send_sessions(sender)
             for region_state in self._list_region_states():
                 if self._should_send(region_state, local_backlogs):
-                    await self._send(udp, region_state, local_backlogs)
+                    await self._send(sender, region_state, local_backlogs)
                     has_sent = True
             if has_sent:
                 await anyio.sleep(MIN_INTERVAL_SECONDS)
@@ -274,7 +285,10 @@
         return change >= MIN_BACKLOG_CHANGE_SECONDS
 
     async def _send(
-        self, udp, region_state: RegionState, local_backlogs: dict[str, float]
+        self,
+        sender,
+        region_state: RegionState,
+        local_backlogs: dict[str, float],
     ) -> None:
         region_state.sent_backlogs, region_state.sent_at = (
             local_backlogs,
@@ -302,14 +316,14 @@
             # The prefixes do not fit.
             data = msgpack.packb([self._name, backlog_rows, [], []])
         await self._send_datagram(
-            udp,
+            sender,
             data,
             self._peers.list_addresses(
                 region_state.region, MAX_PEERS_PER_REGION
             ),
         )
 
-    async def _send_sessions(self, udp) -> None:
+    async def _send_sessions(self, sender) -> None:
         """Sends the pending sessions to all gateways."""
         sessions, self._pending_sessions = list(self._pending_sessions), set()
         for start in range(0, len(sessions), MAX_SESSIONS_PER_HINT):
@@ -317,16 +331,15 @@
             data = msgpack.packb([self._name, None, [], batch])
             for region in self._peers.list_regions():
                 await self._send_datagram(
-                    udp, data, self._peers.list_addresses(region)
+                    sender, data, self._peers.list_addresses(region)
                 )
 
     @staticmethod
     async def _send_datagram(
-        udp, data: bytes, addresses: list[tuple[str, int]]
+        sender: datagrams.DatagramSender,
+        data: bytes,
+        addresses: list[tuple[str, int]],
     ) -> None:
         for address in addresses:
             SENT_BYTES.inc(len(data))
-            try:
-                await udp.sendto(data, *address)
-            except OSError as exc:
-                logs.LOG.debug('hint not sent to %s: %s', address, exc)
+            await sender.send(data, address)
