Quarantine prompt parts that crash engines

Cause: a broken attempt counted against the server only, so what caused the break was sent on to the next one. Class: retries repeat what does the harm. Ruled out: overload (idle engines crash too) and a faulty version (one part in all). Change: a break before the first event is reported to all gateways if the server refuses connections; each judges all reports. A success refutes, a crash that one part explains does not count against others, the loss of a rack counts once. A harmful part is refused (503, has not run) for 10 minutes, attempts that have not responded are cancelled, the finding is kept in the store under a lease. A request is not sent again after two breaks.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -7,6 +7,7 @@
 from chivejunction import logs
 from chivejunction import metrics
 from chivejunction.coordination import attempt_choice
+from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import liveness
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
@@ -60,6 +61,7 @@
         moves: Records the results of attempts by software version.
         prefill_times: Records the time that models take to process prompts.
         chooser: Decides on escalation and tracks queued work.
+        prompt_guard: Watches for prompts that crash servers.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         moves: version_moves.VersionMoves,
         prefill_times: backlogs.PrefillTimeEstimator,
         chooser: attempt_choice.AttemptChooser,
+        prompt_guard: harmful_prompts.HarmfulPromptGuard,
     ):
+        self._prompt_guard = prompt_guard
         self._table = table
         self._pool = pool
         self._wire_format = wire_format
@@ -107,7 +111,7 @@
         try:
             connection = await self._connect(context, backend)
             context.work_id = work_id
-            action, idle_seconds = await self._exchange(
+            action, idle_seconds = await self._exchange_guarded(
                 context, backend, connection
             )
             outcome = action.value
@@ -126,6 +130,11 @@
             context.reason = outcome
             context.verdict = max(context.verdict, exc.verdict)
             context.failed_instances.add(backend.instance)
+            if exc.is_broken:
+                context.broken_starts += (
+                    context.progress is request_context.Progress.BEGUN
+                )
+                self._prompt_guard.report_break(context, backend)
             if exc.verdict is not request_context.NOT_RUN:
                 backend.record_failure()
                 self._moves.record(
@@ -184,6 +193,15 @@
                 'unreachable', request_context.NOT_RUN
             ) from exc
 
+    async def _exchange_guarded(self, context, backend, connection):
+        """Makes the exchange unless the prompt is found harmful meanwhile."""
+        with self._prompt_guard.track(context) as scope:
+            return await self._exchange(context, backend, connection)
+        assert scope.cancelled_caught
+        raise request_context.AttemptFailed(
+            'prompt found harmful', context.verdict
+        )
+
     async def _exchange(self, context, backend, connection):
         """Sends the request, if it still may be sent to this server.
 
@@ -308,6 +326,7 @@
         else:
             body = await self._read_body(connection)
             context.progress = request_context.Progress.RESPONDED
+            self._prompt_guard.record_success(context)
             self._record_success(context, backend, sent_at)
             context.first_byte_at = clock.now()
             await context.reply.send_response(head.status, head.headers, body)
@@ -336,11 +355,11 @@
                 await connection.skip_response()
         except errors.TransportError as exc:
             raise request_context.AttemptFailed(
-                f'no answer: {exc}', request_context.MAY_HAVE_RUN
+                f'no answer: {exc}', request_context.MAY_HAVE_RUN, True
             ) from exc
         except errors.ProtocolError as exc:
             raise request_context.AttemptFailed(
-                f'bad answer: {exc}', request_context.MAY_HAVE_RUN
+                f'bad answer: {exc}', request_context.MAY_HAVE_RUN, True
             ) from exc
 
     async def _wait_for_first_byte(self, context, backend, sent_at, read):
@@ -370,7 +389,7 @@
             return await connection.read_body()
         except (errors.TransportError, errors.ProtocolError) as exc:
             raise request_context.AttemptFailed(
-                f'cut: {exc}', request_context.MAY_HAVE_RUN
+                f'cut: {exc}', request_context.MAY_HAVE_RUN, True
             ) from exc
 
     def _handle_error_status(
@@ -411,6 +430,7 @@
                 now = clock.now()
                 if is_first:
                     context.progress = request_context.Progress.RESPONDED
+                    self._prompt_guard.record_success(context)
                     self._record_success(context, backend, sent_at)
                     is_first = False
                 else:
@@ -419,7 +439,9 @@
                 await self._forward_event(context, head, number, event)
         if reader.has_partial_event() or is_first:
             raise request_context.AttemptFailed(
-                'stream ended inside an event', request_context.MAY_HAVE_RUN
+                'stream ended inside an event',
+                request_context.MAY_HAVE_RUN,
+                True,
             )
         if comments := reader.read_comments():
             await context.reply.send(comments)
@@ -465,7 +487,7 @@
             )
         except (errors.TransportError, errors.ProtocolError) as exc:
             raise request_context.AttemptFailed(
-                f'cut: {exc}', request_context.MAY_HAVE_RUN
+                f'cut: {exc}', request_context.MAY_HAVE_RUN, True
             ) from exc
 
     async def _forward_event(self, context, head, number, event) -> None:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -12,9 +12,11 @@
 from chivejunction import logs
 from chivejunction import metrics
 from chivejunction.coordination import attempt_choice
+from chivejunction.coordination import bulletins
 from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import forwarding
 from chivejunction.coordination import gateway_membership
+from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import hints
 from chivejunction.coordination import mirrors
 from chivejunction.coordination import relays
@@ -122,6 +124,10 @@
             options.region,
             options.capacity,
         )
+        self._board = bulletins.BulletinBoard(options.name, self.members)
+        self.prompt_guard = harmful_prompts.HarmfulPromptGuard(
+            store, self._board, self.members
+        )
         self._server_backlogs = backlogs.Backlogs()
         self._running_attempts = backlogs.Backlogs()
         self._prefill_times = backlogs.PrefillTimeEstimator()
@@ -137,6 +143,7 @@
             self._prefix_cache_index,
             self._get_cache_tokens,
             self.moves.keep_on_old_version,
+            self._board,
         )
         self.config_freshness = freshness.Freshness(
             options.max_config_age_seconds
@@ -172,6 +179,7 @@
             self.moves,
             self._prefill_times,
             self._chooser,
+            self.prompt_guard,
         )
         self._forwarder = forwarding.Forwarder(
             lambda: self.route_table,
@@ -179,6 +187,7 @@
             self.config_freshness,
             self._chooser,
             attempts,
+            self.prompt_guard,
         )
         self.caller_listener = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
@@ -306,6 +315,7 @@
             group.start_soon(self.members.run)
             group.start_soon(self.moves.run)
             group.start_soon(self._hint_exchange.run)
+            group.start_soon(self.prompt_guard.run)
             group.start_soon(self._run_maintenance)
             group.start_soon(self._serve_readiness)
             group.start_soon(self._serve_metrics)
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -11,11 +11,13 @@
 from chivejunction import metrics
 from chivejunction.coordination import attempt_choice
 from chivejunction.coordination import direct_attempts
+from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import request_context
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import refusals
 from chivejunction.scheduling import admission
 from chivejunction.scheduling import tier_choice
+from chivejunction.state import crash_evidence
 from chivejunction.state import freshness
 from chivejunction.state import route_tables
 from chivejunction.transport import caller_connections
@@ -43,6 +45,7 @@
         config_freshness: Tracks the age of the configuration.
         chooser: Chooses the backend server of each attempt.
         attempts: Makes the attempts.
+        prompt_guard: Knows which prompts crash servers.
     """
 
     def __init__(
@@ -52,12 +55,14 @@
         config_freshness: freshness.Freshness,
         chooser: attempt_choice.AttemptChooser,
         attempts: direct_attempts.DirectAttempts,
+        prompt_guard: harmful_prompts.HarmfulPromptGuard,
     ):
         self._get_table = get_table
         self._wire_format = wire_format
         self._config_freshness = config_freshness
         self._chooser = chooser
         self._attempts = attempts
+        self._prompt_guard = prompt_guard
 
     async def handle(
         self,
@@ -155,6 +160,8 @@
             request_context.NextAction.RETRY,
             request_context.NextAction.ESCALATE,
         ):
+            if not self._is_harmless(context):
+                break
             # An escalation has already chosen its backend server and taken
             # its extra attempt from the budget.
             choice, context.next_choice = context.next_choice, None
@@ -174,11 +181,30 @@
         if action is not request_context.NextAction.DONE:
             await self._send_failure(context)
 
+    def _is_harmless(self, context: request_context.RequestContext) -> bool:
+        """Returns whether a request may be sent to a server at all.
+
+        Raises:
+            RefusalError: It may not, and has not been sent.
+        """
+        reason = self._prompt_guard.find_reason(context)
+        if reason is None:
+            return True
+        if context.verdict is request_context.NOT_RUN:
+            raise errors.RefusalError(
+                'harmful_prompt',
+                reason,
+                retry_after=harmful_prompts.QUARANTINE_SECONDS,
+            )
+        context.reason = reason
+        return False
+
     @staticmethod
     def _can_retry(context: request_context.RequestContext) -> bool:
         return (
             context.is_retry_safe
             and context.sent_attempts < context.route.max_attempts
+            and context.broken_starts < crash_evidence.MAX_CRASHES_PER_REQUEST
             and clock.remaining(context.deadline) > MIN_REMAINING_SECONDS
         )
 
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -8,6 +8,7 @@
 from chivejunction.protocol import verdicts
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import tier_choice
+from chivejunction.state import crash_evidence
 from chivejunction.transport import caller_connections
 
 NOT_RUN = verdicts.Verdict.NOT_RUN
@@ -89,6 +90,9 @@
             None.
         work_id: Id of the latest attempt's entry in the backlog; 0 for none.
         progress: How far the latest attempt has come.
+        broken_starts: Number of attempts that broke off between the head of
+            the response and its first event.
+        prompt_hashes: Hashes of the parts of the prompt.
     """
 
     request: forwarding.ForwardRequest
@@ -112,6 +116,13 @@
     next_choice: backend_selection.Choice | None = None
     work_id: int = 0
     progress: Progress = Progress.UNSENT
+    broken_starts: int = 0
+    prompt_hashes: crash_evidence.PromptHashes = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.prompt_hashes = crash_evidence.PromptHashes.make(
+            self.request.prompt
+        )
 
     @property
     def is_retry_safe(self) -> bool:
@@ -140,11 +151,18 @@
         detail: Cause of the failure; the part before the first colon is the
             outcome in metrics.
         verdict: Whether the request may have run.
+        is_broken: Whether the connection ended before the response did.
     """
 
-    def __init__(self, detail: str, verdict: verdicts.Verdict):
+    def __init__(
+        self,
+        detail: str,
+        verdict: verdicts.Verdict,
+        is_broken: bool = False,
+    ):
         super().__init__(detail)
         self.verdict = verdict
+        self.is_broken = is_broken
 
 
 def get_affinity_key(request: forwarding.ForwardRequest) -> str:
--- a/chivejunction/platform/entries.py
+++ b/chivejunction/platform/entries.py
@@ -4,6 +4,7 @@
 from chivejunction import logs
 from chivejunction.coordination import forward_gateway
 from chivejunction.coordination import gateway_membership
+from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import version_moves
 from chivejunction.platform import configuration
 from chivejunction.platform import servers
@@ -100,3 +101,8 @@
 def _read_move(reader, change, may_have_expired) -> None:
     if change.entry is not None:
         reader.gateway.moves.apply_record(change.entry)
+
+
+@ENTRY_READERS.register(harmful_prompts.PREFIX)
+def _read_harmful_part(reader, change, may_have_expired) -> None:
+    reader.gateway.prompt_guard.apply_change(change, may_have_expired)
--- a/chivejunction/protocol/refusals.py
+++ b/chivejunction/protocol/refusals.py
@@ -44,6 +44,7 @@
     'leaving': Refusal(503, 1),
     'not_ready': Refusal(503, 1),
     'store_unavailable': Refusal(503, 5),
+    'harmful_prompt': Refusal(503, 600),
     'result_unknown': Refusal(503, 1),
     'server_failed': Refusal(502),
     'deadline': Refusal(504),
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -36,6 +36,13 @@
     return xxhash.xxh32_intdigest(instance.encode())
 
 
+def hash_process(backend: 'Backend') -> int:
+    """Returns a 64-bit hash of a server process, another after a restart."""
+    return xxhash.xxh3_64_intdigest(
+        f'{backend.instance}|{backend.started_at_ms}'.encode()
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Backend:
     """A backend server as this gateway sees it.
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -34,6 +34,27 @@
 )
 
 
+async def is_refused(address: str, port: int) -> bool:
+    """Returns whether a host refuses connections to a port.
+
+    A time-out is no refusal: the host or the network may be slow.
+
+    Args:
+        address: IP address.
+        port: TCP port.
+    """
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+            stream = await anyio.connect_tcp(address, port)
+    except TimeoutError:
+        return False
+    except OSError as exc:
+        return isinstance(exc.__cause__ or exc, ConnectionRefusedError)
+    with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
+        await stream.aclose()
+    return False
+
+
 class BackendConnection:
     """Connection to a backend server that carries one request at a time.
 
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -363,6 +363,7 @@
         self.port = listener.extra(abc.SocketAttribute.local_port)
         caller_listener = self.gateway.caller_listener
         self._group.start_soon(listener.serve, caller_listener.serve_stream)
+        self._group.start_soon(self.gateway.prompt_guard.run)
 
     async def call(self, target, body=b'', **headers):
         """Sends a request on a new connection; returns the response."""
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -1,7 +1,13 @@
 """Tests of requests with a prompt part that crashes engines."""
 
 import anyio
+import pytest
 
+from chivejunction import clock
+from chivejunction.coordination import bulletins
+from chivejunction.coordination import harmful_prompts
+from chivejunction.state import crash_evidence
+from chivejunction.transport import stores
 from tests import forward_rig
 from tests.forward_rig import run_async
 
@@ -44,7 +50,7 @@
             await stream.send(forward_rig.encode_stream_head(request))
             await anyio.sleep(0.01)
             self.servers[number].crash()
-            await anyio.sleep(1)
+            return False
 
         return respond
 
@@ -86,3 +92,165 @@
             await anyio.sleep(forward_rig.RESTART_SECONDS)
             response = await call(rig, 99, ['class', 'good'])
             assert response.is_complete and response.status == 200
+
+
+def make_key(part):
+    """Returns the store key of a finding."""
+    return f'{harmful_prompts.PREFIX}{crash_evidence.hash_part(part):016x}'
+
+
+def make_change(part, is_present=True):
+    """Returns the change of the store that adds or removes a finding."""
+    key = make_key(part)
+    entry = stores.Entry(key, b'{}', 5, 0) if is_present else None
+    return stores.Change(key, 5, entry)
+
+
+async def hold_open(request, stream):
+    """Sends the head of a response and nothing else until it is closed."""
+    await stream.send(forward_rig.encode_stream_head(request))
+    await stream.receive()
+
+
+class TestQuarantine:
+    @run_async
+    async def test_gateway_that_starts_later_reads_it_from_the_store(self):
+        async with forward_rig.start() as rig:
+            pool = Pool()
+            await pool.start(rig)
+            guard = rig.gateway.prompt_guard
+            guard.apply_change(make_change(HARMFUL_PART), False)
+            response = await call(rig, 1, ['class', HARMFUL_PART])
+            # Nothing was sent, so the caller is told that it did not run.
+            assert response.status == 503
+            assert float(response.headers['retry-after']) > 60
+            assert not pool.harmful_requests
+            response = await call(rig, 2, ['class', 'good'])
+            assert response.status == 200
+
+    @pytest.mark.parametrize('may_have_expired', [False, True])
+    def test_removal_from_the_store_ends_it(self, may_have_expired):
+        """Unless the entry may have expired during an outage only."""
+
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                await rig.add_server(forward_rig.make_event_stream(2), 'pool')
+                guard = rig.gateway.prompt_guard
+                guard.apply_change(make_change('part'), False)
+                guard.apply_change(
+                    make_change('part', False), may_have_expired
+                )
+                response = await call(rig, 1, ['part'])
+                assert response.status == (503 if may_have_expired else 200)
+
+        check(None)
+
+    @run_async
+    async def test_attempt_that_has_not_begun_to_respond_is_cancelled(self):
+        async with forward_rig.start() as rig:
+            server = await rig.add_server(hold_open, 'pool')
+            responses = []
+
+            async def request():
+                responses.append(await call(rig, 1, ['class', HARMFUL_PART]))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(request)
+                while not server.received_requests:
+                    await anyio.sleep(0.01)
+                rig.gateway.prompt_guard.apply_change(
+                    make_change(HARMFUL_PART), False
+                )
+            # It was sent, so nothing is promised.
+            assert responses[0].status == 502
+            assert len(server.received_requests) == 1
+            with anyio.fail_after(1):
+                while not server.closed:
+                    await anyio.sleep(0.01)
+
+    @run_async
+    async def test_finding_is_written_to_the_store_after_an_outage(self):
+        async with forward_rig.start() as rig:
+            store = rig.gateway.members._store
+            store.is_down = True
+            guard = rig.gateway.prompt_guard
+            guard._quarantine(
+                crash_evidence.hash_part(HARMFUL_PART),
+                clock.make_deadline(60),
+            )
+            await anyio.sleep(1)
+            store.is_down = False
+            with anyio.fail_after(5):
+                while await store.get(make_key(HARMFUL_PART)) is None:
+                    await anyio.sleep(0.05)
+
+    @run_async
+    async def test_broken_connection_of_a_live_server_is_no_crash(self):
+        async with forward_rig.start() as rig:
+
+            async def cut(request, stream):
+                await stream.send(forward_rig.encode_stream_head(request))
+                return False
+
+            servers = [await rig.add_server(cut, 'pool') for _ in range(3)]
+            for number in range(6):
+                await call(rig, number, ['class', 'subject'])
+                await anyio.sleep(0.1)
+            sent = sum(len(s.received_requests) for s in servers)
+            assert sent >= 6
+            assert not rig.gateway.prompt_guard._quarantines
+
+
+class TestSharedEvidence:
+    @run_async
+    async def test_crashes_at_different_gateways_add_up(self):
+        """No gateway sees more than two crashes, and the store is away."""
+        async with (
+            forward_rig.start() as one,
+            forward_rig.start() as two,
+            forward_rig.start() as three,
+        ):
+            rigs = [one, two, three]
+            pool = Pool()
+            await pool.start(one, 8)
+            for number, server in enumerate(pool.servers):
+                for rig in rigs[1:]:
+                    rig.register_server(
+                        server,
+                        'pool',
+                        f'i-{server.port}',
+                        failure_domain=f'bkk-{number}',
+                    )
+            for rig in rigs:
+                rig.gateway.members._store.is_down = True
+            connect_boards(rigs)
+            sent = []
+            for number, rig in enumerate([one, two, three, one, two, three]):
+                rig.mark_config_fresh()
+                await call(rig, number, ['class', HARMFUL_PART])
+                sent.append(len(pool.harmful_requests))
+                await anyio.sleep(
+                    crash_evidence.SETTLE_SECONDS + 4 * bulletins.ROUND_SECONDS
+                )
+            # Two attempts of the first request, at most two of the second.
+            assert sent[1] <= 4
+            assert sent[-1] == sent[1]
+            three.mark_config_fresh()
+            response = await call(three, 99, ['class', 'good'])
+            assert response.status == 200
+
+
+def connect_boards(rigs):
+    """Passes the bulletins of each gateway on to the others."""
+    boards = [rig.gateway._board for rig in rigs]
+
+    class Sender:
+        async def send(self, data, address):
+            for board in boards:
+                board.handle_datagram(data, address)
+
+    for number, rig in enumerate(rigs):
+        rig.gateway._board._name = f'gw-{number}'
+        rig.gateway._board._sample_peers = lambda count: [('127.0.0.1', 1)]
+        rig._group.start_soon(rig.gateway._board.run, Sender())
