--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -292,6 +292,7 @@
         )
         context.progress = request_context.Progress.BEGUN
         context.confidence = head.confidence
+        self._read_server_state(backend, head)
         if head.has_not_run:
             if head.status == 421:
                 backend.paused_until = clock.make_deadline(1.0)
@@ -332,6 +333,17 @@
             await context.reply.send_response(head.status, head.headers, body)
         return request_context.NextAction.DONE, idle_seconds
 
+    @staticmethod
+    def _read_server_state(backend, head) -> None:
+        """Records what a response says about the state of its server."""
+        if head.rate_limit != backend.rate_limit:
+            backend.rate_limit = head.rate_limit
+            logs.log_decision(
+                'server limit',
+                instance=backend.instance,
+                rate_limit=head.rate_limit,
+            )
+
     async def _read_response_head(self, context, backend, connection, sent_at):
         """Returns the head of the response to this request.
 
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -23,6 +23,7 @@
 NOT_EXECUTED = b'not-executed'
 CONFIDENCE = b'confidence'
 RETRY_AFTER = b'retry-after'
+SERVER_LIMIT = b'server-limit'
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -58,6 +59,8 @@
 ANY_MODEL = '*'
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_URGENCY = 9
+# Longer numbers of servers are ignored.
+MAX_NUMBER_LENGTH = 20
 
 
 def drop_connection_headers(
@@ -185,6 +188,7 @@
             idle_seconds=parse_keep_alive_timeout(
                 values.get(b'keep-alive', '')
             ),
+            rate_limit=parse_number(values.get(SERVER_LIMIT, '')),
         )
 
     def make_refusal_headers(
@@ -204,6 +208,14 @@
     return text.isascii() and text.replace('.', '', 1).isdigit()
 
 
+def parse_number(text: str) -> float | None:
+    """Returns an unsigned decimal number, None if the text is none."""
+    text = text.strip()
+    if not is_number(text) or len(text) > MAX_NUMBER_LENGTH:
+        return None
+    return float(text)
+
+
 def parse_keep_alive_timeout(text: str) -> float | None:
     """Returns the timeout in seconds of a Keep-Alive header, or None."""
     for parameter in text.split(','):
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -240,6 +240,8 @@
         confidence: Confidence of the model in its response, 0 to 1, or None.
         is_closing: Whether the connection must not be reused.
         idle_seconds: Idle timeout of the server's connections, or None.
+        rate_limit: Requests per second that the server takes from all
+            gateways together, None if it names no limit.
     """
 
     status: int
@@ -250,6 +252,7 @@
     confidence: float | None = None
     is_closing: bool = False
     idle_seconds: float | None = None
+    rate_limit: float | None = None
 
 
 class WireFormat(abc.ABC):
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -70,6 +70,8 @@
         grace_until: Monotonic end of the grace period of a server whose
             store entry expired during an outage; 0 while it is listed.
         cold_bucket: Rate limit of a cold server; None if not limited.
+        rate_limit: Requests per second that the server takes from all
+            gateways together; None if it names no limit.
     """
 
     instance: str
@@ -91,6 +93,7 @@
     event_interval_updated_at: float = 0.0
     grace_until: float = 0.0
     cold_bucket: token_buckets.TokenBucket | None = None
+    rate_limit: float | None = None
 
     def is_cold(self) -> bool:
         """Returns whether the server accepts only a limited request rate."""
