Keep the request limits that servers name, all gateways together

Change: five gateways, and one for each request a second, those of the server's region first, each keep an equal part by a token bucket; the others leave the server out. The limit travels as a bulletin, so that it holds at gateways that get no response of that server; the newest statement holds, a later response without it ends it.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -10,6 +10,7 @@
 from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import liveness
 from chivejunction.coordination import request_context
+from chivejunction.coordination import server_notices
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import sse
@@ -62,6 +63,7 @@
         prefill_times: Records the time that models take to process prompts.
         chooser: Decides on escalation and tracks queued work.
         prompt_guard: Watches for prompts that crash servers.
+        notices: Applies what servers say of themselves.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         prefill_times: backlogs.PrefillTimeEstimator,
         chooser: attempt_choice.AttemptChooser,
         prompt_guard: harmful_prompts.HarmfulPromptGuard,
+        notices: server_notices.ServerNotices,
     ):
+        self._notices = notices
         self._prompt_guard = prompt_guard
         self._table = table
         self._pool = pool
@@ -292,7 +296,8 @@
         )
         context.progress = request_context.Progress.BEGUN
         context.confidence = head.confidence
-        self._read_server_state(backend, head)
+        if head.status != 421:
+            self._notices.read_response(backend, head, sent_at)
         if head.has_not_run:
             if head.status == 421:
                 backend.paused_until = clock.make_deadline(1.0)
@@ -333,17 +338,6 @@
             await context.reply.send_response(head.status, head.headers, body)
         return request_context.NextAction.DONE, idle_seconds
 
-    @staticmethod
-    def _read_server_state(backend, head) -> None:
-        """Records what a response says about the state of its server."""
-        if head.rate_limit != backend.rate_limit:
-            backend.rate_limit = head.rate_limit
-            logs.log_decision(
-                'server limit',
-                instance=backend.instance,
-                rate_limit=head.rate_limit,
-            )
-
     async def _read_response_head(self, context, backend, connection, sent_at):
         """Returns the head of the response to this request.
 
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -20,6 +20,7 @@
 from chivejunction.coordination import hints
 from chivejunction.coordination import mirrors
 from chivejunction.coordination import relays
+from chivejunction.coordination import server_notices
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
@@ -128,6 +129,9 @@
         self.prompt_guard = harmful_prompts.HarmfulPromptGuard(
             store, self._board, self.members
         )
+        self._notices = server_notices.ServerNotices(
+            self._board, self.backends
+        )
         self._server_backlogs = backlogs.Backlogs()
         self._running_attempts = backlogs.Backlogs()
         self._prefill_times = backlogs.PrefillTimeEstimator()
@@ -180,6 +184,7 @@
             self._prefill_times,
             self._chooser,
             self.prompt_guard,
+            self._notices,
         )
         self._forwarder = forwarding.Forwarder(
             lambda: self.route_table,
@@ -243,6 +248,8 @@
         previous = self.backends.get(entry.instance)
         was_leaving = previous.is_leaving if previous else None
         backend = self.backends.update(entry)
+        if backend is not previous:
+            self._notices.apply_known(backend)
         self._chooser.wake_waiting(backend.service)
         if backend is not previous or was_leaving != backend.is_leaving:
             logs.log_decision(
--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -28,6 +28,7 @@
 # followers then costs a relay about 2% of a core. More relays would cost more
 # calls to the store, which are billed.
 GATEWAYS_PER_RELAY = 12
+MAX_CACHED_COUNTS = 4096
 # Two, so that one may fail.
 MIN_RELAYS = 2
 
@@ -74,6 +75,8 @@
         self._region = region
         self._capacity = capacity
         self._members: dict[str, Member] = {}
+        # Results of count_sharing_gateways for the present members.
+        self._sharing_counts: dict[tuple, int] = {}
 
     def count(self) -> int:
         """Returns the number of running gateways, including this one."""
@@ -89,6 +92,7 @@
             ProtocolError: The entry is malformed.
         """
         name = change.key[len(PREFIX) :]
+        self._sharing_counts.clear()
         if change.entry is None:
             self._members.pop(name, None)
             return
@@ -103,19 +107,34 @@
             ) from exc
         self._members[name] = member
 
-    def count_sharing_gateways(self, key: str, limit: int) -> int:
+    def count_sharing_gateways(
+        self, key: str, limit: int, region: str | None = None
+    ) -> int:
         """Returns the number of gateways that share a resource.
 
         Args:
             key: Key of the resource, for example an instance id.
             limit: Maximum number of gateways that share it. They are chosen
                 by rendezvous hashing.
+            region: Region whose gateways are chosen first, None for any.
 
         Returns:
             The number of these gateways, 0 if this gateway is not among them.
         """
-        chosen = rendezvous.rank_hosts(key, self._members)[:limit]
-        return len(chosen) if self.name in chosen else 0
+        cache_key = (key, limit, region)
+        count = self._sharing_counts.get(cache_key)
+        if count is None:
+            ranked = rendezvous.rank_hosts(key, self._members)
+            if region is not None:
+                ranked.sort(
+                    key=lambda name: self._members[name].region != region
+                )
+            chosen = ranked[:limit]
+            count = len(chosen) if self.name in chosen else 0
+            if len(self._sharing_counts) >= MAX_CACHED_COUNTS:
+                self._sharing_counts.clear()
+            self._sharing_counts[cache_key] = count
+        return count
 
     def find_rank(self, key: str) -> int:
         """Returns the rank of this gateway for a task that one should do.
--- /dev/null
+++ b/chivejunction/coordination/server_notices.py
@@ -0,0 +1,109 @@
+"""What servers say of themselves in responses, shared among gateways.
+
+A server that is in need says so in its responses, which only some gateways
+get. Each of them tells all others by bulletins, so that what the server asks
+for holds for all gateways.
+"""
+
+from chivejunction import clock
+from chivejunction import logs
+from chivejunction.coordination import bulletins
+from chivejunction.protocol import forwarding
+from chivejunction.state import backends
+
+LIMIT_KIND = 'limit'
+# Value of a bulletin on a server that names no limit any more.
+NO_LIMIT = -1.0
+# A limit that holds on is published again after this time.
+REPUBLISH_SECONDS = 10.0
+
+
+class ServerNotices:
+    """Applies and publishes what servers say of themselves.
+
+    Args:
+        board: Exchanges bulletins with the other gateways.
+        table: Backend servers.
+    """
+
+    def __init__(
+        self, board: bulletins.BulletinBoard, table: backends.BackendTable
+    ):
+        self._board = board
+        self._table = table
+        board.listen(LIMIT_KIND, self._read_limit)
+
+    def read_response(
+        self,
+        backend: backends.Backend,
+        head: forwarding.ResponseHead,
+        sent_at: float,
+    ) -> None:
+        """Applies what a response says of its server.
+
+        Args:
+            backend: The server.
+            head: Head of its response.
+            sent_at: Monotonic time at which the request was sent.
+        """
+        if head.rate_limit is not None:
+            self._set_limit(backend, head.rate_limit, clock.now())
+            self._publish_limit(backend, head.rate_limit)
+        elif (
+            backend.rate_limit is not None
+            # A response to an earlier request may only be late.
+            and sent_at > backend.rate_limit_named_at
+        ):
+            self._set_limit(backend, None, clock.now())
+            self._publish_limit(backend, NO_LIMIT)
+
+    def apply_known(self, backend: backends.Backend) -> None:
+        """Applies what is known of a server that was listed just now."""
+        bulletin = self._board.get(LIMIT_KIND, backends.hash_process(backend))
+        if bulletin is not None:
+            self._read_limit(bulletin)
+
+    def _publish_limit(
+        self, backend: backends.Backend, rate_limit: float
+    ) -> None:
+        key = backends.hash_process(backend)
+        known = self._board.get(LIMIT_KIND, key)
+        if (
+            known is None
+            or known.value != (rate_limit,)
+            or clock.now() - known.issued_at > REPUBLISH_SECONDS
+        ):
+            self._board.publish(
+                LIMIT_KIND,
+                key,
+                (rate_limit,),
+                backends.RATE_LIMIT_TTL_SECONDS,
+            )
+
+    def _read_limit(self, bulletin: bulletins.Bulletin) -> None:
+        (rate_limit,) = bulletin.value
+        backend = self._table.find_by_process_hash(bulletin.key)
+        # The newest statement holds, wherever it was heard.
+        if (
+            backend is not None
+            and bulletin.issued_at > backend.rate_limit_named_at
+        ):
+            self._set_limit(
+                backend,
+                None if rate_limit < 0 else float(rate_limit),
+                bulletin.issued_at,
+            )
+
+    @staticmethod
+    def _set_limit(
+        backend: backends.Backend, rate_limit: float | None, named_at: float
+    ) -> None:
+        backend.rate_limit_named_at = named_at
+        if backend.rate_limit != rate_limit:
+            backend.rate_limit = rate_limit
+            logs.log_decision(
+                'server limit',
+                instance=backend.instance,
+                rate_limit=rate_limit,
+                age=round(clock.now() - named_at, 3),
+            )
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -9,6 +9,7 @@
 
 from chivejunction import clock
 from chivejunction.protocol import forwarding
+from chivejunction.scheduling import server_limits
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
@@ -164,7 +165,7 @@
         region: Region of this gateway.
         count_gateways: Returns the number of active gateways.
         count_sharing_gateways: Returns the number of gateways that share a
-            cold server with this one, see
+            cold or limited server with this one, see
             ``gateway_membership.GatewayMembership.count_sharing_gateways``.
         server_backlogs: Backlogs of the servers.
         running_attempts: Attempts in progress at the servers, 1 for each.
@@ -178,12 +179,13 @@
         table: backends.BackendTable,
         region: str,
         count_gateways: Callable[[], int],
-        count_sharing_gateways: Callable[[str, int], int],
+        count_sharing_gateways: Callable[..., int],
         server_backlogs: backlogs.Backlogs,
         running_attempts: backlogs.Backlogs,
         prefill_times: backlogs.PrefillTimeEstimator,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
     ):
+        self._limiter = server_limits.ServerLimiter(count_sharing_gateways)
         self._table = table
         self._region = region
         self._count_gateways = count_gateways
@@ -214,6 +216,7 @@
                 or not requirements.is_version_allowed(backend.version)
                 or not self._has_free_connection(backend, service)
                 or not self._is_below_cold_rate(backend, service)
+                or not self._limiter.may_send(backend)
             ):
                 continue
             (missing if backend.grace_until else candidates).append(backend)
@@ -293,6 +296,7 @@
             if cost < best_cost:
                 best, best_cost = choice, cost
         self._consume_cold_token(best.backend)
+        self._limiter.record_send(best.backend)
         best.busy_seconds = statistics.median(c.wait for c in choices)
         best.server_count = len(choices)
         return best
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -22,6 +22,9 @@
 # outage of the store. Entries are written again within two seconds of the
 # store's return (platform documentation on discovery).
 GRACE_PERIOD_SECONDS = 2.3
+# Time for which a limit holds that a server named. It names it in all its
+# responses, so it is heard of more often while it gets any request.
+RATE_LIMIT_TTL_SECONDS = 60.0
 # Requests that one gateway may send to a cold server at once.
 COLD_BURST_REQUESTS = 1.0
 
@@ -71,7 +74,9 @@
             store entry expired during an outage; 0 while it is listed.
         cold_bucket: Rate limit of a cold server; None if not limited.
         rate_limit: Requests per second that the server takes from all
-            gateways together; None if it names no limit.
+            gateways together; None if it named no limit.
+        rate_limit_named_at: Monotonic time at which it last named it.
+        limit_bucket: This gateway's part of the limit; None if not limited.
     """
 
     instance: str
@@ -94,6 +99,19 @@
     grace_until: float = 0.0
     cold_bucket: token_buckets.TokenBucket | None = None
     rate_limit: float | None = None
+    rate_limit_named_at: float = 0.0
+    limit_bucket: token_buckets.TokenBucket | None = None
+
+    def find_rate_limit(self) -> float | None:
+        """Returns the limit in requests per second, None if there is none.
+
+        A limit that the server has not named again for a while is over.
+        """
+        if self.rate_limit is None or (
+            clock.now() - self.rate_limit_named_at > RATE_LIMIT_TTL_SECONDS
+        ):
+            return None
+        return self.rate_limit
 
     def is_cold(self) -> bool:
         """Returns whether the server accepts only a limited request rate."""
@@ -146,6 +164,7 @@
         self._backends: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_id_hash: dict[int, Backend] = {}
+        self._by_process_hash: dict[int, Backend] = {}
         self.closed_domains: set[str] = set()
 
     def get(self, instance: str) -> Backend | None:
@@ -160,6 +179,14 @@
         """
         return self._by_id_hash.get(id_hash)
 
+    def find_by_process_hash(self, process_hash: int) -> Backend | None:
+        """Returns the server process with a hash, or None.
+
+        Args:
+            process_hash: Hash returned by ``hash_process``.
+        """
+        return self._by_process_hash.get(process_hash)
+
     def list_backends(self, service: str) -> list[Backend]:
         """Returns the servers that offer a service."""
         return self._by_service.get(service, [])
@@ -184,6 +211,7 @@
                 self.remove(entry.instance)
             self._backends[entry.instance] = entry
             self._by_id_hash[hash_instance_id(entry.instance)] = entry
+            self._by_process_hash[hash_process(entry)] = entry
             self._by_service.setdefault(entry.service, []).append(entry)
             return entry
         known.version = entry.version
@@ -199,6 +227,7 @@
         if backend is not None:
             backend.is_leaving = True
             self._by_id_hash.pop(hash_instance_id(instance), None)
+            self._by_process_hash.pop(hash_process(backend), None)
             self._by_service[backend.service].remove(backend)
         return backend
 
