Keep the gateways whose entries may have expired in an outage

Shares of limits, cold servers and retry budgets are divided by the list of gateways. When leases run out while the store is away, each gateway would see few others after its return and raise its own share. They are kept for 6 s, as servers are. The test failed before (apply took no such flag).

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -387,6 +387,7 @@
             await anyio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             for backend in self.backends.remove_expired():
                 self._removed_instances.append(backend.instance)
+            self.members.remove_lapsed()
             removed, self._removed_instances = self._removed_instances, []
             for instance in removed:
                 self._prefix_cache_index.remove_server(instance)
--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -20,6 +20,9 @@
 # Pause after a failed call, doubled up to the renewal interval. During an
 # outage all gateways make such calls.
 RETRY_DELAY_SECONDS = 0.7
+# Time for which a gateway is kept whose entry expired during an outage of the
+# store. It joins again within the longest delay between two calls.
+LAPSE_GRACE_SECONDS = 6.0
 # Number of gateways assumed until the list is loaded. A high number errs on
 # the safe side: shares of common budgets come out too small rather than too
 # large.
@@ -75,6 +78,9 @@
         self._region = region
         self._capacity = capacity
         self._members: dict[str, Member] = {}
+        # Monotonic times until which gateways are kept whose entry may have
+        # expired during an outage of the store.
+        self._lapsed: dict[str, float] = {}
         # Results of count_sharing_gateways for the present members.
         self._sharing_counts: dict[tuple, int] = {}
 
@@ -82,11 +88,15 @@
         """Returns the number of running gateways, including this one."""
         return len(self._members) or ASSUMED_GATEWAY_COUNT
 
-    def apply(self, change: stores.Change) -> None:
+    def apply(
+        self, change: stores.Change, may_have_expired: bool = False
+    ) -> None:
         """Applies a change of the membership list.
 
         Args:
             change: Change of a key below ``PREFIX``.
+            may_have_expired: Whether an entry may be gone only because the
+                store was away; the gateway is then kept for a while.
 
         Raises:
             ProtocolError: The entry is malformed.
@@ -94,7 +104,10 @@
         name = change.key[len(PREFIX) :]
         self._sharing_counts.clear()
         if change.entry is None:
-            self._members.pop(name, None)
+            if may_have_expired and name in self._members:
+                self._lapsed[name] = clock.make_deadline(LAPSE_GRACE_SECONDS)
+            else:
+                self._members.pop(name, None)
             return
         try:
             address, port, region, capacity = json.loads(change.entry.value)
@@ -106,6 +119,15 @@
                 f'malformed entry of member {name}: {exc}'
             ) from exc
         self._members[name] = member
+        self._lapsed.pop(name, None)
+
+    def remove_lapsed(self) -> None:
+        """Removes the gateways that did not come back after an outage."""
+        for name, deadline in list(self._lapsed.items()):
+            if clock.has_passed(deadline):
+                del self._lapsed[name]
+                self._members.pop(name, None)
+                self._sharing_counts.clear()
 
     def count_sharing_gateways(
         self, key: str, limit: int, region: str | None = None
--- a/chivejunction/platform/entries.py
+++ b/chivejunction/platform/entries.py
@@ -94,7 +94,7 @@
 
 @ENTRY_READERS.register(gateway_membership.PREFIX)
 def _read_member(reader, change, may_have_expired) -> None:
-    reader.gateway.members.apply(change)
+    reader.gateway.members.apply(change, may_have_expired)
 
 
 @ENTRY_READERS.register(version_moves.PREFIX)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,10 +5,12 @@
 
 from chivejunction import clock
 from chivejunction.coordination import bulletins
+from chivejunction.coordination import gateway_membership
 from chivejunction.coordination import server_notices
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import server_limits
 from chivejunction.state import backends
+from chivejunction.transport import stores
 from tests import forward_rig
 from tests import test_bulletins
 from tests import test_hints
@@ -211,3 +213,21 @@
             server.started_at_ms = started_at_ms
             notices.apply_known(table.update(server))
             assert table.get('i-1').find_rate_limit() == limit
+
+
+class TestMembership:
+    def test_outage_does_not_raise_the_shares(self, virtual_time):
+        """Leases of all gateways may run out while the store is away."""
+        members = test_hints.make_members('gw-0', 1)
+        for number in range(4):
+            test_hints.add_member(members, f'gw-{number}', 1)
+        assert members.count_sharing_gateways('i-1', 5) == 4
+        for number in range(1, 4):
+            key = f'{gateway_membership.PREFIX}gw-{number}'
+            members.apply(stores.Change(key, 2, None), True)
+        assert members.count_sharing_gateways('i-1', 5) == 4
+        test_hints.add_member(members, 'gw-1', 1)
+        virtual_time.now += gateway_membership.LAPSE_GRACE_SECONDS
+        members.remove_lapsed()
+        assert members.count_sharing_gateways('i-1', 5) == 2
+        assert members.count() == 2
