Send no new work to servers that say in a response that they leave

A server that leaves says so in all its responses now; its entry in the store may come later or never. The statement is kept for the process, whatever its entry says or whether it is listed anew, and travels to all gateways as a bulletin.

--- a/chivejunction/coordination/server_notices.py
+++ b/chivejunction/coordination/server_notices.py
@@ -12,6 +12,10 @@
 from chivejunction.state import backends
 
 LIMIT_KIND = 'limit'
+LEAVING_KIND = 'leaving'
+# Time for which all gateways keep in mind that a server process is leaving. It
+# ends within seconds; its entry in the store may come back meanwhile.
+LEAVING_TTL_SECONDS = 300.0
 # Value of a bulletin on a server that names no limit any more.
 NO_LIMIT = -1.0
 # A limit that holds on is published again after this time.
@@ -32,6 +36,7 @@
         self._board = board
         self._table = table
         board.listen(LIMIT_KIND, self._read_limit)
+        board.listen(LEAVING_KIND, self._read_leaving)
 
     def read_response(
         self,
@@ -46,6 +51,14 @@
             head: Head of its response.
             sent_at: Monotonic time at which the request was sent.
         """
+        if head.is_leaving and not backend.said_leaving:
+            self._set_leaving(backend)
+            self._board.publish(
+                LEAVING_KIND,
+                backends.hash_process(backend),
+                (1,),
+                LEAVING_TTL_SECONDS,
+            )
         if head.rate_limit is not None:
             self._set_limit(backend, head.rate_limit, clock.now())
             self._publish_limit(backend, head.rate_limit)
@@ -59,9 +72,22 @@
 
     def apply_known(self, backend: backends.Backend) -> None:
         """Applies what is known of a server that was listed just now."""
-        bulletin = self._board.get(LIMIT_KIND, backends.hash_process(backend))
+        key = backends.hash_process(backend)
+        bulletin = self._board.get(LIMIT_KIND, key)
         if bulletin is not None:
             self._read_limit(bulletin)
+        if self._board.get(LEAVING_KIND, key) is not None:
+            self._set_leaving(backend)
+
+    def _read_leaving(self, bulletin: bulletins.Bulletin) -> None:
+        backend = self._table.find_by_process_hash(bulletin.key)
+        if backend is not None:
+            self._set_leaving(backend)
+
+    @staticmethod
+    def _set_leaving(backend: backends.Backend) -> None:
+        backend.is_leaving = backend.said_leaving = True
+        logs.log_decision('server said it leaves', instance=backend.instance)
 
     def _publish_limit(
         self, backend: backends.Backend, rate_limit: float
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -24,6 +24,7 @@
 CONFIDENCE = b'confidence'
 RETRY_AFTER = b'retry-after'
 SERVER_LIMIT = b'server-limit'
+SERVER_LEAVING = b'server-leaving'
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -188,6 +189,7 @@
             idle_seconds=parse_keep_alive_timeout(
                 values.get(b'keep-alive', '')
             ),
+            is_leaving=values.get(SERVER_LEAVING, '').strip() == '1',
             rate_limit=parse_number(values.get(SERVER_LIMIT, '')),
         )
 
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -242,6 +242,7 @@
         idle_seconds: Idle timeout of the server's connections, or None.
         rate_limit: Requests per second that the server takes from all
             gateways together, None if it names no limit.
+        is_leaving: Whether the server says that it is shutting down.
     """
 
     status: int
@@ -253,6 +254,7 @@
     is_closing: bool = False
     idle_seconds: float | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -60,6 +60,7 @@
         version: Software version.
         slots: Number of requests that the server runs concurrently.
         is_leaving: Whether the server announced its shutdown.
+        said_leaving: Whether it said so in a response; its entry may not.
         cold_until: Monotonic time until which the server is cold, that is,
             accepts only a limited rate of requests.
         started_at_ms: Start time in Unix milliseconds; 0 if unknown.
@@ -101,6 +102,7 @@
     rate_limit: float | None = None
     rate_limit_named_at: float = 0.0
     limit_bucket: token_buckets.TokenBucket | None = None
+    said_leaving: bool = False
 
     def find_rate_limit(self) -> float | None:
         """Returns the limit in requests per second, None if there is none.
@@ -216,7 +218,7 @@
             return entry
         known.version = entry.version
         known.slots = entry.slots
-        known.is_leaving = entry.is_leaving
+        known.is_leaving = entry.is_leaving or known.said_leaving
         known.cold_until = entry.cold_until
         known.grace_until = 0.0
         return known
