Send nothing to a server for the time that it asked for with Retry-After

Its time is kept for the process, also where its entry is listed anew; it is checked again right before a send, and no liveness probe is sent. A request for which all servers asked for time is refused at once, with the time at which the first of them takes requests again, instead of waiting an eighth of its objective.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -148,12 +148,36 @@
             choice = self._selector.choose(requirements, context.service)
             if choice is not None:
                 return self._check_servable(context, choice)
+        self._check_refusals(context)
         choice = await self._wait_in_line(context)
         if choice is None:
             context.reason = context.reason or 'no server with room'
             return None
         return self._check_servable(context, choice)
 
+    def _check_refusals(self, context: request_context.RequestContext) -> None:
+        """Refuses a request for which all servers asked for time.
+
+        Raises:
+            RefusalError: No server takes requests before the wait for one
+                would end, and nothing was sent.
+        """
+        seconds = clock.remaining(
+            self._selector.find_refused_until(context.requirements)
+        )
+        max_wait = MAX_CAPACITY_WAIT_SHARE * context.route.objective
+        if seconds > max_wait and not context.sent_attempts:
+            raise errors.RefusalError(
+                'overloaded',
+                f'all servers take no requests for {seconds:.1f} s',
+                retry_after=admission.choose_retry_after(
+                    clock.remaining(context.request.deadline),
+                    seconds,
+                    context.urgency,
+                    seconds,
+                ),
+            )
+
     async def _wait_in_line(
         self, context: request_context.RequestContext
     ) -> backend_selection.Choice | None:
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -238,6 +238,10 @@
             raise request_context.AttemptFailed(
                 'server left meanwhile', request_context.NOT_RUN
             )
+        if not clock.has_passed(backend.refused_until):
+            raise request_context.AttemptFailed(
+                'server asked for time', request_context.NOT_RUN
+            )
         headers = self._wire_format.make_attempt_headers(
             context.request, dispatch
         )
--- a/chivejunction/coordination/liveness.py
+++ b/chivejunction/coordination/liveness.py
@@ -88,6 +88,9 @@
         last_activity_at = self._last_activity_at.get(backend.instance, 0.0)
         if clock.now() - last_activity_at < ACTIVITY_WINDOW_SECONDS:
             return True
+        if not clock.has_passed(backend.refused_until):
+            # It responded, and asked for no requests.
+            return True
         is_alive = await self._probe(backend)
         logs.log_decision(
             'server probed', instance=backend.instance, alive=is_alive
--- a/chivejunction/coordination/server_notices.py
+++ b/chivejunction/coordination/server_notices.py
@@ -5,6 +5,8 @@
 for holds for all gateways.
 """
 
+import collections
+
 from chivejunction import clock
 from chivejunction import logs
 from chivejunction.coordination import bulletins
@@ -18,6 +20,10 @@
 LEAVING_TTL_SECONDS = 300.0
 # Value of a bulletin on a server that names no limit any more.
 NO_LIMIT = -1.0
+# Longest time that a server may ask for with Retry-After.
+MAX_REFUSED_SECONDS = 3600.0
+MAX_REFUSING_SERVERS = 1024
+SERVICE_UNAVAILABLE = 503
 # A limit that holds on is published again after this time.
 REPUBLISH_SECONDS = 10.0
 
@@ -35,6 +41,10 @@
     ):
         self._board = board
         self._table = table
+        # Ends of the times that servers asked for, by process hash.
+        self._refused_until: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
         board.listen(LIMIT_KIND, self._read_limit)
         board.listen(LEAVING_KIND, self._read_leaving)
 
@@ -51,6 +61,8 @@
             head: Head of its response.
             sent_at: Monotonic time at which the request was sent.
         """
+        if head.status == SERVICE_UNAVAILABLE and head.retry_after:
+            self._start_refusal(backend, head.retry_after)
         if head.is_leaving and not backend.said_leaving:
             self._set_leaving(backend)
             self._board.publish(
@@ -78,6 +90,26 @@
             self._read_limit(bulletin)
         if self._board.get(LEAVING_KIND, key) is not None:
             self._set_leaving(backend)
+        backend.refused_until = self._refused_until.get(key, 0.0)
+
+    def _start_refusal(
+        self, backend: backends.Backend, retry_after: float
+    ) -> None:
+        """Keeps requests away for the time that a server asked for."""
+        backend.refused_until = max(
+            backend.refused_until,
+            clock.make_deadline(min(retry_after, MAX_REFUSED_SECONDS)),
+        )
+        key = backends.hash_process(backend)
+        self._refused_until[key] = backend.refused_until
+        self._refused_until.move_to_end(key)
+        if len(self._refused_until) > MAX_REFUSING_SERVERS:
+            self._refused_until.popitem(last=False)
+        logs.log_decision(
+            'server asked for time',
+            instance=backend.instance,
+            seconds=retry_after,
+        )
 
     def _read_leaving(self, bulletin: bulletins.Bulletin) -> None:
         backend = self._table.find_by_process_hash(bulletin.key)
--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -189,6 +189,7 @@
             idle_seconds=parse_keep_alive_timeout(
                 values.get(b'keep-alive', '')
             ),
+            retry_after=parse_number(values.get(RETRY_AFTER, '')),
             is_leaving=values.get(SERVER_LEAVING, '').strip() == '1',
             rate_limit=parse_number(values.get(SERVER_LIMIT, '')),
         )
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -243,6 +243,8 @@
         rate_limit: Requests per second that the server takes from all
             gateways together, None if it names no limit.
         is_leaving: Whether the server says that it is shutting down.
+        retry_after: Seconds for which the server wants no request from this
+            gateway after a refusal, or None.
     """
 
     status: int
@@ -255,6 +257,7 @@
     idle_seconds: float | None = None
     rate_limit: float | None = None
     is_leaving: bool = False
+    retry_after: float | None = None
 
 
 class WireFormat(abc.ABC):
--- a/chivejunction/scheduling/admission.py
+++ b/chivejunction/scheduling/admission.py
@@ -41,6 +41,7 @@
     seconds_left: float = math.inf,
     backlog_seconds: float = 0.0,
     urgency: int = 0,
+    min_seconds: float = 0.0,
 ) -> float:
     """Returns the Retry-After of a refused request, in seconds.
 
@@ -52,13 +53,16 @@
         backlog_seconds: Backlog at the best server; 0 if the refusal has
             another reason.
         urgency: Rank of the request; 0 is the most urgent.
+        min_seconds: Time before which a return is in vain.
     """
     earliest, latest = RETRY_AFTER_RANGE_SECONDS
     if backlog_seconds > latest:
         rank_share = min(1.0, MIN_BACKLOG_SHARE + 0.1 * max(0, urgency))
         earliest = rank_share * backlog_seconds
         latest = earliest + MIN_BACKLOG_SHARE * backlog_seconds
+    earliest = max(earliest, min_seconds)
     wait = min(
-        random.uniform(earliest, latest), MAX_RETRY_AFTER_SHARE * seconds_left
+        random.uniform(earliest, max(earliest, latest)),
+        MAX_RETRY_AFTER_SHARE * seconds_left,
     )
     return round(max(MIN_RETRY_AFTER_SECONDS, wait), 2)
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -212,6 +212,7 @@
             if (
                 not self._may_serve(requirements, backend)
                 or backend.paused_until > now
+                or backend.refused_until > now
                 or backend.instance in requirements.tried
                 or not requirements.is_version_allowed(backend.version)
                 or not self._has_free_connection(backend, service)
@@ -222,6 +223,24 @@
             (missing if backend.grace_until else candidates).append(backend)
         return candidates or missing
 
+    def find_refused_until(self, requirements: BackendRequirements) -> float:
+        """Returns the time until which all servers asked for no requests.
+
+        Returns:
+            Monotonic time at which the first one takes requests again; 0 if
+            one of them did not ask for time, or there is none.
+        """
+        return min(
+            (
+                backend.refused_until
+                for backend in self._table.list_backends(requirements.service)
+                if self._may_serve(requirements, backend)
+                and backend.instance not in requirements.tried
+                and requirements.is_version_allowed(backend.version)
+            ),
+            default=0.0,
+        )
+
     def has_warm_server(
         self, requirements: BackendRequirements, version: str
     ) -> bool:
--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -60,6 +60,8 @@
         version: Software version.
         slots: Number of requests that the server runs concurrently.
         is_leaving: Whether the server announced its shutdown.
+        refused_until: Monotonic time until which the server asked this
+            gateway for no requests.
         said_leaving: Whether it said so in a response; its entry may not.
         cold_until: Monotonic time until which the server is cold, that is,
             accepts only a limited rate of requests.
@@ -103,6 +105,7 @@
     rate_limit_named_at: float = 0.0
     limit_bucket: token_buckets.TokenBucket | None = None
     said_leaving: bool = False
+    refused_until: float = 0.0
 
     def find_rate_limit(self) -> float | None:
         """Returns the limit in requests per second, None if there is none.
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -1,5 +1,6 @@
 """Tests of what servers ask for in their responses."""
 
+import anyio
 import pytest
 
 from chivejunction import clock
@@ -77,3 +78,76 @@
         table = tables[0]
         table.update(make_server())
         assert table.get('i-1').is_leaving
+
+
+def make_refusal(retry_after):
+    """Returns a script that refuses with Retry-After."""
+
+    async def refuse(request, stream):
+        await stream.send(
+            forward_rig.encode_response(
+                request,
+                b'',
+                503,
+                '',
+                Not_Executed='1',
+                Retry_After=retry_after,
+            )
+        )
+
+    return refuse
+
+
+class TestServerThatAsksForTime:
+    @run_async
+    async def test_it_gets_nothing_for_so_long(self):
+        async with forward_rig.start() as rig:
+            busy = await rig.add_server(make_refusal('1.2'), instance='i-1')
+            other = await rig.add_server(forward_rig.respond_ok, region='cnx')
+            started_at = clock.now()
+            while clock.now() < started_at + 1.1:
+                response = await rig.call('/safe/x')
+                assert response.status == 200
+                await anyio.sleep(0.05)
+                # Its entry may be gone and back meanwhile.
+                rig.gateway.remove_backend('i-1', False)
+                rig.register_server(busy, 'desk', 'i-1')
+            assert len(busy.received_requests) == 1
+            assert len(other.received_requests) > 5
+            busy.script = forward_rig.respond_ok
+            with anyio.fail_after(3):
+                while len(busy.received_requests) == 1:
+                    await rig.call('/safe/x')
+                    await anyio.sleep(0.05)
+
+    @run_async
+    async def test_request_is_refused_at_once_if_all_servers_ask(self):
+        """The caller is told when one of them takes requests again."""
+        async with forward_rig.start() as rig:
+            servers = [
+                await rig.add_server(make_refusal(seconds))
+                for seconds in ('30', '20')
+            ]
+            response = await rig.call('/safe/x', Deadline_Ms='60000')
+            assert response.status == 503
+            started_at = clock.now()
+            response = await rig.call('/safe/x', Deadline_Ms='60000')
+            # An eighth of the objective is the usual wait for a server.
+            assert clock.now() - started_at < 0.04
+            assert response.status == 503
+            assert float(response.headers['retry-after']) > 8
+            assert sum(len(s.received_requests) for s in servers) == 2
+
+    @pytest.mark.parametrize('text', ['', '-1', 'soon', '1e999', '9' * 40])
+    def test_value_that_is_no_number_is_ignored(self, text):
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                server = await rig.add_server(make_refusal(text))
+                await rig.call('/safe/x')
+                server.script = forward_rig.respond_ok
+                # The pause after any refusal for lack of capacity.
+                await anyio.sleep(backends.REFUSAL_PAUSE_SECONDS)
+                assert (await rig.call('/safe/x')).status == 200
+
+        check(None)
