Take no event without an id as the continuation of a stream

Report of other operators: clients found a server's error in the middle of their stream. Shown here for a response of status 200 whose body is an error text: after a stream had broken off, the next server's text was passed on as an event. The first event of a resumed stream must have an id now. Ruled out by tests that passed at once: errors of any other status, refusals, unsigned and empty responses, the gateway's own deadline; the caller gets the events before the break and a reset. The same for refusals that are written once more on a kept connection of this path: ids are compared, and one without an id is trusted only as the first response of a connection (16 cases). The test failed before (the body held 'error: overloaded').

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -434,6 +434,7 @@
         """Forwards the events of a stream as they arrive."""
         reader = sse.EventReader()
         is_first = True
+        is_numbered = context.resume_after is not None
         intervals: list[float] = []
         event_at = clock.now()
         while True:
@@ -445,6 +446,11 @@
             self._liveness.record_activity(backend.instance)
             for number, event in self._split_events(reader, data):
                 now = clock.now()
+                if is_first and is_numbered and number is None:
+                    raise request_context.AttemptFailed(
+                        'the resumed stream begins without an event id',
+                        request_context.MAY_HAVE_RUN,
+                    )
                 if is_first:
                     context.progress = request_context.Progress.RESPONDED
                     self._prompt_guard.record_success(context)
--- a/tests/test_bad_backends.py
+++ b/tests/test_bad_backends.py
@@ -280,3 +280,126 @@
                 if other is not None:
                     rig.gateway.backends.remove(f'i-{other.port}')
                 await anyio.sleep(0.2)
+
+
+class TestReplayedRefusals:
+    """A refusal that is sent once more says nothing of the next request.
+
+    Otherwise callers would be told that a request has not run which has, or
+    it would run at a second server.
+    """
+
+    @pytest.mark.parametrize('status', [408, 421, 429, 503])
+    @pytest.mark.parametrize('has_id', [True, False])
+    @pytest.mark.parametrize('is_answered', [True, False])
+    def test_refusal_of_an_earlier_request(self, status, has_id, is_answered):
+        lines = [f'HTTP/1.1 {status} X', 'Not-Executed: 1']
+        if has_id:
+            lines.append('Request-Id: r-0')
+        refusal = '\r\n'.join([*lines, 'Content-Length: 0', '', ''])
+
+        async def refuse_once_more(request, stream):
+            if request.id == 'r-2':
+                await stream.send(refusal.encode())
+                await anyio.sleep(0.05)
+                if not is_answered:
+                    return False
+            await stream.send(forward_rig.encode_response(request, b'ran'))
+            return None
+
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                server = await rig.add_server(refuse_once_more)
+                await rig.call('/once/x', Request_Id='r-1')
+                other = await rig.add_server(
+                    forward_rig.respond_ok, region='cnx'
+                )
+                response = await rig.call('/once/x', Request_Id='r-2')
+                # Both requests came on one connection.
+                assert [r.connection for r in server.received_requests] == [
+                    1,
+                    1,
+                ]
+                # Without an id it cannot be told which request is meant.
+                is_served = is_answered and has_id
+                assert response.status == (200 if is_served else 502)
+                assert not other.received_requests
+
+        check(None)
+
+    @run_async
+    async def test_connection_is_not_used_again_after_a_refusal(self):
+        async def refuse(request, stream):
+            await stream.send(
+                forward_rig.encode_response(
+                    request, b'', 503, '', Not_Executed='1'
+                )
+            )
+
+        async with forward_rig.start() as rig:
+            server = await rig.add_server(refuse, instance='i-1')
+            for number in range(3):
+                rig.gateway.backends.get('i-1').paused_until = 0.0
+                await rig.call('/once/x', Request_Id=f'r-{number}')
+            assert [r.connection for r in server.received_requests] == [
+                1,
+                2,
+                3,
+            ]
+
+
+async def send_one_event(request, stream):
+    """Begins a stream and breaks it off after its first event."""
+    await stream.send(
+        forward_rig.encode_stream_head(request) + forward_rig.encode_event(1)
+    )
+    return False
+
+
+class TestErrorsAfterABrokenStream:
+    """The error of a second server never becomes a part of the stream."""
+
+    @pytest.mark.parametrize(
+        ('status', 'seal', 'body', 'headers'),
+        [
+            (500, forward_rig.SEAL, b'failed\n\n', {}),
+            (500, '', b'failed\n\n', {}),
+            (404, forward_rig.SEAL, b'none\n\n', {}),
+            (503, '', b'full\n\n', {'Not_Executed': '1'}),
+            (421, '', b'other\n\n', {}),
+            (302, forward_rig.SEAL, b'moved\n\n', {}),
+            (200, '', b'id: 2\ndata: w2\n\n', {}),
+            (200, forward_rig.SEAL, b'error: overloaded\n\n', {}),
+            (200, forward_rig.SEAL, b'', {}),
+        ],
+    )
+    def test_error_of_the_next_server(self, status, seal, body, headers):
+        async def respond(request, stream):
+            await stream.send(
+                forward_rig.encode_response(
+                    request, body, status, seal, **headers
+                )
+            )
+
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                await rig.add_server(send_one_event, 'pool')
+                other = await rig.add_server(respond, 'pool', region='cnx')
+                response = await rig.call('/stream/x', b'p')
+                assert other.received_requests
+                assert response.status == 200
+                assert response.body == b'id: 1\ndata: w1\n\n'
+                assert not response.is_complete
+
+        check(None)
+
+    @run_async
+    async def test_refusal_of_the_gateway_itself(self):
+        """No server is left, and the deadline passes."""
+        async with forward_rig.start() as rig:
+            await rig.add_server(send_one_event, 'pool')
+            response = await rig.call('/stream/x', b'p', Deadline_Ms='600')
+            assert response.body == b'id: 1\ndata: w1\n\n'
+            assert not response.is_complete
