Trust an engine's refusal only if it is that of the attempt

The id goes first now, and a refusal without one is trusted only on a connection that has carried no response before. Both tests failed before (Refused instead of a verdict that it may have run).

--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -9,6 +9,7 @@
 import math
 import string
 from urllib import parse
+import weakref
 
 import anyio
 from anyio import abc
@@ -119,6 +120,8 @@
         self._admission = admission_control
         self._window = window
         self._client = client
+        # Connections that have carried a response.
+        self._used_streams: weakref.WeakSet = weakref.WeakSet()
         self._is_engine = is_engine
         self._timeouts = timeouts
         self._on_completed = on_completed
@@ -428,6 +431,14 @@
                 attempt, errors.RefusalError('server_unreachable', str(exc))
             )
 
+    def _mark_used(self, response) -> bool:
+        """Returns whether the connection of a response was used before."""
+        stream = response.extensions['network_stream']
+        if stream in self._used_streams:
+            return True
+        self._used_streams.add(stream)
+        return False
+
     async def _read_response(
         self, call: 'ServerCall', response, timeout_scope: anyio.CancelScope
     ) -> None:
@@ -436,7 +447,19 @@
             k.decode('latin-1').lower(): v.decode('latin-1')
             for k, v in response.headers
         }
-        if self._is_engine and response.status in ENGINE_REFUSAL_STATUSES:
+        is_refusal = (
+            self._is_engine and response.status in ENGINE_REFUSAL_STATUSES
+        )
+        # A refusal without an id may be that of an earlier attempt, sent once
+        # more, unless this is the first one on the connection.
+        is_reused = self._mark_used(response)
+        default_id = '' if is_refusal and is_reused else attempt.id
+        if headers.get('x-request-id', default_id) != attempt.id:
+            self._finish(
+                attempt, verdicts.Verdict.MAY_HAVE_RUN, 'crossed_answer'
+            )
+            return
+        if is_refusal:
             self._refuse(
                 attempt,
                 errors.RefusalError(
@@ -445,11 +468,6 @@
                 ),
             )
             return
-        if headers.get('x-request-id', attempt.id) != attempt.id:
-            self._finish(
-                attempt, verdicts.Verdict.MAY_HAVE_RUN, 'crossed_answer'
-            )
-            return
         call.process_head(headers)
         attempt.status = response.status
         attempt.headers = {
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -307,3 +307,52 @@
             rig.start('two')
             assert (await rig.peer.wait_for_end('two')).verdict == RAN
             assert rig.admission.running == 0
+
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\n%scontent-length: 0\r\n\r\n'
+
+
+class TestReplayedRefusals:
+    """A refusal that an engine sends once more is not that of this attempt.
+
+    Otherwise the gateway would be told that an attempt has not run which the
+    engine is running, and would start another one.
+    """
+
+    async def test_refusal_of_another_attempt(self):
+        async with rigs.open_rig(SHORT_TIMEOUTS) as rig:
+            rig.engine.script = make_script(
+                REFUSAL % b'x-request-id: earlier\r\n'
+            )
+            rig.start('one')
+            end = await rig.peer.wait_for_end('one')
+            assert (end.verdict, end.error) == (MAY_HAVE_RUN, 'crossed_answer')
+
+    async def test_refusal_without_an_id_on_a_connection_in_use_again(self):
+        body = rigs.TOKEN + rigs.DONE
+        complete = (
+            b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+            b'x-request-id: one\r\ncontent-length: %d\r\n\r\n%s'
+        ) % (len(body), body)
+
+        async def serve_requests(stream):
+            async with stream:
+                for number in range(2):
+                    request = b''
+                    while b'\r\n\r\n' not in request:
+                        request += await stream.receive()
+                    rig.engine.runs.append(number)
+                    await stream.send(REFUSAL % b'' if number else complete)
+
+        async with rigs.open_rig(SHORT_TIMEOUTS) as rig:
+            rig.engine.serve_request = serve_requests
+            rig.start('one')
+            await rig.peer.wait_for('one', messages.Refused, messages.End)
+            rig.start('two')
+            end = await rig.peer.wait_for(
+                'two', messages.Refused, messages.End
+            )
+            # Both attempts came on one connection.
+            assert rig.engine.runs == [0, 1]
+            assert isinstance(end, messages.End)
+            assert (end.verdict, end.error) == (MAY_HAVE_RUN, 'crossed_answer')
