--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -15,6 +15,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
 import anyio
@@ -97,6 +98,8 @@
         or not all(isinstance(item, int | float) for item in value)
     ):
         raise TypeError(f'a bulletin of {kind!r} has fields of other types')
+    if not all(math.isfinite(item) for item in value):
+        raise ValueError('a value is not finite')
     if len(value) > MAX_VALUE_ITEMS:
         raise ValueError(f'over {MAX_VALUE_ITEMS} items')
     age, left = float(age_ms) / 1000, float(left_ms) / 1000
--- a/tests/test_bulletins.py
+++ b/tests/test_bulletins.py
@@ -201,6 +201,8 @@
             ['crash', 1, [1], 5, 10**9],
             ['crash', 'x', [1], 5, 10],
             ['crash', 1, ['x'], 5, 10],
+            ['crash', 1, [float('nan')], 5, 10],
+            ['crash', 1, [float('inf')], 5, 10],
             ['crash', 1, list(range(99)), 5, 10],
             [7, 1, [1], 5, 10],
         ],
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -14,7 +14,10 @@
 import pytest
 
 from chivejunction import errors
+from chivejunction.coordination import bulletins
+from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import relays
+from chivejunction.coordination import server_notices
 from chivejunction.coordination import version_moves
 from chivejunction.platform import configuration
 from chivejunction.platform import headers
@@ -24,6 +27,7 @@
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import sse
 from chivejunction.protocol import usage
+from chivejunction.state import backends
 from chivejunction.transport import stores as transport_stores
 from tests import stores
 from tests import test_hints
@@ -168,6 +172,37 @@
 class TestGatewayMessages:
     """Hints and relay responses of other gateways."""
 
+    @given(
+        st.binary(max_size=60).map(lambda data: bulletins.FIRST_BYTE + data)
+        | st.tuples(
+            st.text(max_size=5) | SCALARS,
+            make_rows(
+                st.sampled_from(['crash', 'part', 'limit', 'leaving', 'x']),
+                st.integers(0, 2**64 - 1) | SCALARS,
+                st.lists(SCALARS, max_size=9) | SCALARS,
+                st.integers(0, 10**5) | SCALARS,
+                st.integers(0, 10**5) | SCALARS,
+            ),
+        ).map(msgpack.packb)
+    )
+    @example(msgpack.packb(['gw-2', [['limit', 1, [float('nan')], 1, 1000]]]))
+    @example(msgpack.packb(['gw-2', [['crash', 1, [1.5, 2, 3, 4], 1, 1000]]]))
+    def test_bulletins_of_any_content(self, data):
+        members = test_hints.make_members('gw-1', 1)
+        board = bulletins.BulletinBoard('gw-1', members)
+        table = backends.BackendTable()
+        table.update(
+            backends.Backend('i-1', 'pool', '127.0.0.1', 1, 'a', 'a', 'v1')
+        )
+        server_notices.ServerNotices(board, table)
+        harmful_prompts.HarmfulPromptGuard(
+            stores.MemoryStore(), board, members
+        )
+        try:
+            board.handle_datagram(data, ('127.0.0.1', 1))
+        except errors.ProtocolError:
+            pass
+
     @given(
         st.binary(max_size=60)
         | JSON_VALUES.map(msgpack.packb)
