--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -219,7 +219,9 @@
     async def run(self, sender: datagrams.DatagramSender) -> None:
         """Sends bulletins to other gateways until cancelled."""
         while True:
-            with anyio.move_on_after(ROUND_SECONDS):
+            # Without bulletins there is nothing to repeat.
+            is_empty = not any(self._bulletins.values())
+            with anyio.move_on_after(math.inf if is_empty else ROUND_SECONDS):
                 await self._changed.wait()
             self._changed = anyio.Event()
             await self._send_round(sender)
--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -97,6 +97,8 @@
             str, tuple[backends.Backend, list[crash_evidence.CrashReport]]
         ] = {}
         self._has_broken = anyio.Event()
+        # Set while there may be something to judge or to store.
+        self._is_active = anyio.Event()
         # Parts whose finding in the store was refuted here.
         self._refuted: set[int] = set()
         board.listen(CRASH_KIND, self._read_crash)
@@ -210,7 +212,7 @@
             return
         reports.sort(key=lambda report: not report.has_begun)
         for report in reports[:MAX_REPORTS_PER_CRASH]:
-            self._evidence.add(report)
+            self._add_report(report)
             self._board.publish(
                 CRASH_KIND,
                 report.server ^ report.request,
@@ -225,7 +227,7 @@
 
     def _read_crash(self, bulletin: bulletins.Bulletin) -> None:
         server, request, has_begun, *parts = bulletin.value
-        self._evidence.add(
+        self._add_report(
             crash_evidence.CrashReport(
                 server,
                 request,
@@ -235,6 +237,10 @@
             )
         )
 
+    def _add_report(self, report: crash_evidence.CrashReport) -> None:
+        self._evidence.add(report)
+        self._is_active.set()
+
     def _read_part(self, bulletin: bulletins.Bulletin) -> None:
         if bulletin.value[0] == HARMFUL:
             self._quarantine(bulletin.key, bulletin.expires_at)
@@ -242,8 +248,18 @@
             self._evidence.record_success(bulletin.key, bulletin.issued_at)
             self._release(bulletin.key)
 
+    async def _wait_until_active(self) -> None:
+        """Waits until there are crash reports or findings."""
+        is_idle = not (
+            self._evidence.has_reports or self._quarantines or self._refuted
+        )
+        if is_idle and self._is_active.is_set():
+            self._is_active = anyio.Event()
+        await self._is_active.wait()
+
     async def _evaluate_periodically(self) -> None:
         while True:
+            await self._wait_until_active()
             await anyio.sleep(EVALUATION_INTERVAL_SECONDS)
             for part, quarantine in list(self._quarantines.items()):
                 if clock.has_passed(quarantine.until):
@@ -262,6 +278,7 @@
             known.until = max(known.until, until)
             return
         key = f'{PREFIX}{part:016x}'
+        self._is_active.set()
         self._quarantines[part] = Quarantine(
             until,
             clock.make_deadline(
@@ -317,6 +334,7 @@
     async def _store_findings(self) -> None:
         """Writes findings that are not in the store yet."""
         while True:
+            await self._wait_until_active()
             await anyio.sleep(clock.jitter(STORE_INTERVAL_SECONDS))
             for part, quarantine in list(self._quarantines.items()):
                 if not quarantine.is_stored and clock.has_passed(
--- a/chivejunction/state/crash_evidence.py
+++ b/chivejunction/state/crash_evidence.py
@@ -106,6 +106,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def has_reports(self) -> bool:
+        """Whether any crash was reported lately."""
+        return bool(self._reports)
+
     def add(self, report: CrashReport) -> None:
         """Adds a report; a later one of the same crash replaces it."""
         self._reports[report.server, report.request] = report
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -185,6 +185,22 @@
                 while await store.get(make_key(HARMFUL_PART)) is None:
                     await anyio.sleep(0.05)
 
+    @run_async
+    async def test_findings_are_stored_after_an_idle_time(self):
+        """Both tasks that wait for something to do are woken."""
+        async with forward_rig.start() as rig:
+            store = rig.gateway.members._store
+            guard = rig.gateway.prompt_guard
+            for part in ('first', 'second'):
+                number = crash_evidence.hash_part(part)
+                guard._quarantine(number, clock.make_deadline(60))
+                with anyio.fail_after(5):
+                    while await store.get(make_key(part)) is None:
+                        await anyio.sleep(0.05)
+                    guard._release(number)
+                    while guard._is_active.is_set():
+                        await anyio.sleep(0.05)
+
     @run_async
     async def test_broken_connection_of_a_live_server_is_no_crash(self):
         async with forward_rig.start() as rig:
