Stop accepting callers when the drain of a stopping gateway ends

Cause: the listening socket stayed open until no request was in progress, which never came while a balancer without another gateway sent callers on.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -468,12 +468,11 @@
         with anyio.move_on_at(deadline):
             await anyio.sleep(READINESS_DRAIN_SECONDS)
             self.caller_listener.close_idle()
-            await self.members.leave()
-            await self._wait_for_requests()
-            # A caller that connects from now on is refused and goes to another
-            # gateway; those accepted before are answered.
+            # A load balancer without another gateway may send callers on and
+            # on. Whoever connects from now on is refused and goes to another
+            # gateway, while there is time to answer those accepted before.
             self.caller_listener.stop_accepting()
-            await anyio.sleep(REQUEST_POLL_SECONDS)
+            await self.members.leave()
             await self._wait_for_requests()
 
     async def _wait_for_requests(self) -> None:
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -139,14 +139,29 @@
     async def serve_socket(self, sock: socket.socket) -> None:
         """Accepts connections on a listening socket until cancelled."""
         sock.setblocking(False)
-        listener = await abc.SocketListener.from_socket(sock)
         async with anyio.create_task_group() as group:
-            with anyio.CancelScope() as self.accept_scope:
-                async with listener:
-                    await listener.serve(self.serve_stream, group)
+            # A cancelled wait loses no connection, a cancelled accept could.
+            with sock, anyio.CancelScope() as self.accept_scope:
+                try:
+                    while True:
+                        await anyio.wait_readable(sock)
+                        self._serve_queued(group, sock)
+                finally:
+                    self._serve_queued(group, sock)
+
+    def _serve_queued(self, group, sock: socket.socket) -> None:
+        """Serves the connections that the kernel has queued."""
+        for accepted in listening.accept_queued(sock):
+            group.start_soon(self._serve_accepted, accepted)
+
+    async def _serve_accepted(self, accepted: socket.socket) -> None:
+        await self.serve_stream(await abc.SocketStream.from_socket(accepted))
 
     def stop_accepting(self) -> None:
-        """Closes the listening socket; open connections are served on."""
+        """Closes the listening socket; open connections are served on.
+
+        So are those that the kernel has queued.
+        """
         if self.accept_scope is not None:
             self.accept_scope.cancel()
 
--- a/chivejunction/transport/listening.py
+++ b/chivejunction/transport/listening.py
@@ -21,3 +21,21 @@
     sock.bind((address, port))
     sock.listen(LISTEN_BACKLOG)
     return sock
+
+
+def accept_queued(listener: socket.socket) -> list[socket.socket]:
+    """Returns the connections that wait in the queue of a listening socket.
+
+    Closing the socket would reset them.
+
+    Args:
+        listener: Non-blocking listening socket.
+    """
+    accepted = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
