Leave streams that have begun alone when a part is found harmful

Found while reading the change: a finding cancelled all attempts with the part, also streams that had delivered events, and each cancelled attempt counted against its server. Only attempts without an event are cancelled, and none of them counts.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -144,7 +144,10 @@
                     context.progress is request_context.Progress.BEGUN
                 )
                 self._prompt_guard.report_break(context, backend)
-            if exc.verdict is not request_context.NOT_RUN:
+            if (
+                exc.verdict is not request_context.NOT_RUN
+                and exc.is_server_fault
+            ):
                 backend.record_failure()
                 self._moves.record(
                     context.service.name, backend.version, False
@@ -209,7 +212,7 @@
             return await self._exchange(context, backend, connection)
         assert scope.cancelled_caught
         raise request_context.AttemptFailed(
-            'prompt found harmful', context.verdict
+            'prompt found harmful', context.verdict, is_server_fault=False
         )
 
     async def _exchange(self, context, backend, connection):
--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -92,7 +92,11 @@
         self._quarantines: collections.OrderedDict[int, Quarantine] = (
             collections.OrderedDict()
         )
-        self._attempts: dict[int, set[anyio.CancelScope]] = {}
+        # Attempts in progress by part of their prompt.
+        self._attempts: dict[
+            int,
+            dict[anyio.CancelScope, request_context.RequestContext],
+        ] = {}
         self._broken: dict[
             str, tuple[backends.Backend, list[crash_evidence.CrashReport]]
         ] = {}
@@ -125,18 +129,20 @@
     def track(
         self, context: request_context.RequestContext
     ) -> Iterator[anyio.CancelScope]:
-        """Cancels its body if a part of the prompt is found harmful."""
+        """Cancels its body if a part of the prompt is found harmful.
+
+        An attempt that has responded is left alone.
+        """
         parts = context.prompt_hashes.shared_parts
         with anyio.CancelScope() as scope:
             for part in parts:
-                self._attempts.setdefault(part, set()).add(scope)
+                self._attempts.setdefault(part, {})[scope] = context
             try:
                 yield scope
             finally:
                 for part in parts:
-                    scopes = self._attempts[part]
-                    scopes.discard(scope)
-                    if not scopes:
+                    self._attempts[part].pop(scope, None)
+                    if not self._attempts[part]:
                         del self._attempts[part]
 
     def record_success(self, context: request_context.RequestContext) -> None:
@@ -294,8 +300,9 @@
             seconds=round(clock.remaining(until)),
             in_progress=len(self._attempts.get(part, ())),
         )
-        for scope in self._attempts.get(part, ()):
-            scope.cancel()
+        for scope, context in self._attempts.get(part, {}).items():
+            if context.progress is not request_context.Progress.RESPONDED:
+                scope.cancel()
 
     def _release(self, part: int) -> bool:
         """Ends a quarantine; returns whether there was one."""
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -155,6 +155,7 @@
             outcome in metrics.
         verdict: Whether the request may have run.
         is_broken: Whether the connection ended before the response did.
+        is_server_fault: Whether the failure counts against the server.
     """
 
     def __init__(
@@ -162,10 +163,12 @@
         detail: str,
         verdict: verdicts.Verdict,
         is_broken: bool = False,
+        is_server_fault: bool = True,
     ):
         super().__init__(detail)
         self.verdict = verdict
         self.is_broken = is_broken
+        self.is_server_fault = is_server_fault
 
 
 def get_affinity_key(request: forwarding.ForwardRequest) -> str:
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -162,6 +162,8 @@
                 rig.gateway.prompt_guard.apply_change(
                     make_change(HARMFUL_PART), False
                 )
+            backend = rig.gateway.backends.get(f'i-{server.port}')
+            assert backend.error_share == 0
             # It was sent, so nothing is promised.
             assert responses[0].status == 502
             assert len(server.received_requests) == 1
@@ -169,6 +171,30 @@
                 while not server.closed:
                     await anyio.sleep(0.01)
 
+    @run_async
+    async def test_stream_that_has_responded_is_not_cut(self):
+        async with forward_rig.start() as rig:
+            server = await rig.add_server(
+                forward_rig.make_event_stream(4, pause=0.1),
+                'pool',
+                instance='i-1',
+            )
+            responses = []
+
+            async def request():
+                responses.append(await call(rig, 1, [HARMFUL_PART]))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(request)
+                while not server.received_requests:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.15)
+                rig.gateway.prompt_guard.apply_change(
+                    make_change(HARMFUL_PART), False
+                )
+            assert responses[0].is_complete
+            assert responses[0].body.count(b'id: ') == 4
+
     @run_async
     async def test_finding_is_written_to_the_store_after_an_outage(self):
         async with forward_rig.start() as rig:
