Normalise line ends of an engine's stream once, whatever its chunks

Traced: the pending bytes were normalised again with each chunk, so \r\r\n became \n. The case fails each time on the code before, as an example now.

--- a/chivejunction/protocol/usage.py
+++ b/chivejunction/protocol/usage.py
@@ -24,6 +24,8 @@
     def __init__(self, drop_usage: bool):
         self._drop_usage = drop_usage
         self._pending = b''
+        # A carriage return at the end of a chunk: a line feed may follow.
+        self._carriage_return = b''
         self.usage: dict = {}
         self.has_end_marker = False
 
@@ -32,9 +34,13 @@
 
         A partial event above MAX_EVENT_BYTES is forwarded without parsing.
         """
+        chunk = self._carriage_return + chunk
+        self._carriage_return = b''
+        if b'\r' in chunk:
+            if chunk.endswith(b'\r'):
+                chunk, self._carriage_return = chunk[:-1], b'\r'
+            chunk = chunk.replace(b'\r\n', b'\n')
         data = self._pending + chunk
-        if b'\r' in data:
-            data = data.replace(b'\r\n', b'\n')
         *events, self._pending = data.split(SEPARATOR)
         forwarded = [e + SEPARATOR for e in events if self._process_event(e)]
         if len(self._pending) > MAX_EVENT_BYTES:
@@ -44,7 +50,8 @@
 
     def finish(self) -> bytes:
         """Returns the bytes after the last complete event."""
-        partial, self._pending = self._pending, b''
+        partial = self._pending + self._carriage_return
+        self._pending = self._carriage_return = b''
         if partial.strip() == END_MARKER:
             self.has_end_marker = True
         return partial
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -338,6 +338,8 @@
         assert parts.has_partial_event() == whole.has_partial_event()
 
     @given(STREAMS, st.integers(1, 40))
+    @example(b'\r\r\nid: 1\n', 1)
+    @example(b'data: x\r\n\r', 1)
     def test_usage_does_not_depend_on_chunks(self, data, size):
         whole, parts = usage.UsageFilter(True), usage.UsageFilter(True)
         expected = whole.feed(data) + whole.finish()
