Read the change once more: one key function, one selection of intervals

harmful_prompts made its store key in three places, IntervalBaseline chose comparable intervals in two, and the address in hints._receive had the name of the sender object. The line 'version found bad' has old_share again, which the pooled judgement had dropped. No behaviour changes.

--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -55,6 +55,11 @@
 )
 
 
+def make_key(part: int) -> str:
+    """Returns the store key of the finding on a part."""
+    return f'{PREFIX}{part:016x}'
+
+
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """A prompt part that is not sent to engines.
@@ -283,12 +288,11 @@
         if known is not None:
             known.until = max(known.until, until)
             return
-        key = f'{PREFIX}{part:016x}'
         self._is_active.set()
         self._quarantines[part] = Quarantine(
             until,
             clock.make_deadline(
-                WRITE_DELAY_SECONDS * self._members.find_rank(key)
+                WRITE_DELAY_SECONDS * self._members.find_rank(make_key(part))
             ),
         )
         if len(self._quarantines) > MAX_QUARANTINED_PARTS:
@@ -355,7 +359,7 @@
     async def _remove(self, part: int) -> bool:
         """Returns whether the store does not have a finding any more."""
         try:
-            entry = await self._store.get(f'{PREFIX}{part:016x}')
+            entry = await self._store.get(make_key(part))
             if entry is not None:
                 await self._store.delete(entry.key, entry.revision)
         except errors.StoreError as exc:
@@ -369,7 +373,7 @@
         try:
             lease = await self._store.grant_lease(seconds)
             await self._store.swap(
-                f'{PREFIX}{part:016x}',
+                make_key(part),
                 json.dumps({'seconds': seconds}).encode(),
                 0,
                 lease,
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -176,10 +176,10 @@
             await self._send_all(sender)
 
     async def _receive(self, udp) -> None:
-        async for data, sender in udp:
+        async for data, address in udp:
             try:
                 if self._board and data.startswith(bulletins.FIRST_BYTE):
-                    self._board.handle_datagram(data, sender)
+                    self._board.handle_datagram(data, address)
                 else:
                     self._handle_datagram(data)
             except errors.ProtocolError as exc:
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -185,6 +185,18 @@
         return statistics.median(latency_ratios)
 
 
+def select_comparable(
+    samples: list[tuple[float, float]], max_running: float
+) -> list[float]:
+    """Returns the intervals of servers with no more load than usual.
+
+    Args:
+        samples: Seconds between events and attempts in progress.
+        max_running: Largest number of attempts in progress.
+    """
+    return [seconds for seconds, running in samples if running <= max_running]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IntervalBaseline:
     """Intervals between events that the old versions usually have.
@@ -215,9 +227,7 @@
         )[0]
         max_seconds = SLOW_INTERVAL_RATIO * quartile
         max_running = statistics.median(running for _, running in samples)
-        compared = [
-            seconds for seconds, running in samples if running <= max_running
-        ]
+        compared = select_comparable(samples, max_running)
         slow_share = sum(s > max_seconds for s in compared) / len(compared)
         lowest, highest = SLOW_SHARE_BOUNDS
         return cls(
@@ -228,11 +238,7 @@
 
     def count(self, samples: list[tuple[float, float]]) -> tuple[int, int]:
         """Returns the numbers of slow and of other intervals."""
-        compared = [
-            seconds
-            for seconds, running in samples
-            if running <= self.max_running
-        ]
+        compared = select_comparable(samples, self.max_running)
         slow = sum(seconds > self.max_seconds for seconds in compared)
         return slow, len(compared) - slow
 
@@ -263,6 +269,27 @@
     expires_at: float
 
 
+def compute_failure_share(results: list[VersionResults]) -> float:
+    """Returns the share of failures in recent results, 0 without any."""
+    counts = [version_results.count() for version_results in results]
+    total = sum(count[1] for count in counts)
+    return sum(count[0] for count in counts) / total if total else 0.0
+
+
+def is_failing(failures: int, total: int, old_share: float) -> bool:
+    """Returns whether too large a share of the results are failures.
+
+    Args:
+        failures: Number of failures of the new version.
+        total: Number of its results.
+        old_share: Share of failures of the old versions.
+    """
+    return failures >= MIN_FAILURES and (
+        failures / total
+        > max(MAX_FAILURE_SHARE, MAX_FAILURE_SHARE_RATIO * old_share)
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Move:
     """A version move as known to this gateway.
@@ -620,6 +647,7 @@
         new_results = self._results.get((service, target), VersionResults())
         failures, total = new_results.count()
         old_results = self._list_old_results(move)
+        old_share = compute_failure_share(old_results)
         baseline = IntervalBaseline.make(
             [row for results in old_results for row in results.intervals]
         )
@@ -648,7 +676,7 @@
             default=0.0,
         )
         if (
-            self._is_failing(failures, total, old_results)
+            is_failing(failures, total, old_share)
             or is_latency_high(latency_ratio, old_latency_ratio)
             or (baseline is not None and baseline.is_slow(slow, other))
         ):
@@ -659,6 +687,7 @@
                 target=target,
                 bad=failures,
                 total=total,
+                old_share=round(old_share, 3),
                 slow_streams=slow,
                 other_streams=other,
                 slow_interval=(
@@ -673,20 +702,6 @@
             )
             self._changed.set()
 
-    @staticmethod
-    def _is_failing(
-        failures: int, total: int, old_results: list[VersionResults]
-    ) -> bool:
-        """Returns whether too large a share of the results are failures."""
-        counts = [results.count() for results in old_results]
-        old_failures = sum(count[0] for count in counts)
-        old_total = sum(count[1] for count in counts)
-        old_share = old_failures / old_total if old_total else 0.0
-        return failures >= MIN_FAILURES and (
-            failures / total
-            > max(MAX_FAILURE_SHARE, MAX_FAILURE_SHARE_RATIO * old_share)
-        )
-
     async def run(self) -> None:
         """Advances all moves and writes their records, until cancelled."""
         while True:
