--- a/review/harness.py
+++ b/review/harness.py
@@ -134,7 +134,10 @@
     body = b''
     if headers.get('transfer-encoding', '').lower() == 'chunked':
         while True:
-            size = int(await reader.readline(), 16)
+            line = await reader.readline()
+            if not line.endswith(b'\n'):
+                raise EOFError('the connection ended between chunks')
+            size = int(line, 16)
             body += (await reader.readexactly(size + 2))[:-2]
             if not size:
                 break
