--- a/review/harness.py
+++ b/review/harness.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -824,6 +825,7 @@
     ended = [g for g in case.gateways if len(g.own_ends) >= MIN_OWN_ENDS]
     if len(ended) >= max(MIN_MACHINES, len(case.gateways) / 10):
         broken.append(f'Fault: {len(ended)} machines with {MIN_OWN_ENDS} ends')
+    shutil.rmtree(case.folder)
     return broken
 
 
@@ -884,6 +886,8 @@
             rules as texts.
         folder: Folder of the case.
     """
+    # An end from outside ends the processes of the case too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(run(pathlib.Path(folder)), 116))
     except Exception as exc:  # noqa: BLE001 - any error means it couldn't run
