--- a/review/harness.py
+++ b/review/harness.py
@@ -55,7 +55,6 @@
 # Fault: ends of its own on so many machines.
 MIN_OWN_ENDS = 3
 MIN_MACHINES = 2
-HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
 def find_port(address: str = '127.0.0.1') -> int:
@@ -359,14 +358,17 @@
         self.instance = instance
         self.record = record
         self.work_seconds = work_seconds
+        self.born = int(1000 * time.time())
         self.runs: collections.Counter = collections.Counter()
 
     async def answer(self, request, reader, writer) -> bool | None:
         """Runs a request that names this server."""
         values = request.headers
         request_id = values.get('request-id', '')
-        if request.target == '/v1/report':
-            writer.write(encode_response(200, b'{}'))
+        if request.target == '/health':
+            writer.write(
+                encode_response(200, b'', {'Instance-Id': self.instance})
+            )
             return None
         if values.get('expect-instance') != self.instance:
             writer.write(encode_response(421, b'', {'Request-Id': request_id}))
@@ -568,6 +570,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'sequence': 1,
+            'born': server.born,
             **fields,
         }
         self.store.put(
@@ -630,6 +633,7 @@
     Attributes:
         status: Status of the answer; 0 without one.
         is_complete: Whether the whole answer came.
+        is_closed: Whether the gateway closed the channel without it.
     """
 
     id: str
@@ -638,6 +642,7 @@
     is_kept: bool
     status: int = 0
     is_complete: bool = False
+    is_closed: bool = False
     body: bytes = b''
     ended_at: float = 0.0
 
@@ -650,9 +655,11 @@
         name: Begins the ids of its requests.
         gateway: The gateway that the platform sends it to.
         calls: Where its requests are collected.
+        key: API key that it sends; empty for none.
     """
 
-    def __init__(self, case, name, gateway, calls):
+    def __init__(self, case, name, gateway, calls, key='key-a'):
+        self.key = key
         self._case, self._name, self.gateway = case, name, gateway
         self._calls = calls
         self._streams = None
@@ -666,9 +673,10 @@
             'Host: shop.example',
             f'Request-Id: {request_id}',
             'Deadline-Ms: 6000',
-            'X-Api-Key: key-a',
             f'Content-Length: {len(body)}',
         ]
+        if self.key:
+            lines.append(f'X-Api-Key: {self.key}')
         return '\r\n'.join([*lines, '', '']).encode() + body
 
     async def call(self, target: str, seconds: float = 6.5) -> Call:
@@ -695,6 +703,7 @@
                 )
                 writer.write(self.encode(call.id, target))
                 response = await read_message(reader)
+                call.is_closed = response is None
                 if response is not None:
                     call.status, call.body = response.status, response.body
                     call.is_complete = True
@@ -703,7 +712,10 @@
                     'connection', ''
                 ):
                     self.close()
-        except (OSError, EOFError, TimeoutError):
+        except TimeoutError:
+            self.close()
+        except (OSError, EOFError):
+            call.is_closed = True
             self.close()
         call.ended_at = time.monotonic()
         self._case.record.add(
@@ -813,7 +825,7 @@
             if call.gateway == gateway.name
             and call.is_kept
             and call.id in runs
-            and not call.is_complete
+            and call.is_closed
         ]
         print(
             f'{gateway.name}: {len(gateway.own_ends)} ends of its own, '
@@ -841,7 +853,7 @@
 
 
 async def run_foreign_entry(
-    folder: pathlib.Path, key: str, value: bytes
+    folder: pathlib.Path, key: str, value: bytes, has_trouble: bool
 ) -> list[str]:
     """Lets another writer write an entry; returns the broken rules.
 
@@ -849,6 +861,7 @@
         folder: Folder of the case.
         key: Key of the entry.
         value: Its value.
+        has_trouble: Whether the entry is written.
     """
     case = Case(folder, ZONES)
     calls: list[Call] = []
@@ -863,7 +876,7 @@
                     )
                     group.create_task(send_orders(client, until))
             await asyncio.sleep(4)
-            if HAS_TROUBLE:
+            if has_trouble:
                 case.store.put(key, value)
                 case.record.add('entry of another writer', key=key)
             await asyncio.sleep(11)
