Check gateways from outside as real processes

Configurations with optional fields that are null, and malformed items of the store, keep changes from coming into force.

The proxy refuses connections and answers nonsense, the store adds an item to its answers.

--- a/fakes/metadata_store.py
+++ b/fakes/metadata_store.py
@@ -1,6 +1,7 @@
 """Fake metadata store of the users' platform, after its published API."""
 
 import base64
+import json
 import time
 
 import anyio
@@ -19,7 +20,9 @@
 
     ``POST /faults`` sets faults: ``down`` responds with 503, ``busy`` with
     429, ``silent`` not at all; ``lose_answers`` is the number of writes that
-    take effect without a response, ``delay`` the seconds added to each call.
+    take effect without a response, ``delay`` the seconds added to each call,
+    ``extra_item`` an item that is added to each listing and each response of
+    a watch.
     ``PUT /operator/{key}`` writes as the operator and the servers do,
     ``DELETE`` removes; ``POST /forget`` drops the change history.
     """
@@ -37,6 +40,7 @@
             'busy': False,
             'lose_answers': 0,
             'delay': 0.0,
+            'extra_item': None,
         }
         self._changed = anyio.Event()
 
@@ -104,7 +108,9 @@
             and key > query.get('after', '')
         )
         return {
-            'items': [self.items[key] for key in keys[:PAGE_SIZE]],
+            'items': self._add_extra_item(
+                [self.items[key] for key in keys[:PAGE_SIZE]]
+            ),
             'has_more': len(keys) > PAGE_SIZE,
             'store_revision': self.revision,
         }
@@ -127,7 +133,15 @@
                 if events:
                     break
                 await changed.wait()
-        return 200, {'events': events, 'store_revision': self.revision}
+        return 200, {
+            'events': self._add_extra_item(events),
+            'store_revision': self.revision,
+        }
+
+    def _add_extra_item(self, items: list) -> list:
+        extra = self.faults['extra_item']
+        # First, so that a listing does not continue after its key.
+        return items if extra is None else [extra, *items]
 
     async def commit(self, value: dict) -> tuple[int, dict]:
         """Commits a transaction; returns status and body for ``kv-txn``."""
@@ -173,7 +187,10 @@
         if is_write and store.faults['lose_answers']:
             store.faults['lose_answers'] -= 1
             await anyio.sleep(3600)
-        return responses.JSONResponse(value, status)
+        # Escaped, because keys of other writers may not be valid Unicode.
+        return responses.Response(
+            json.dumps(value), status, media_type='application/json'
+        )
 
     async def dispatch_call(request, call):
         query = request.query_params
--- a/fakes/platform_documents.py
+++ b/fakes/platform_documents.py
@@ -70,6 +70,74 @@
     }
 
 
+# Optional fields of a configuration by the list that they are in; the empty
+# name stands for the document itself.
+OPTIONAL_FIELDS = {
+    '': ('limits',),
+    'routes': (
+        'traffic_split',
+        'timeout_ms',
+        'target_latency_ms',
+        'gap_target_ms',
+        'priority',
+        'max_attempts',
+        'model_tiers',
+        'public',
+        'sticky',
+        'can_resume',
+        'allowed_regions',
+    ),
+    'services': ('max_conns', 'cold_per_s', 'engine'),
+    'tenants': ('priority', 'allowed_regions'),
+}
+CALLER_LIMITS = {
+    'max_header_bytes': 16384,
+    'max_body_bytes': 4194304,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+NEW_FIELDS = {'lunar_phase': {'days': [1, None]}, 'weather': None, 'x': 'new'}
+
+
+def _list_objects(config: dict, name: str) -> list[dict]:
+    return config[name] if name else [config]
+
+
+def set_optional_field(config: dict, name: str, field: str) -> None:
+    """Sets a field to null in each item of a list of a configuration.
+
+    Routes whose streams can be resumed keep this field, because their kind
+    depends on it.
+    """
+    for item in _list_objects(config, name):
+        if item.get(field) is not True:
+            item[field] = None
+
+
+def set_optional_fields(config: dict) -> None:
+    """Sets each optional field of a configuration to null."""
+    for name, fields in OPTIONAL_FIELDS.items():
+        for field in fields:
+            set_optional_field(config, name, field)
+
+
+def remove_optional_fields(config: dict) -> None:
+    """Removes each optional field of a configuration, see above."""
+    for name, fields in OPTIONAL_FIELDS.items():
+        for item in _list_objects(config, name):
+            for field in fields:
+                if item.get(field) is not True:
+                    item.pop(field, None)
+
+
+def add_new_fields(config: dict) -> None:
+    """Adds unknown fields to a configuration."""
+    config['limits'] = CALLER_LIMITS | NEW_FIELDS
+    for name in OPTIONAL_FIELDS:
+        for item in _list_objects(config, name):
+            item.update(NEW_FIELDS)
+
+
 def make_route(name: str) -> dict:
     """Returns a route; its kind and limits depend on the name."""
     return {
--- a/fakes/proxy.py
+++ b/fakes/proxy.py
@@ -13,6 +13,54 @@
 from chivejunction.transport import listening
 
 CHUNK_BYTES = 64 * 1024
+# Interval between the pieces of a response without an end.
+PIECE_INTERVAL_SECONDS = 0.005
+_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+
+
+def _make_response(body: bytes, length: int | None = None) -> bytes:
+    length = len(body) if length is None else length
+    return _HEAD + b'Content-Length: %d\r\n\r\n%b' % (length, body)
+
+
+# Responses that the proxy sends instead of those of its target: the first
+# piece, and the piece that is repeated without an end; empty to close the
+# connection after the first.
+NONSENSE = {
+    'no_http': (b'\x00\xff' * 200, b''),
+    'no_json': (_make_response(b'<html>502 Bad Gateway</html>'), b''),
+    'no_utf_8': (_make_response(b'{"items": "\xff\xfe"}'), b''),
+    'list': (_make_response(b'[]'), b''),
+    'null': (_make_response(b'null'), b''),
+    'number': (_make_response(b'7'), b''),
+    'other_fields': (_make_response(b'{"error": {"code": 5}}'), b''),
+    'null_fields': (
+        _make_response(
+            b'{"items": null, "events": null, "store_revision": null,'
+            b' "lease": null, "ttl_ms": null, "revision": null}'
+        ),
+        b'',
+    ),
+    'null_items': (
+        _make_response(
+            b'{"items": [null], "events": [null], "store_revision": 1}'
+        ),
+        b'',
+    ),
+    'deep_nesting': (_make_response(b'[' * 100_000), b''),
+    'long_number': (
+        _make_response(b'{"store_revision": ' + b'9' * 5000 + b'}'),
+        b'',
+    ),
+    'longer_body': (_make_response(b'{}', 100), b''),
+    'shorter_body': (_make_response(b'{"items": []}', 5), b''),
+    'negative_length': (_make_response(b'{}', -1), b''),
+    'endless_body': (
+        _HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'2000\r\n' + b' ' * 0x2000 + b'\r\n',
+    ),
+    'endless_head': (_HEAD, b'X-Field: ' + b'x' * 8000 + b'\r\n'),
+}
 
 
 class Connection:
@@ -38,7 +86,9 @@
     seconds, ``silence`` (``forward``, ``backward`` or ``both``) holds back
     the bytes of the currently open connections, ``release`` sends the bytes
     held back, ``cut`` closes these connections. New connections are not
-    silenced.
+    silenced. ``refuse`` closes new connections at once. ``nonsense`` names a
+    response of ``NONSENSE`` that is sent instead of those of the target;
+    empty for none.
 
     Args:
         target_port: TCP port on 127.0.0.1 of the target.
@@ -47,6 +97,8 @@
     def __init__(self, target_port: int):
         self._target_port = target_port
         self._delay = 0.0
+        self._is_refusing = False
+        self._nonsense = ''
         self._connections: set[Connection] = set()
 
     def routes(self) -> list[routing.Route]:
@@ -54,8 +106,14 @@
         return [routing.Route('/faults', self._set_faults, methods=['POST'])]
 
     async def _set_faults(self, request: requests.Request):
-        faults = await request.json()
+        self.set_faults(await request.json())
+        return responses.JSONResponse({'open': len(self._connections)})
+
+    def set_faults(self, faults: dict) -> None:
+        """Sets faults, see the description of the class."""
         self._delay = faults.get('delay', self._delay)
+        self._is_refusing = faults.get('refuse', self._is_refusing)
+        self._nonsense = faults.get('nonsense', self._nonsense)
         direction = faults.get('silence', '')
         directions = {'both': ('forward', 'backward')}.get(
             direction, (direction,)
@@ -68,7 +126,6 @@
                 connection.released = anyio.Event()
             if faults.get('cut'):
                 connection.scope.cancel()
-        return responses.JSONResponse({'open': len(self._connections)})
 
     async def serve(self, port: int) -> None:
         """Accepts connections until cancelled.
@@ -82,6 +139,9 @@
         await listener.serve(self._handle_connection)
 
     async def _handle_connection(self, client: abc.SocketStream) -> None:
+        if self._is_refusing:
+            await client.aclose()
+            return
         try:
             target = await anyio.connect_tcp('127.0.0.1', self._target_port)
         except OSError:
@@ -109,6 +169,9 @@
                     await anyio.sleep(self._delay)
                 while direction in connection.silenced_directions:
                     await connection.released.wait()
+                if self._nonsense and direction == 'forward':
+                    await self._send_nonsense(source)
+                    connection.scope.cancel()
                 await sink.send(chunk)
         except (
             anyio.EndOfStream,
@@ -118,6 +181,14 @@
             if not connection.silenced_directions:
                 connection.scope.cancel()
 
+    async def _send_nonsense(self, client) -> None:
+        name = self._nonsense
+        first, repeated = NONSENSE[name]
+        await client.send(first)
+        while repeated and self._nonsense == name:
+            await client.send(repeated)
+            await anyio.sleep(PIECE_INTERVAL_SECONDS)
+
 
 def run(port: int, control_port: int, target_port: int) -> None:
     """Runs a proxy until the process ends.
