Run the tasks of a forwarding gateway under supervision

A port still held at the start ended it too.

Cause: all tasks shared one task group, so that an error of one cancelled the rest. Class: no boundary between the failure of one activity and the process.

Change: each task runs under containment.Supervisor; one that fails or ends runs again. Steps of the maintenance, reloads and the shutdown are contained one by one. Readiness names failing tasks and recent errors, and is 503 while the port for callers isn't open; metrics: task_failures, contained_errors, failing_tasks.

--- a/chivejunction/containment.py
+++ b/chivejunction/containment.py
@@ -20,7 +20,7 @@
 
 # Pause before a failed task runs again, doubled for each failure in a row.
 MIN_RESTART_DELAY_SECONDS = 0.1
-MAX_RESTART_DELAY_SECONDS = 2.0
+MAX_RESTART_DELAY_SECONDS = 1.0
 # Readiness reports an error for this time.
 REPORT_SECONDS = 60.0
 ERRORS = metrics.make_counter(
@@ -94,8 +94,8 @@
 
     def __init__(self, group: abc.TaskGroup):
         self._group = group
-        # Latest error of each task that is waiting to run again.
-        self._failing: dict[str, BaseException] = {}
+        # Names of the tasks that have failed and wait to run again.
+        self._failing: set[str] = set()
 
     def start(self, name: str, run: Callable[..., Awaitable], *args) -> None:
         """Starts a task that runs until the group is cancelled.
@@ -120,7 +120,7 @@
         delay = MIN_RESTART_DELAY_SECONDS
         while True:
             started_at = clock.now()
-            self._failing.pop(name, None)
+            self._failing.discard(name)
             try:
                 await run(*args)
                 raise TaskEnded(f'task {name} has ended')
@@ -132,7 +132,7 @@
                 error = exc
             except Exception as exc:
                 error = exc
-            self._failing[name] = error
+            self._failing.add(name)
             FAILURES.labels(name).inc()
             record_error(name, error)
             if clock.now() - started_at > MAX_RESTART_DELAY_SECONDS:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
+import json
 import signal
 import socket
 
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -38,6 +40,8 @@
 from chivejunction.transport import stores
 
 MAINTENANCE_INTERVAL_SECONDS = 0.25
+# Name of the task that accepts callers; without it the gateway is not ready.
+CALLERS_TASK = 'callers'
 # Kind of the bulletins with the results of a new version at a gateway.
 VERSION_RESULTS_KIND = 'version'
 # Time for which a stopping gateway still serves new connections. A load
@@ -210,6 +214,8 @@
         self._read_options: Callable = lambda: None
         self._is_stopping = False
         self._removed_instances: list[str] = []
+        self._tasks: containment.Supervisor | None = None
+        self._caller_socket: socket.socket | None = None
 
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
@@ -312,6 +318,7 @@
             self.route_table is not None
             and not self._is_stopping
             and self.config_freshness.is_current()
+            and not (self._tasks and self._tasks.is_failing(CALLERS_TASK))
         )
 
     async def run(
@@ -334,18 +341,20 @@
         mirror = mirrors.StoreMirror(
             self._feed, '', apply_change, self.config_freshness
         )
+        self._caller_socket = caller_socket
         async with anyio.create_task_group() as group:
-            group.start_soon(self._handle_signals, group.cancel_scope)
-            group.start_soon(mirror.run)
-            group.start_soon(self._serve_relay, mirror)
-            group.start_soon(self.members.run)
-            group.start_soon(self.moves.run)
-            group.start_soon(self._hint_exchange.run)
-            group.start_soon(self.prompt_guard.run)
-            group.start_soon(self._run_maintenance)
-            group.start_soon(self._serve_readiness)
-            group.start_soon(self._serve_metrics)
-            group.start_soon(self._serve_callers, mirror, caller_socket)
+            self._tasks = tasks = containment.Supervisor(group)
+            tasks.start('signals', self._handle_signals, group.cancel_scope)
+            tasks.start('store mirror', mirror.run)
+            tasks.start('relay', self._serve_relay, mirror)
+            tasks.start('membership', self.members.run)
+            tasks.start('version moves', self.moves.run)
+            tasks.start('hints', self._hint_exchange.run)
+            tasks.start('prompt guard', self.prompt_guard.run)
+            tasks.start('maintenance', self._run_maintenance)
+            tasks.start('readiness', self._serve_readiness)
+            tasks.start('metrics', self._serve_metrics)
+            tasks.start(CALLERS_TASK, self._serve_callers, mirror)
         logs.LOG.info('stopped', extra={'fields': {'event': 'stop'}})
 
     def _register_gauges(self) -> None:
@@ -359,17 +368,25 @@
             'Age of the proof that the configuration is the newest.',
             lambda: min(self.config_freshness.age, 1e6),
         )
+        metrics.make_gauge(
+            'failing_tasks',
+            'Tasks that have failed and wait to run again.',
+            lambda: len(self._tasks.list_failing()) if self._tasks else 0,
+        )
 
-    async def _serve_callers(
-        self, mirror: mirrors.StoreMirror, caller_socket: socket.socket | None
-    ) -> None:
+    async def _serve_callers(self, mirror: mirrors.StoreMirror) -> None:
         """Serves callers once the first configuration is loaded or late."""
-        caller_socket = caller_socket or listening.bind_socket(
-            *self._options.caller_address
-        )
-        with anyio.move_on_after(FIRST_CONFIG_TIMEOUT_SECONDS):
-            await mirror.has_loaded.wait()
-        await self.caller_listener.serve_socket(caller_socket)
+        caller_socket, self._caller_socket = self._caller_socket, None
+        if caller_socket is None and not self._is_stopping:
+            caller_socket = listening.bind_socket(
+                *self._options.caller_address
+            )
+        if caller_socket is not None:
+            with anyio.move_on_after(FIRST_CONFIG_TIMEOUT_SECONDS):
+                await mirror.has_loaded.wait()
+            await self.caller_listener.serve_socket(caller_socket)
+        if self._is_stopping:
+            await anyio.sleep_forever()
 
     async def _serve_relay(self, mirror: mirrors.StoreMirror) -> None:
         relay = relays.RelayServer(
@@ -380,7 +397,17 @@
 
     async def _serve_readiness(self) -> None:
         async def handle(raw, reply) -> None:
-            await reply.send_response(200 if self.is_ready else 503, [], b'')
+            is_ready = self.is_ready
+            state = {
+                'ready': is_ready,
+                'failing_tasks': self._tasks.list_failing(),
+                'recent_errors': containment.list_recent_errors(),
+            }
+            await reply.send_response(
+                200 if is_ready else 503,
+                [(b'content-type', b'application/json')],
+                json.dumps(state).encode(),
+            )
 
         listener = caller_connections.Listener(handle)
         await listener.serve(*self._options.readiness_address)
@@ -404,28 +431,35 @@
         """
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_SECONDS)
-            for backend in self.backends.remove_expired():
-                self._removed_instances.append(backend.instance)
+            with containment.contain('release of removed servers'):
+                await self._release_removed_servers()
+            with containment.contain('release of connections'):
+                await self._pool.close_expired()
             self.members.remove_lapsed()
-            removed, self._removed_instances = self._removed_instances, []
-            for instance in removed:
-                self._prefix_cache_index.remove_server(instance)
-                await self._pool.close_instance(instance)
-            await self._pool.close_expired()
             # The settings file may also change without a SIGHUP.
-            self._reload()
+            with containment.contain('reload'):
+                self._reload()
             self._chooser.set_retry_limits(*self._compute_retry_limits())
 
+    async def _release_removed_servers(self) -> None:
+        for backend in self.backends.remove_expired():
+            self._removed_instances.append(backend.instance)
+        removed, self._removed_instances = self._removed_instances, []
+        for instance in removed:
+            self._prefix_cache_index.remove_server(instance)
+            await self._pool.close_instance(instance)
+
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async for number in signals:
-                if number == signal.SIGHUP:
+                if number != signal.SIGHUP:
+                    break
+                with containment.contain('reload'):
                     self._reload()
-                    continue
-                break
-            await self._shut_down()
+            with containment.contain('shutdown'):
+                await self._shut_down()
             scope.cancel()
 
     def _reload(self) -> None:
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -19,6 +19,7 @@
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import rendezvous
@@ -705,8 +706,9 @@
     async def run(self) -> None:
         """Advances all moves and writes their records, until cancelled."""
         while True:
-            for move in list(self._moves.values()):
-                await self._advance(move)
+            for service, move in list(self._moves.items()):
+                with containment.contain('version move', service=service):
+                    await self._advance(move)
             with anyio.move_on_after(ADVANCE_INTERVAL_SECONDS):
                 await self._changed.wait()
             self._changed = anyio.Event()
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -10,15 +10,16 @@
 from tests.forward_rig import run_async
 
 
-async def run_tasks(seconds, **tasks):
-    """Runs supervised tasks for some time; returns their supervisor."""
-    async with anyio.create_task_group() as group:
-        supervisor = containment.Supervisor(group)
-        for name, run in tasks.items():
-            supervisor.start(name, run)
-        await anyio.sleep(seconds)
-        group.cancel_scope.cancel()
-    return supervisor
+async def run_until(is_done, **tasks):
+    """Runs supervised tasks until a condition holds."""
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            supervisor = containment.Supervisor(group)
+            for name, run in tasks.items():
+                supervisor.start(name, run)
+            while not is_done():
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
 
 
 class Recorder:
@@ -45,34 +46,31 @@
     async def test_error_of_a_task_leaves_the_others_running(self):
         failing = Recorder(RecursionError('deep'), MemoryError())
         steady = Recorder()
-        await run_tasks(0.5, failing=failing.run, steady=steady.run)
-        assert failing.runs == 3
+        await run_until(
+            lambda: failing.runs == 3, failing=failing.run, steady=steady.run
+        )
         assert steady.runs == 1
 
     @run_async
     async def test_task_that_returns_runs_again(self):
         task = Recorder(None)
-        await run_tasks(0.3, task=task.run)
-        assert task.runs == 2
+        await run_until(lambda: task.runs == 2, task=task.run)
 
     @run_async
     async def test_cancelled_future_does_not_end_a_task_silently(self):
         task = Recorder(asyncio.CancelledError())
-        await run_tasks(0.3, task=task.run)
-        assert task.runs == 2
+        await run_until(lambda: task.runs == 2, task=task.run)
 
     @run_async
     async def test_error_in_a_nested_group_is_contained(self):
-        runs = []
+        inner = Recorder(KeyError('gw-1'))
 
         async def run():
-            runs.append(1)
             async with anyio.create_task_group() as group:
-                group.start_soon(Recorder(KeyError('gw-1')).run)
+                group.start_soon(inner.run)
                 await anyio.sleep(math.inf)
 
-        await run_tasks(0.3, nested=run)
-        assert len(runs) == 2
+        await run_until(lambda: inner.runs == 2, nested=run)
 
     @run_async
     async def test_failing_task_is_named_until_it_runs(self):
