Run the tasks of the agents' deployment under supervision

Found by asking of each task what an exception there ends.

Change: the loops run under containment.Supervisor; attempts, links, batches and exchanges with partners end alone, and links and exchanges are opened again. An attempt that fails before its run is refused, which is true.

--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -1,6 +1,8 @@
 """chivejunction-agent: admits and executes requests at a backend server."""
 
+import contextlib
 import signal
+import socket
 import time
 from typing import Annotated
 from typing import Literal
@@ -12,6 +14,7 @@
 from starlette import routing as web_routing
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -277,14 +280,19 @@
             self.codec,
             lambda exc: logs.LOG.warning('dropped an invalid batch: %s', exc),
         )
-        async with anyio.create_task_group() as group:
-            async for (
-                sender,
-                epoch,
-                sequence,
-                frames,
-            ) in receiver.receive_batches():
-                self._handle_batch(group, sender, epoch, sequence, frames)
+        with contextlib.closing(receiver):
+            async with anyio.create_task_group() as group:
+                async for (
+                    sender,
+                    epoch,
+                    sequence,
+                    frames,
+                ) in receiver.receive_batches():
+                    # One batch must not end the attempts of all gateways.
+                    with containment.contain('batch', sender=sender):
+                        self._handle_batch(
+                            group, sender, epoch, sequence, frames
+                        )
 
     def _handle_batch(self, group, sender, epoch, sequence, frames) -> None:
         peer = self._peers.get(sender)
@@ -319,10 +327,18 @@
         self._peers[hello.gateway] = peer
         reporter = StatusReporter(self)
         self._reporters[hello.gateway] = reporter
-        group.start_soon(peer.run, reporter.describe, reporter.make_heartbeat)
+        group.start_soon(self._run_peer, peer, reporter)
         self.billing.resend_unsaved_records(hello.gateway, hello.incarnation)
         return peer
 
+    async def _run_peer(
+        self, peer: peers.GatewayPeer, reporter: 'StatusReporter'
+    ) -> None:
+        """Runs a link; an error closes it, and the gateway opens another."""
+        with containment.contain('gateway link', gateway=peer.gateway):
+            await peer.run(reporter.describe, reporter.make_heartbeat)
+        peer.close()
+
     def _announce_leaving(self) -> None:
         self.config_sync.leave()
         self._send_heartbeats()
@@ -407,33 +423,42 @@
             signal.SIGTERM, signal.SIGINT
         ) as signals:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._receive_batches)
-                group.start_soon(self.admission.run)
-                group.start_soon(self.executor.run)
+                tasks = containment.Supervisor(group)
+                tasks.start('batches', self._receive_batches)
+                tasks.start('admission', self.admission.run)
+                tasks.start('attempts', self.executor.run)
                 if self.config.kind == 'engine':
-                    group.start_soon(self.load_report_poller.run)
-                group.start_soon(self.billing.run)
+                    tasks.start('load reports', self.load_report_poller.run)
+                tasks.start('billing', self.billing.run)
                 if self.config.order_versions:
-                    group.start_soon(self.version_reconciler.run)
-                group.start_soon(self.host_directory.run)
-                group.start_soon(self.config_sync.run)
+                    tasks.start('versions', self.version_reconciler.run)
+                tasks.start('host list', self.host_directory.run)
+                tasks.start('configuration', self.config_sync.run)
                 if self.config.store_url:
-                    group.start_soon(
+                    tasks.start(
+                        'store',
                         self.store_reader.run,
                         clock.jitter(2 * store_reader.READ_DELAY_SECONDS, 0.5),
                     )
-                group.start_soon(
-                    http_server.serve,
-                    admin_app,
-                    admin_socket,
-                    anyio.Event(),
-                    1,
+                tasks.start(
+                    'operators', self._serve_admin, admin_app, [admin_socket]
                 )
                 is_drained = await drain.run(signals)
                 await self._wait_for_saved_usage()
                 group.cancel_scope.cancel()
         return is_drained
 
+    async def _serve_admin(self, app, sockets: list[socket.socket]) -> None:
+        """Serves operators, first on the socket that is open already."""
+        admin_socket = (
+            sockets.pop()
+            if sockets
+            else listening.bind_socket(
+                self.config.address, self.config.admin_port
+            )
+        )
+        await http_server.serve(app, admin_socket, anyio.Event(), 1)
+
     async def _wait_for_saved_usage(self) -> None:
         with anyio.move_on_after(USAGE_SAVE_TIMEOUT_SECONDS):
             while self.billing.ledger.count_records():
--- a/chivejunction/containment.py
+++ b/chivejunction/containment.py
@@ -70,6 +70,20 @@
         record_error(part, exc, **fields)
 
 
+async def run_contained(
+    part: str, run: Callable[..., Awaitable], *args
+) -> None:
+    """Runs a task that ends alone at an unexpected error.
+
+    Args:
+        part: Part of the program, see ``record_error``.
+        run: Coroutine function of the task.
+        *args: Its arguments.
+    """
+    with contain(part):
+        await run(*args)
+
+
 def list_recent_errors() -> list[str]:
     """Returns the parts in which an error occurred lately."""
     return sorted(
--- a/chivejunction/coordination/agent_links.py
+++ b/chivejunction/coordination/agent_links.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio import abc
 
+from chivejunction import containment
 from chivejunction import rendezvous
 from chivejunction.coordination import peers
 from chivejunction.state import servers
@@ -161,9 +162,17 @@
         group.start_soon(self._run_peer, peer)
 
     async def _run_peer(self, peer: peers.AgentPeer) -> None:
-        with anyio.CancelScope() as scope:
-            self._scopes[peer.name] = scope
-            await peer.run()
+        try:
+            with (
+                containment.contain('agent link', agent=peer.name),
+                anyio.CancelScope() as scope,
+            ):
+                self._scopes[peer.name] = scope
+                await peer.run()
+        finally:
+            # After an error the next update of the links opens another one.
+            if self.peers.get(peer.name) is peer:
+                self._remove_link(peer.name)
 
     def _remove_link(self, host: str) -> None:
         self.peers.pop(host, None)
--- a/chivejunction/coordination/config_sync.py
+++ b/chivejunction/coordination/config_sync.py
@@ -41,6 +41,7 @@
 from anyio import abc
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -325,12 +326,18 @@
 
     async def _run_partner(self, partner: Partner) -> None:
         try:
-            with partner.scope:
+            with (
+                containment.contain('exchange', partner=partner.host.host),
+                partner.scope,
+            ):
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._push_changes, partner)
                     await self._poll_partner(partner)
         finally:
             partner.exchange.close()
+            # After an error the next update of the partners starts it again.
+            if self._partners.get(partner.host.host) is partner:
+                del self._partners[partner.host.host]
 
     async def _poll_partner(self, partner: Partner) -> None:
         # The first request is not held, so that the response states the
--- a/chivejunction/coordination/execution.py
+++ b/chivejunction/coordination/execution.py
@@ -16,6 +16,7 @@
 import httpcore
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -257,7 +258,12 @@
         sender = ResponseSender(peer, attempt, offset)
         attempt.orphan_deadline = attempts.NO_DEADLINE
         senders[peer.gateway] = sender
-        group.start_soon(self._run_sender, sender)
+        group.start_soon(
+            containment.run_contained,
+            'response sender',
+            self._run_sender,
+            sender,
+        )
 
     async def _run_sender(self, sender: 'ResponseSender') -> None:
         attempt = sender.attempt
@@ -323,7 +329,10 @@
 
     async def _run(self, entry: admission.QueuedAttempt) -> None:
         attempt = entry.attempt
-        with anyio.CancelScope() as scope:
+        with (
+            containment.contain('attempt', attempt=attempt.id),
+            anyio.CancelScope() as scope,
+        ):
             attempt.cancel_scope = scope
             if attempt.cancelled:
                 scope.cancel()
@@ -345,11 +354,8 @@
         except errors.InvariantViolation as exc:
             metrics.count_violation(exc)
             self._refuse(attempt, errors.RefusalError('internal', str(exc)))
-        except Exception:
-            # An unexpected error in one attempt must not stop the others.
-            logs.LOG.exception(
-                'attempt %s failed with an unexpected error', attempt.id
-            )
+        except Exception as exc:
+            containment.record_error('attempt', exc, attempt=attempt.id)
             self._finish(attempt, verdicts.Verdict.MAY_HAVE_RUN, 'internal')
         finally:
             seconds = clock.now() - started_at
--- a/chivejunction/coordination/ratings.py
+++ b/chivejunction/coordination/ratings.py
@@ -354,7 +354,7 @@
     async def run(self) -> None:
         """Sends responses and fetches ratings until cancelled."""
         if not self._url:
-            return
+            await anyio.sleep_forever()
         async with anyio.create_task_group() as group:
             for _ in range(SENDER_COUNT):
                 group.start_soon(self._send_responses)
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import socket
 import time
 from typing import Literal
 import uuid
@@ -11,6 +12,7 @@
 from starlette import responses
 from starlette import routing as web_routing
 
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -333,21 +335,43 @@
             self.codec,
             lambda exc: logs.LOG.warning('dropped an invalid batch: %s', exc),
         )
-        async for (
-            sender,
-            epoch,
-            sequence,
-            frames,
-        ) in receiver.receive_batches():
-            peer = self.agent_links.peers.get(sender)
-            if peer is None:
-                continue
-            try:
-                peer.receive(epoch, sequence, frames)
-            except errors.InvariantViolation as exc:
-                # This task serves the links of all agents, so an invariant
-                # violation in one batch must not end it.
-                metrics.count_violation(exc)
+        with contextlib.closing(receiver):
+            async for (
+                sender,
+                epoch,
+                sequence,
+                frames,
+            ) in receiver.receive_batches():
+                peer = self.agent_links.peers.get(sender)
+                if peer is None:
+                    continue
+                # This task serves the links of all agents, so an error in
+                # one batch must not end it.
+                with containment.contain('batch', sender=sender):
+                    try:
+                        peer.receive(epoch, sequence, frames)
+                    except errors.InvariantViolation as exc:
+                        metrics.count_violation(exc)
+
+    async def _serve_exchanges(self) -> None:
+        server = exchanges.ExchangeServer(
+            f'tcp://{self.config.address}:{self.config.control_port}',
+            self.config_sync.handle_request,
+            self.codec,
+        )
+        with contextlib.closing(server):
+            await server.run()
+
+    async def _serve_admin(self, app, sockets: list[socket.socket]) -> None:
+        """Serves operators, first on the socket that is open already."""
+        admin_socket = (
+            sockets.pop()
+            if sockets
+            else listening.bind_socket(
+                self.config.address, self.config.admin_port
+            )
+        )
+        await http_server.serve(app, admin_socket, anyio.Event(), 1)
 
     async def _drain_on_signal(self) -> None:
         with anyio.open_signal_receiver(
@@ -355,11 +379,12 @@
         ) as signals:
             async for _ in signals:
                 logs.LOG.info('received a termination signal, draining')
-                self.config_sync.leave()
-                await self.caller_api.leave()
-                await self.billing.flush_before_exit(
-                    USAGE_SAVE_TIMEOUT_SECONDS
-                )
+                with containment.contain('shutdown'):
+                    self.config_sync.leave()
+                    await self.caller_api.leave()
+                    await self.billing.flush_before_exit(
+                        USAGE_SAVE_TIMEOUT_SECONDS
+                    )
                 self.stop_event.set()
                 return
 
@@ -371,11 +396,6 @@
             'Applied configuration revision.',
             lambda: self.view.revision,
         )
-        control_server = exchanges.ExchangeServer(
-            f'tcp://{config.address}:{config.control_port}',
-            self.config_sync.handle_request,
-            self.codec,
-        )
         admin_app = operators.make_app(
             [
                 web_routing.Route('/healthz', self._check_health),
@@ -394,21 +414,22 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._drain_on_signal)
-            group.start_soon(self._receive_batches)
-            group.start_soon(control_server.run)
-            group.start_soon(self.agent_links.run)
-            group.start_soon(self.billing.run)
-            group.start_soon(self._save_handovers)
-            group.start_soon(self.rating_client.run)
-            group.start_soon(self.shared_pins.run)
-            group.start_soon(self.rollout_reconciler.run)
-            group.start_soon(self.host_directory.run)
-            group.start_soon(self.config_sync.run)
-            group.start_soon(self.store_reader.run, 0)
-            group.start_soon(self.store_reader.run_watcher)
-            group.start_soon(
-                http_server.serve, admin_app, admin_socket, anyio.Event(), 1
+            tasks = containment.Supervisor(group)
+            tasks.start(
+                'operators', self._serve_admin, admin_app, [admin_socket]
             )
+            tasks.start('batches', self._receive_batches)
+            tasks.start('exchanges', self._serve_exchanges)
+            tasks.start('agent links', self.agent_links.run)
+            tasks.start('billing', self.billing.run)
+            tasks.start('handovers', self._save_handovers)
+            tasks.start('ratings', self.rating_client.run)
+            tasks.start('session pins', self.shared_pins.run)
+            tasks.start('rollouts', self.rollout_reconciler.run)
+            tasks.start('host list', self.host_directory.run)
+            tasks.start('configuration', self.config_sync.run)
+            tasks.start('store', self.store_reader.run, 0)
+            tasks.start('store watch', self.store_reader.run_watcher)
             await http_server.serve(
                 self.caller_api, caller_socket, self.stop_event
             )
--- a/chivejunction/transport/exchanges.py
+++ b/chivejunction/transport/exchanges.py
@@ -12,6 +12,7 @@
 from anyio import lowlevel
 import pynng
 
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -108,9 +109,12 @@
                 response = {'error': str(exc)}
             except (errors.Error, KeyError, TypeError, ValueError) as exc:
                 response = {'error': f'{type(exc).__name__}: {exc}'}
+            except Exception as exc:
+                containment.record_error('exchange', exc)
+                response = {'error': f'{type(exc).__name__}: {exc}'}
             finally:
                 self._free_context_count += 1
-            encoded = self._codec.encode(response)
+            encoded = self._encode(response)
             traffic.CONTROL.count('answer', len(encoded), len(data))
             try:
                 await wait_operation(context.asend(encoded))
@@ -118,6 +122,13 @@
                 # The peer disconnected and reconnects for its next request.
                 continue
 
+    def _encode(self, response: dict) -> bytes:
+        try:
+            return self._codec.encode(response)
+        except Exception as exc:
+            containment.record_error('exchange', exc)
+            return self._codec.encode({'error': 'response not encodable'})
+
 
 class ExchangeClient:
     """Sends requests to one peer; several may be in progress at a time.
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -62,6 +62,29 @@
         assert read_count() == before + 1
 
 
+class TestUnexpectedError:
+    """Guards against an odd request that ends the exchange of a process."""
+
+    @pytest.mark.parametrize(
+        'odd_response', [AttributeError('no id'), object()]
+    )
+    def test_exchange_serves_on(self, odd_response):
+        responses = [odd_response, {'revision': 7}]
+
+        async def handler(message):
+            response = responses.pop(0)
+            if isinstance(response, Exception):
+                raise response
+            return response
+
+        async def work(exchange):
+            with pytest.raises(errors.TransportError):
+                await exchange.call('sync', {}, 2)
+            return await exchange.call('sync', {}, 2)
+
+        assert run_with_server(handler, work) == {'revision': 7}
+
+
 class TestExchange:
     def test_timeout_raises_an_error_and_does_not_end_the_task(self):
         """Guards against the bare CancelledError of pynng after a timeout.
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -48,6 +48,26 @@
     return script
 
 
+class TestUnexpectedError:
+    """Guards against an attempt whose error ends those of others."""
+
+    async def test_error_before_the_run_ends_one_attempt(self, monkeypatch):
+        async with rigs.open_rig() as rig:
+            wait = rig.admission.wait
+
+            async def fail_for_odd(entry):
+                if entry.attempt.id == 'odd':
+                    raise KeyError('temple')
+                await wait(entry)
+
+            monkeypatch.setattr(rig.admission, 'wait', fail_for_odd)
+            rig.start('sound')
+            rig.start('odd')
+            end = await rig.peer.wait_for_end('odd')
+            assert isinstance(end, messages.Refused)
+            assert (await rig.peer.wait_for_end('sound')).verdict == RAN
+
+
 class TestReadTimeout:
     """Guards against attempts that hang when the server stops responding.
 
