Exit with status 2 and one line for each settings file that is not valid

A settings file of deep brackets, or with a tag or number that the YAML parser answers with an error that is none of its own (RecursionError, ValueError, KeyError, AttributeError), ended the start with a traceback and status 1. With a standard error that fails the status was not 2 either, and messages of the parser took several lines.

Now any error of the parser makes the file invalid, and the early bind of the port gives no socket; the message is one line of bounded length, written without the buffer whose flush would change the status. A socket whose bind fails is closed.

--- a/chivejunction/platform/__main__.py
+++ b/chivejunction/platform/__main__.py
@@ -24,7 +24,11 @@
         text: Content of the settings file.
 
     Returns:
-        ``IP:PORT``; empty if the file names none.
+        ``IP:PORT``.
+
+    Raises:
+        Exception: The file names none. The YAML parser raises errors of many
+            types, depending on the text.
     """
     _, _, section = f'\n{text}'.partition('\nlisten:\n')
     for line in section.splitlines():
@@ -35,25 +39,23 @@
             return value.strip().strip('\'"')
     import yaml
 
-    try:
-        return yaml.safe_load(text)['listen']['front']
-    except (yaml.YAMLError, LookupError, TypeError, AttributeError):
-        return ''
+    return yaml.safe_load(text)['listen']['front']
 
 
 def bind_caller_socket() -> socket.socket | None:
     """Returns the listening socket for callers.
 
     Returns:
-        The socket; None if the settings file has no usable address. The
-        program then reports the error or binds the address itself.
+        The socket; None if the settings file has no usable address, or the
+        address is in use. The program then reports the error or binds the
+        address itself.
     """
     path = os.environ.get('CHIVEJUNCTION_NODE_FILE', '')
     try:
         with open(path, encoding='utf-8') as file:
             address, _, port = find_caller_address(file.read()).rpartition(':')
         return listening.bind_socket(address, int(port))
-    except (OSError, AttributeError, ValueError, OverflowError):
+    except Exception:
         return None
 
 
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -1,5 +1,7 @@
 """Gateway process of the platform, started by ``__main__``."""
 
+import contextlib
+import os
 import socket
 import sys
 
@@ -25,6 +27,8 @@
 # one another's counting windows.
 RETRY_BUDGET_SHARE = 0.85
 RETRY_ALLOWANCE_SHARE = 0.5
+STANDARD_ERROR = 2
+MAX_ERROR_CHARACTERS = 4000
 
 
 def make_options(
@@ -84,6 +88,16 @@
     await gateway.run(reader.apply, read_options, listener)
 
 
+def report_invalid_settings(error: errors.SettingError) -> None:
+    """Writes an error as one line to standard error, if that is possible.
+
+    A write through ``sys.stderr`` that fails would change the exit status.
+    """
+    line = ' '.join(str(error).split())[:MAX_ERROR_CHARACTERS]
+    with contextlib.suppress(OSError):
+        os.write(STANDARD_ERROR, f'{line}\n'.encode(errors='replace'))
+
+
 def main(listener: socket.socket | None = None) -> None:
     """Runs the gateway; exits with status 2 if the settings are not valid.
 
@@ -97,7 +111,7 @@
         node_settings = settings.read_settings()
         make_options(node_settings)
     except errors.SettingError as exc:
-        print(exc, file=sys.stderr)
+        report_invalid_settings(exc)
         sys.exit(2)
     logs.configure_bounded_logs(node_settings.node_name)
     anyio.run(run, node_settings, file, listener)
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -126,7 +126,8 @@
     try:
         with open(path, encoding='utf-8') as file:
             document = yaml.safe_load(file)
-    except (OSError, UnicodeError, yaml.YAMLError) as exc:
+    except Exception as exc:
+        # The YAML parser raises errors of many types, depending on the text.
         raise errors.SettingError(f'{path} cannot be read: {exc}') from exc
     try:
         return Settings.model_validate(document)
--- a/chivejunction/transport/listening.py
+++ b/chivejunction/transport/listening.py
@@ -17,9 +17,13 @@
         OSError: The address is in use or not assigned to this host.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(LISTEN_BACKLOG)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+        sock.listen(LISTEN_BACKLOG)
+    except BaseException:
+        sock.close()
+        raise
     return sock
 
 
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -98,6 +98,11 @@
             'listen: {front: nowhere}',
             'listen: {front: "203.0.113.1:80"}',
             'listen: {front: "127.0.0.1:99999999"}',
+            '[' * 100_000,
+            'listen: {front: !!bool x}',
+            'listen: {front: !!timestamp x}',
+            'listen: {front: !!int ""}',
+            'listen: {front: "127.0.0.1:%s"}' % ('1' * 5000),
         ],
     )
     def test_invalid_settings_give_no_socket(
@@ -106,6 +111,65 @@
         self.write_settings(tmp_path, monkeypatch, text)
         assert entry_point.bind_caller_socket() is None
 
+    def test_file_that_is_not_utf_8_gives_no_socket(
+        self, tmp_path, monkeypatch
+    ):
+        path = tmp_path / 'boot.yaml'
+        path.write_bytes(b'listen: {front: "\xff"}')
+        monkeypatch.setenv('CHIVEJUNCTION_NODE_FILE', str(path))
+        assert entry_point.bind_caller_socket() is None
+
+    def test_port_that_is_held_gives_no_socket(self, tmp_path, monkeypatch):
+        with socket.create_server(('127.0.0.1', 0)) as holder:
+            port = holder.getsockname()[1]
+            text = yaml.safe_dump({'listen': {'front': f'127.0.0.1:{port}'}})
+            self.write_settings(tmp_path, monkeypatch, text)
+            assert entry_point.bind_caller_socket() is None
+
     def test_missing_settings_give_no_socket(self, monkeypatch):
         monkeypatch.delenv('CHIVEJUNCTION_NODE_FILE', raising=False)
         assert entry_point.bind_caller_socket() is None
+
+
+class TestInvalidSettings:
+    """Guards against a start that ends with a traceback, or not at all."""
+
+    def run(self, content, tmp_path, redirection=''):
+        path = tmp_path / 'boot.yaml'
+        path.write_bytes(content)
+        return subprocess.run(
+            ['sh', '-c', f'exec "$0" -m chivejunction.platform {redirection}']
+            + [sys.executable],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            env={'CHIVEJUNCTION_NODE_FILE': str(path)},
+        )
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'7',
+            b'a: [',
+            b'[' * 100_000,
+            b'\xff',
+            b'a: \x00',
+            b'a: !!bool x',
+            b'a: !!timestamp x',
+            b'a: !!int ""',
+            b'a: 2026-99-99',
+            b'a: ' + b'1' * 5000,
+            b'listen: {front: "127.0.0.1:0"}',
+        ],
+    )
+    def test_status_2_and_one_line(self, tmp_path, content):
+        result = self.run(content, tmp_path)
+        assert result.returncode == 2
+        assert result.stderr.endswith('\n')
+        assert result.stderr.count('\n') == 1
+        assert 'boot.yaml' in result.stderr
+
+    @pytest.mark.parametrize('redirection', ['2>&-', '2>/dev/full', '1>&-'])
+    def test_status_2_without_a_usable_output(self, tmp_path, redirection):
+        assert self.run(b'7', tmp_path, redirection).returncode == 2
