Open the null device for standard descriptors that are closed at start

A gateway that was started with standard output closed ended with an AttributeError, or its listening socket became descriptor 1 and 2, the target of log lines and tracebacks.

The entry point now opens the null device for descriptors 0 to 2 that are closed, before it opens the settings file or a socket.

--- a/chivejunction/platform/__main__.py
+++ b/chivejunction/platform/__main__.py
@@ -13,6 +13,21 @@
 
 from chivejunction.transport import listening
 
+STANDARD_DESCRIPTORS = (0, 1, 2)
+
+
+def open_standard_descriptors() -> None:
+    """Opens the null device for standard descriptors that are closed.
+
+    Otherwise a socket would get such a descriptor, and with it the log lines.
+    """
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest closed descriptor is used.
+            os.open(os.devnull, os.O_RDWR)
+
 
 def find_caller_address(text: str) -> str:
     """Returns the address for callers in a settings file.
@@ -61,6 +76,7 @@
 
 def main() -> None:
     """Ignores SIGHUP, binds the address for callers, runs the program."""
+    open_standard_descriptors()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = bind_caller_socket()
     from chivejunction.platform import program
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,8 +1,13 @@
 """Tests of the gateway's entry point on the users' platform."""
 
+import contextlib
+import os
+import random
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 import yaml
@@ -173,3 +178,103 @@
     @pytest.mark.parametrize('redirection', ['2>&-', '2>/dev/full', '1>&-'])
     def test_status_2_without_a_usable_output(self, tmp_path, redirection):
         assert self.run(b'7', tmp_path, redirection).returncode == 2
+
+
+class GatewayProcess:
+    """Gateway process without a store.
+
+    Args:
+        folder: Folder for its files.
+        redirection: Redirections of the shell.
+        limits: Commands of the shell to run before.
+
+    Attributes:
+        address: IP address and port for callers.
+        ready_address: Those of the readiness endpoint.
+        log: File with its output.
+    """
+
+    def __init__(self, folder, redirection='', limits=''):
+        # The port for metrics is the same at each gateway.
+        octets = [random.randint(1, 254) for _ in range(3)]
+        ip = '127.' + '.'.join(map(str, octets))
+        ports = [fleet.find_port() for _ in range(4)]
+        self.address, self.ready_address = (ip, ports[0]), (ip, ports[1])
+        self.log = folder / 'log'
+        path = folder / 'boot.yaml'
+        settings = {
+            'node_name': 'gw-1',
+            'zone': 'bkk-a',
+            'region': 'bkk',
+            'ip': ip,
+            'listen': {
+                'front': f'{ip}:{ports[0]}',
+                'ready': f'{ip}:{ports[1]}',
+            },
+            'internal_ports': ports[2:],
+            'platform': {'address': '127.0.0.1:9'},
+        }
+        path.write_text(yaml.safe_dump(settings))
+        command = f'exec "$0" -m chivejunction.platform {redirection}'
+        with self.log.open('wb') as log:
+            self._process = subprocess.Popen(
+                ['sh', '-c', limits + command, sys.executable],
+                stdout=log,
+                stderr=log,
+                env={'CHIVEJUNCTION_NODE_FILE': str(path)},
+            )
+
+    def __enter__(self):
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline and self.is_running():
+            with contextlib.suppress(OSError):
+                self.connect(self.ready_address).close()
+                break
+            time.sleep(0.05)
+        return self
+
+    def __exit__(self, *exc):
+        self._process.kill()
+        self._process.wait()
+
+    def connect(self, address=None):
+        """Returns a connection of a caller."""
+        return socket.create_connection(address or self.address, 2)
+
+    def call(self, connection=None):
+        """Returns the response to a request."""
+        with contextlib.ExitStack() as stack:
+            if connection is None:
+                connection = stack.enter_context(self.connect())
+            connection.settimeout(5)
+            connection.sendall(b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n')
+            return connection.recv(65536)
+
+    def is_running(self):
+        """Returns whether the process has not ended."""
+        return self._process.poll() is None
+
+    def find_file(self, descriptor):
+        """Returns what a descriptor of the process refers to."""
+        return os.readlink(f'/proc/{self._process.pid}/fd/{descriptor}')
+
+    def stop(self):
+        """Stops the process; returns its status."""
+        self._process.send_signal(signal.SIGTERM)
+        return self._process.wait(20)
+
+
+class TestStandardStreams:
+    """Guards against log lines that are written to a caller's socket."""
+
+    @pytest.mark.parametrize(
+        'closed', [[0], [1], [2], [0, 1], [1, 2], [0, 1, 2]]
+    )
+    def test_closed_streams_are_replaced(self, tmp_path, closed):
+        redirection = ' '.join(f'{number}>&-' for number in closed)
+        with GatewayProcess(tmp_path, redirection) as gateway:
+            assert gateway.call().startswith(b'HTTP/1.1 503 ')
+            assert [gateway.find_file(n) for n in closed] == [
+                os.devnull for n in closed
+            ]
+            assert gateway.is_running()
