End only the connection in which an error occurs

A caller that reset its connection before the accept ended the gateway: anyio raises ValueError for a socket that is not connected, the error left the task of the connection, and the task group of the listener took all other connections and tasks with it. So did any other error of a connection, ExceptionGroups of a disconnect among them.

Now a connection that is reset before its accept is dropped without a word, and an unexpected error of a connection is recorded and ends only that one. A CancelledError of a cancelled future, which a task group takes for a cancellation of all, counts as an error. The socket is closed in all cases.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 import socket
 
 import anyio
@@ -16,6 +17,7 @@
 import h11
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction.protocol import forwarding
@@ -28,6 +30,16 @@
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
+# Name of connections in logs and metrics of unexpected errors.
+CONNECTION_PART = 'caller connection'
+
+
+def is_cancelled() -> bool:
+    """Returns whether the current task is being cancelled.
+
+    Otherwise a cancellation error is that of a future it waited for.
+    """
+    return anyio.current_effective_deadline() == -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,7 +167,13 @@
             group.start_soon(self._serve_accepted, accepted)
 
     async def _serve_accepted(self, accepted: socket.socket) -> None:
-        await self.serve_stream(await abc.SocketStream.from_socket(accepted))
+        with accepted, containment.contain(CONNECTION_PART):
+            try:
+                stream = await abc.SocketStream.from_socket(accepted)
+            except (OSError, ValueError):
+                # The caller has reset the connection before the accept.
+                return
+            await self.serve_stream(stream)
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections are served on.
@@ -166,11 +184,19 @@
             self.accept_scope.cancel()
 
     async def serve_stream(self, stream: abc.SocketStream) -> None:
-        """Serves the requests of one connection, then closes it."""
+        """Serves the requests of one connection, then closes it.
+
+        An unexpected error ends only this connection.
+        """
         connection = CallerConnection(stream, self)
         self.connections.add(connection)
         try:
-            await connection.serve()
+            with containment.contain(CONNECTION_PART):
+                await connection.serve()
+        except anyio.get_cancelled_exc_class() as exc:
+            if is_cancelled():
+                raise
+            containment.record_error(CONNECTION_PART, exc)
         finally:
             self.connections.discard(connection)
             with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
