Contain all errors of a store entry where entries are dispatched

EntryReader.apply caught ProtocolError only; any other error of a decoder, or of applying an entry, left StoreMirror.run and ended the process.

apply now ends every error but a cancellation. An unexpected one is recorded, so that it shows in log, metric and readiness. A server whose entry cannot be decoded or applied is removed, as its previous entry must not stay in use. A key that is no text in UTF-8 is refused before it is hashed.

tests/test_platform.py, TestEntryReader: the tests of an unexpected error, of a server added in part and of keys that cannot be encoded failed before. That a cancellation passes held before.

--- a/chivejunction/platform/entries.py
+++ b/chivejunction/platform/entries.py
@@ -1,5 +1,6 @@
 """Applies changes of the platform's store to the gateway."""
 
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction.coordination import forward_gateway
@@ -12,6 +13,8 @@
 from chivejunction.transport import stores
 
 ENTRY_READERS: Registry = Registry('store prefix')
+# Name of this part in logs and metrics of unexpected errors.
+PART = 'store entries'
 
 
 class EntryReader:
@@ -31,7 +34,11 @@
         self.regions = regions
 
     def apply(self, change: stores.Change, may_have_expired: bool) -> None:
-        """Applies a change; an invalid entry is logged and skipped.
+        """Applies a change; an entry that cannot be applied is skipped.
+
+        No entry may keep the others from being applied, so unexpected errors
+        end here too. The readers leave the gateway as it was before, except
+        that the server of an entry that cannot be applied is removed.
 
         Args:
             change: Changed or deleted entry. Keys with an unknown prefix are
@@ -39,16 +46,38 @@
             may_have_expired: Whether a deleted entry may have expired only
                 because the store was unavailable.
         """
-        for prefix in ENTRY_READERS:
-            # A name that does not end with a slash is a whole key.
-            if change.key == prefix or (
-                prefix.endswith('/') and change.key.startswith(prefix)
-            ):
-                try:
-                    ENTRY_READERS.get(prefix)(self, change, may_have_expired)
-                except errors.ProtocolError as exc:
-                    logs.LOG.warning('invalid store entry skipped: %s', exc)
-                return
+        try:
+            prefix = _find_prefix(change.key)
+            if prefix is not None:
+                ENTRY_READERS.get(prefix)(self, change, may_have_expired)
+        except errors.ProtocolError as exc:
+            logs.LOG.warning('invalid store entry skipped: %s', exc)
+        except Exception as exc:
+            containment.record_error(PART, exc, key=repr(change.key))
+
+
+def _find_prefix(key: str) -> str | None:
+    """Returns the prefix of the reader of a key, None without a reader.
+
+    Raises:
+        ProtocolError: The key cannot be encoded, so that it can neither be
+            hashed nor logged.
+    """
+    if not isinstance(key, str) or not _is_encodable(key):
+        raise errors.ProtocolError(f'{key!r} is no key')
+    for prefix in ENTRY_READERS:
+        # A name that does not end with a slash is a whole key.
+        if key == prefix or (prefix.endswith('/') and key.startswith(prefix)):
+            return prefix
+    return None
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 @ENTRY_READERS.register(configuration.CONFIG_KEY)
@@ -85,11 +114,11 @@
         entry = servers.decode_server_entry(
             change.key, change.entry.value, reader.regions
         )
-    except errors.ProtocolError:
+        reader.gateway.update_backend(entry)
+    except Exception:
         # The server of the previous entry must not stay in use.
         reader.gateway.remove_backend(instance, False)
         raise
-    reader.gateway.update_backend(entry)
 
 
 @ENTRY_READERS.register(gateway_membership.PREFIX)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Tests of the platform's settings, configuration, entries and headers."""
 
+import asyncio
 import dataclasses
 import json
 
@@ -7,6 +8,7 @@
 import pytest
 import yaml
 
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction.platform import configuration
 from chivejunction.platform import entries
@@ -232,13 +234,17 @@
 
 class TestEntryReader:
     def apply(self, key, value, may_have_expired=False):
-        gateway = RecordingGateway()
+        return self.apply_to(
+            RecordingGateway(), key, value, may_have_expired
+        ).calls
+
+    def apply_to(self, gateway, key, value, may_have_expired=False):
         entry = None
         if value is not None:
             entry = stores.Entry(key, value, 3, 0)
         reader = entries.EntryReader(gateway, REGIONS)
         reader.apply(stores.Change(key, 3, entry), may_have_expired)
-        return gateway.calls
+        return gateway
 
     def test_key_that_begins_like_the_configuration_is_ignored(self):
         value = json.dumps(forward_rig.make_config()).encode()
@@ -266,6 +272,54 @@
         assert self.apply('other/x', b'1') == []
         assert self.apply('op/config', b'{') == []
 
+    def test_unexpected_error_ends_one_entry_only(self, monkeypatch):
+        def fail(*args):
+            raise RecursionError('too deep')
+
+        monkeypatch.setattr(containment, '_reported_until', {})
+        monkeypatch.setattr(servers, 'decode_server_entry', fail)
+        assert self.apply('servers/i-1', b'{}') == [
+            ('remove_backend', 'i-1', False)
+        ]
+        assert containment.list_recent_errors() == [entries.PART]
+        monkeypatch.setattr(containment, '_reported_until', {})
+        monkeypatch.setattr(configuration, 'decode_route_table', fail)
+        assert self.apply('op/config', b'{}') == []
+        assert containment.list_recent_errors() == [entries.PART]
+
+    def test_server_that_was_added_in_part_is_removed(self, monkeypatch):
+        class FailingGateway(RecordingGateway):
+            def update_backend(self, entry):
+                raise OverflowError('int too large to convert to float')
+
+        monkeypatch.setattr(containment, '_reported_until', {})
+        value = json.dumps(ENTRY).encode()
+        gateway = self.apply_to(FailingGateway(), 'servers/i-1', value)
+        assert gateway.calls == [('remove_backend', 'i-1', False)]
+
+    def test_cancellation_is_passed_on(self, monkeypatch):
+        def cancel(*args):
+            raise asyncio.CancelledError
+
+        monkeypatch.setattr(servers, 'decode_server_entry', cancel)
+        with pytest.raises(asyncio.CancelledError):
+            self.apply('servers/i-1', b'{}')
+
+    @pytest.mark.parametrize(
+        'key',
+        [
+            *(prefix + '\ud800' for prefix in entries.ENTRY_READERS),
+            'servers/a\udfff/b',
+            7,
+            None,
+        ],
+    )
+    def test_key_that_cannot_be_encoded_is_skipped(self, monkeypatch, key):
+        monkeypatch.setattr(containment, '_reported_until', {})
+        assert self.apply(key, b'{}') == []
+        assert self.apply(key, None) == []
+        assert containment.list_recent_errors() == []
+
 
 class TestHeaders:
     def test_hop_by_hop_headers_are_dropped(self):
