Refuse server entries with nested, huge or odd fields

The JSON is now parsed and validated in one step by pydantic, which raises only ValidationError for any bytes (depth, long numbers, half a surrogate). Numbers are finite and at most 10**15, addresses are IPv4 addresses, an instance id must fit the header that names it. Fields that the router does not use may be odd.

--- a/chivejunction/platform/servers.py
+++ b/chivejunction/platform/servers.py
@@ -1,7 +1,5 @@
 """Entries with which backend servers register themselves in the store."""
 
-import json
-
 import pydantic
 
 from chivejunction import clock
@@ -25,16 +23,16 @@
         born: Unix time in milliseconds at which the server started.
     """
 
-    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+    model_config = pydantic.ConfigDict(strict=True)
 
     service: str
     address: str
     zone: str
-    version: str = ''
-    slots: int = pydantic.Field(1, ge=1)
+    version: str
+    slots: settings.PositiveCount
     state: str
-    cold_left_ms: float = 0
-    born: int = 0
+    cold_left_ms: float = pydantic.Field(le=settings.MAX_NUMBER)
+    born: settings.Count = 0
 
 
 def decode_server_entry(
@@ -50,18 +48,21 @@
     Raises:
         ProtocolError: The entry is not valid or its failure domain unknown.
     """
+    instance = key[len(PREFIX) :]
+    if not instance or not settings.is_header_value(instance):
+        raise errors.ProtocolError(f'{key!r} has no instance id')
     try:
-        record = ServerEntry.model_validate(json.loads(value))
+        record = ServerEntry.model_validate_json(value)
         is_leaving = IS_LEAVING_BY_STATE[record.state]
         address, port = settings.split_address(record.address)
         region = regions[record.zone]
     except (ValueError, KeyError, errors.SettingError) as exc:
         raise errors.ProtocolError(
-            f'server entry {key} is not valid: {exc!r}'
+            f'server entry {key!r} is not valid: {exc!r}'
         ) from exc
     cold_seconds = record.cold_left_ms / 1000
     return backends.Backend(
-        instance=key[len(PREFIX) :],
+        instance=instance,
         service=record.service,
         address=address,
         port=port,
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -1,6 +1,8 @@
 """Settings file that the platform writes for each gateway process."""
 
+import ipaddress
 import os
+from typing import Annotated
 
 import pydantic
 import yaml
@@ -9,12 +11,28 @@
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
 MAX_PORT = 65535
+# Far above all figures of the platform. Products of numbers up to this one
+# are finite.
+MAX_NUMBER = 10**15
+
+# Numbers of the documents of the platform and of other writers.
+Count = Annotated[int, pydantic.Field(ge=0, le=MAX_NUMBER)]
+PositiveCount = Annotated[int, pydantic.Field(ge=1, le=MAX_NUMBER)]
+Amount = Annotated[float, pydantic.Field(ge=0, le=MAX_NUMBER)]
+PositiveAmount = Annotated[float, pydantic.Field(gt=0, le=MAX_NUMBER)]
+
+
+def is_header_value(text: str) -> bool:
+    """Returns whether a text may be the value of an HTTP header."""
+    return text.isprintable() and text == text.strip()
 
 
 class SettingsModel(pydantic.BaseModel):
     """Base of the models; unknown fields are ignored."""
 
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra='ignore', frozen=True, allow_inf_nan=False
+    )
 
 
 class Listen(SettingsModel):
@@ -92,16 +110,27 @@
     platform: StoreSettings
 
 
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Returns IP address and port of ``IP:PORT``.
 
+    Only IPv4 addresses are accepted; the platform looks up no names.
+
     Raises:
         SettingError: The text is not of this form.
     """
     address, _, port = text.rpartition(':')
     # int() accepts other digits than ASCII, and refuses very long numbers.
     is_number = port.isascii() and port.isdigit() and len(port) <= 5
-    if address and is_number and 0 < int(port) <= MAX_PORT:
+    if is_number and 0 < int(port) <= MAX_PORT and is_ip_address(address):
         return address, int(port)
     raise errors.SettingError(
         f'{text!r} is not an address; accepted is IP:PORT'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,13 +210,77 @@
             {'address': 7},
             {'zone': 'mars'},
             {'slots': 'many'},
+            {'slots': 0},
+            {'slots': 10**400},
+            {'slots': True},
             {'service': None},
+            {'service': 'po\ud83dol'},
+            {'address': '10.1.0.9:65536'},
+            {'address': '10.1.0.9:0'},
+            {'address': '10.1.0.256:80'},
+            {'address': 'host.example:80'},
+            {'address': '\u0660.1.0.9:80'},
+            {'address': f'{"h" * 70}.example:80'},
+            {'address': '[::1]:80'},
+            {'address': '\ud83d:80'},
+            {'cold_left_ms': float('nan')},
+            {'cold_left_ms': float('inf')},
+            {'cold_left_ms': 10**400},
+            {'born': 10**400},
+            {'born': 'early'},
         ],
     )
     def test_invalid_field_is_a_protocol_error(self, fields):
         with pytest.raises(errors.ProtocolError):
             self.read(**fields)
 
+    @pytest.mark.parametrize(
+        'field',
+        [
+            'service',
+            'address',
+            'zone',
+            'version',
+            'slots',
+            'state',
+            'cold_left_ms',
+        ],
+    )
+    def test_missing_field_is_a_protocol_error(self, field):
+        entry = {k: v for k, v in ENTRY.items() if k != field}
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry(
+                'servers/i-1', json.dumps(entry).encode(), REGIONS
+            )
+
+    def test_fields_that_the_router_does_not_need_may_be_odd(self):
+        entry = {**ENTRY, 'sequence': 'x', 'models': [[[]]], 'new': None}
+        del entry['born']
+        backend = servers.decode_server_entry(
+            'servers/i-1', json.dumps(entry).encode(), REGIONS
+        )
+        assert backend.slots == 64 and backend.started_at_ms == 0
+
+    @pytest.mark.parametrize('instance', ['', 'i\r\nA: b', ' i', 'i\t', 'i\0'])
+    def test_id_that_fits_no_header_is_a_protocol_error(self, instance):
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry(
+                'servers/' + instance, json.dumps(ENTRY).encode(), REGIONS
+            )
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'[' * 2000,
+            b'{"a":' * 2000,
+            json.dumps(ENTRY)[:-1].encode() + b',"a":' + b'[' * 10**5,
+            b'{"slots":' + b'9' * 5000 + b'}',
+        ],
+    )
+    def test_nested_or_long_entry_is_a_protocol_error(self, value):
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry('servers/i-1', value, REGIONS)
+
     def test_entry_that_is_not_json_is_a_protocol_error(self):
         with pytest.raises(errors.ProtocolError):
             servers.decode_server_entry('servers/x', b'\xff\x00', REGIONS)
