Take null in an optional field as an absent field

A configuration with null in one optional field, such as traffic_split or allowed_regions, was refused as a whole, so that all its changes were never in force; a settings file with a null limit ended the process at its start. The models declared types without null. SettingsModel now drops null fields before the validation, for configurations, server entries, orders and settings alike; a required field that is null is missing.

tests/test_platform.py: test_null_is_an_absent_field failed for all 8 objects of a configuration and all 4 of the settings, and that of the start time too. test_new_fields_are_ignored held before.

--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -28,12 +28,22 @@
 
 
 class SettingsModel(pydantic.BaseModel):
-    """Base of the models; unknown fields are ignored."""
+    """Base of the models.
+
+    Unknown fields are ignored, and a field that is null counts as absent.
+    """
 
     model_config = pydantic.ConfigDict(
         extra='ignore', frozen=True, allow_inf_nan=False
     )
 
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def _drop_null_fields(cls, document):
+        if not isinstance(document, dict):
+            return document
+        return {k: v for k, v in document.items() if v is not None}
+
 
 class Listen(SettingsModel):
     """Listening addresses of this process, each ``IP:PORT``.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the platform's settings, configuration, entries and headers."""
 
 import asyncio
+import copy
 import dataclasses
 import json
 
@@ -46,10 +47,10 @@
 REGIONS = {'bkk-a': 'bkk'}
 
 
-def write_settings(folder, **fields):
+def write_settings(folder, document=None, **fields):
     """Writes a settings file; returns its path."""
     path = folder / 'boot.yaml'
-    path.write_text(yaml.safe_dump({**SETTINGS, **fields}))
+    path.write_text(yaml.safe_dump({**(document or SETTINGS), **fields}))
     return str(path)
 
 
@@ -86,6 +87,32 @@
         with pytest.raises(errors.SettingError, match='cannot be read'):
             settings.read_settings('/nowhere/boot.yaml')
 
+    @pytest.mark.parametrize(
+        'path', [(), ('limits',), ('bounds',), ('platform',)]
+    )
+    def test_null_is_an_absent_field(self, tmp_path, path):
+        models = {
+            (): settings.Settings,
+            ('limits',): settings.Resources,
+            ('bounds',): settings.Bounds,
+            ('platform',): settings.StoreSettings,
+        }
+        for name in list_optional_fields(models[path]):
+            absent, null = copy.deepcopy((SETTINGS, SETTINGS))
+            absent['limits'] = null['limits'] = {'cores': 2.0}
+            for document in (absent, null):
+                target = document
+                for step in path:
+                    target = target[step]
+                target.pop(name, None)
+                if document is null:
+                    target[name] = None
+            read = [
+                settings.read_settings(write_settings(tmp_path, document=d))
+                for d in (absent, null)
+            ]
+            assert read[0] == read[1], name
+
 
 class TestSettingsFile:
     def test_each_change_is_reported_once(self, tmp_path):
@@ -136,11 +163,86 @@
         anyio.run(check)
 
 
+# A configuration with each kind of object.
+FULL_CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'shop.example',
+            'prefix': '/s/',
+            'kind': 'streaming',
+            'traffic_split': [{'service': 'pool', 'weight': 90}],
+        }
+    ],
+    'services': [
+        {
+            'name': 'pool',
+            'engine': {
+                'slots': 64,
+                'models': [{'name': 'small', 'cost': 0.008}],
+            },
+        }
+    ],
+    'limits': {'idle_timeout_ms': 15000},
+    'tenants': [{'name': 'temple', 'api_keys': ['key-1']}],
+}
+
+
+def list_objects(value):
+    """Returns all mappings in a document."""
+    if isinstance(value, dict):
+        items = value.values()
+        return [value, *(o for item in items for o in list_objects(item))]
+    if isinstance(value, list):
+        return [o for item in value for o in list_objects(item)]
+    return []
+
+
+def list_optional_fields(model):
+    """Returns the names of the fields of a model that have defaults."""
+    return [
+        name
+        for name, field in model.model_fields.items()
+        if not field.is_required()
+    ]
+
+
 class TestConfiguration:
+    # Models of the objects of FULL_CONFIG, in the order of list_objects.
+    MODELS = (
+        configuration.ConfigDocument,
+        configuration.RouteConfig,
+        configuration.TrafficSplit,
+        configuration.ServiceConfig,
+        configuration.EngineConfig,
+        configuration.ModelConfig,
+        configuration.CallerLimitsConfig,
+        configuration.OrganisationConfig,
+    )
+
     def read(self, **fields):
         config = forward_rig.make_config(**fields)
         return configuration.decode_route_table(json.dumps(config).encode())
 
+    def decode(self, document):
+        return configuration.decode_route_table(json.dumps(document).encode())
+
+    @pytest.mark.parametrize('number', range(len(MODELS)))
+    def test_null_is_an_absent_field(self, number):
+        for name in list_optional_fields(self.MODELS[number]):
+            absent, null = copy.deepcopy((FULL_CONFIG, FULL_CONFIG))
+            list_objects(absent)[number].pop(name, None)
+            list_objects(null)[number][name] = None
+            assert self.decode(null) == self.decode(absent), name
+
+    @pytest.mark.parametrize('value', [None, 7, 'x', [[]], {'a': [None]}])
+    def test_new_fields_are_ignored(self, value):
+        document = copy.deepcopy(FULL_CONFIG)
+        for changed in list_objects(document):
+            changed['new_field'] = value
+        assert self.decode(document) == self.decode(FULL_CONFIG)
+
     def test_kind_of_route_sets_repeat_policy(self):
         table = self.read()
         repeat_by_route = {
@@ -253,6 +355,9 @@
                 'servers/i-1', json.dumps(entry).encode(), REGIONS
             )
 
+    def test_null_start_time_is_an_absent_one(self):
+        assert self.read(born=None).started_at_ms == 0
+
     def test_fields_that_the_router_does_not_need_may_be_odd(self):
         entry = {**ENTRY, 'sequence': 'x', 'models': [[[]]], 'new': None}
         del entry['born']
