Add a lookup of gateway addresses that may find none

Callers that wait between listing and lookup use find_address; get_address stays until they do.

tests/test_hints.py: test_address_of_a_gateway_that_left_is_unknown failed before (no such method).

--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -214,6 +214,14 @@
         member = self._members[name]
         return member.address, member.port
 
+    def find_address(self, name: str) -> tuple[str, int] | None:
+        """Returns the IP address and port of a gateway, None if unknown.
+
+        A name that was listed before a wait may be gone after it.
+        """
+        member = self._members.get(name)
+        return None if member is None else (member.address, member.port)
+
     def list_regions(self) -> set[str]:
         """Returns the regions of all running gateways."""
         return {member.region for member in self._members.values()}
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -209,6 +209,17 @@
 
 
 class TestGatewayMembership:
+    def test_address_of_a_gateway_that_left_is_unknown(self):
+        gateways = make_members('gw-1', 1)
+        add_member(gateways, 'gw-2', 2)
+        assert gateways.find_address('gw-2') == ('127.0.0.1', 2)
+        gateways.apply(
+            transport_stores.Change(
+                gateway_membership.PREFIX + 'gw-2', 3, None
+            )
+        )
+        assert gateways.find_address('gw-2') is None
+
     def test_counts_listed_gateways(self):
         gateways = make_members('gw-1', 1)
         assert gateways.count() == gateway_membership.ASSUMED_GATEWAY_COUNT
