Pass over gateways that left the membership list while others were polled

Cause: the names of the gateways to poll are listed once and polled one after the other. A gateway whose entry lapsed is removed by another task meanwhile, and get_address raised KeyError out of StoreMirror.run.

The address is now looked up before each poll; a gateway that has gone is not polled. The tests remove the members during the first poll, without a clock; both failed with the KeyError before (relays and other gateways).

--- a/chivejunction/coordination/relays.py
+++ b/chivejunction/coordination/relays.py
@@ -299,7 +299,11 @@
             Its response, or None if it failed, is outdated or lacks changes.
         """
         seconds = min(seconds, MAX_RELAY_POLL_SECONDS)
-        address, port = self._peers.get_address(name)
+        # The gateway may have left while another one was polled.
+        peer_address = self._peers.find_address(name)
+        if peer_address is None:
+            return None
+        address, port = peer_address
         url = (
             f'http://{address}:{port}{PATH}?after={after}'
             f'&wait_ms={int(1000 * seconds)}'
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,6 +1,7 @@
 """Tests of the relays that pass store changes on to other gateways."""
 
 import json
+import math
 import zlib
 
 import anyio
@@ -324,6 +325,47 @@
             group.cancel_scope.cancel()
 
 
+class LeavingClient:
+    """HTTP client whose calls fail while a callback changes the members."""
+
+    def __init__(self, on_call):
+        self.on_call = on_call
+        self.call_count = 0
+
+    async def call(self, *args, **kwargs):
+        self.call_count += 1
+        self.on_call()
+        raise errors.TransportError('down')
+
+
+class TestMembersThatLeave:
+    @run_async
+    @pytest.mark.parametrize('has_relays', [False, True])
+    async def test_gateway_removed_during_a_poll_is_not_polled(
+        self, has_relays
+    ):
+        store = FakeStore()
+        store.is_down = True
+        gateways = make_gateways(5, store)
+        gateway = gateways[-1]
+        if not has_relays:
+            for relay in gateways[:2]:
+                gateway.feed._relay_backoff_until[relay.name] = math.inf
+
+        def remove_others():
+            for other in gateways:
+                if other is not gateway:
+                    key = gateway_membership.PREFIX + other.name
+                    gateway.members.apply(
+                        transport_stores.Change(key, 2, None)
+                    )
+
+        client = gateway.feed._client = LeavingClient(remove_others)
+        with pytest.raises(errors.StoreError):
+            await gateway.feed.poll_changes('', 1, 0.1)
+        assert client.call_count == 1
+
+
 class TestRelayChoice:
     def test_gateways_on_the_largest_hosts_are_relays(self):
         gateways = [
