Keep following the store when a change cannot be applied

Changes that were confirmed to operators were not in force, or a gateway ended, when applying one change raised an exception that nobody foresaw.

Cause: the mirror records a change as known before it applies it, so that no later poll or listing brings it again; and any error but StoreError leaves run() and ends the process. A revision far ahead in one answer hid all changes up to it, while each further poll confirmed the copy as current.

- An error ends only the change that it occurred in.
The change is kept and applied again after 0.25 s, then after pauses that double up to 60 s.
- Changes of required_keys that are not applied keep the copy from being confirmed; without that argument everything is as before.
- Unexpected errors of calls are contained; after three in a row, all entries are read again.
- A report that is younger than the revision of this copy, but has a lower one, means that a revision is wrong: all entries are read again.
If three listings in a row are behind a known entry, they are taken as they are.
- A change that is not after the revision of the copy is not applied, so that a deleted entry cannot come back.

--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -252,3 +252,206 @@
             ScriptedFeed(errors.StoreError('down')), config_freshness
         )
         assert not config_freshness.is_current()
+
+
+class FragileReader:
+    """Applies changes, but fails for some keys a few times.
+
+    Args:
+        failures: Number of failures still to come by key.
+    """
+
+    def __init__(self, **failures):
+        self.failures = failures
+        self.applied = {}
+        self.retries_may_have_expired = []
+
+    def apply(self, change, may_have_expired):
+        """Records a change in ``applied`` unless it is to fail."""
+        if self.failures.get(change.key, 0):
+            self.failures[change.key] -= 1
+            raise RuntimeError('not foreseen')
+        self.applied[change.key] = change.revision, change.entry is not None
+
+
+async def follow(feed, reader, seconds=0.3, **options):
+    """Runs a mirror for some seconds; returns it."""
+    mirror = mirrors.StoreMirror(
+        feed,
+        '',
+        reader.apply,
+        options.pop('config_freshness', freshness.Freshness(4.5)),
+        **options,
+    )
+    with anyio.move_on_after(seconds):
+        await mirror.run()
+    return mirror
+
+
+class TestUnexpectedErrors:
+    @run_async
+    async def test_failure_of_one_entry_does_not_stop_the_others(self):
+        feed = ScriptedFeed(
+            ([make_entry('a', 2), make_entry('b', 3)], 3),
+            ([make_change('c', 4), make_change('d', 5)], 5),
+        )
+        reader = FragileReader(a=9, c=9)
+        mirror = await follow(feed, reader)
+        assert set(reader.applied) == {'b', 'd'}
+        assert mirror.has_loaded.is_set()
+        assert mirror.change_log.revision == 5
+
+    @run_async
+    async def test_change_that_failed_is_applied_later(self):
+        feed = ScriptedFeed(
+            ([], 1), ([make_change('a', 2)], 2), *[([], 2)] * 3
+        )
+        reader = FragileReader(a=1)
+        await follow(feed, reader, 1.5)
+        assert reader.applied == {'a': (2, True)}
+
+    @run_async
+    async def test_deletion_that_failed_is_applied_later(self):
+        async def return_deletion():
+            reader.failures['a'] = 1
+            return [make_change('b', 2), make_change('a', 3, True)], 3
+
+        feed = ScriptedFeed(
+            ([make_entry('a', 1)], 1), return_deletion, *[([], 3)] * 3
+        )
+        reader = FragileReader()
+        await follow(feed, reader, 1.5)
+        assert reader.applied == {'a': (3, False), 'b': (2, True)}
+
+    @run_async
+    async def test_newer_change_replaces_one_that_failed(self):
+        feed = ScriptedFeed(
+            ([], 1),
+            ([make_change('a', 2), make_change('a', 3)], 3),
+            *[([], 3)] * 3,
+        )
+        reader = FragileReader(a=1)
+        await follow(feed, reader, 1.5)
+        assert reader.applied == {'a': (3, True)}
+
+    @run_async
+    async def test_change_that_always_fails_does_not_repeat_the_poll(self):
+        feed = ScriptedFeed(
+            ([], 1), ([make_change('a', 2)], 2), *[([], 2)] * 50
+        )
+        mirror = await follow(feed, FragileReader(a=999), 2.0)
+        assert mirror.change_log.revision == 2 and feed.read_count == 1
+        assert max(feed.poll_seconds[1:]) > 0.4
+
+    @run_async
+    async def test_unapplied_configuration_is_not_confirmed(self):
+        config_freshness = freshness.Freshness(0.2)
+        feed = ScriptedFeed(
+            ([], 1),
+            ([make_change('config', 2)], 2),
+            *[([], 2)] * 50,
+        )
+        await follow(
+            feed,
+            FragileReader(config=999),
+            1.2,
+            config_freshness=config_freshness,
+            required_keys=frozenset({'config'}),
+        )
+        assert not config_freshness.is_current()
+        # Polls that can confirm nothing must not follow one another closely.
+        assert min(feed.poll_seconds[2:]) > 0.1
+
+    @run_async
+    async def test_unexpected_error_of_a_call_does_not_end_the_loop(self):
+        feed = ScriptedFeed(
+            RuntimeError('listing'),
+            ([make_entry('a', 1)], 1),
+            RuntimeError('poll'),
+            ([make_change('b', 2)], 2),
+        )
+        reader = FragileReader()
+        await follow(feed, reader, 1.5)
+        assert set(reader.applied) == {'a', 'b'}
+
+    @run_async
+    async def test_poll_that_always_fails_is_replaced_by_a_listing(self):
+        feed = ScriptedFeed(
+            ([], 1),
+            *[RuntimeError('poll')] * mirrors.MAX_POLL_ERRORS,
+            ([make_entry('a', 2)], 2),
+        )
+        reader = FragileReader()
+        await follow(feed, reader, 2.5)
+        assert set(reader.applied) == {'a'} and feed.read_count == 2
+
+    @run_async
+    async def test_can_run_again_after_its_cancellation(self):
+        feed = ScriptedFeed(([make_entry('a', 1)], 1))
+        reader = FragileReader()
+        mirror = await follow(feed, reader, 0.1)
+        feed.responses = [([make_change('b', 2)], 2)]
+        with anyio.move_on_after(0.1):
+            await mirror.run()
+        assert set(reader.applied) == {'a', 'b'} and feed.read_count == 1
+
+
+class TestRevisionsThatGoBack:
+    @run_async
+    async def test_deleted_entry_is_not_restored_by_an_older_change(self):
+        feed = ScriptedFeed(
+            ([make_entry('a', 3)], 3),
+            ([make_change('a', 5, True)], 5),
+            ([make_change('a', 4), make_change('b', 6)], 6),
+        )
+        reader = FragileReader()
+        await follow(feed, reader, 1.0)
+        assert reader.applied == {'a': (5, False), 'b': (6, True)}
+
+    @run_async
+    async def test_leap_of_the_revision_loses_no_later_change(self):
+        """A revision far ahead hides all changes up to it."""
+        feed = ScriptedFeed(
+            ([], 1),
+            ([make_change('a', 2)], 10**15),
+            ([], 2),
+            ([make_entry('a', 2), make_entry('b', 3)], 3),
+            ([make_change('c', 4)], 4),
+        )
+        reader = FragileReader()
+        mirror = await follow(feed, reader, 3.0)
+        assert set(reader.applied) == {'a', 'b', 'c'}
+        assert mirror.change_log.revision == 4
+
+    @run_async
+    async def test_relay_that_lags_changes_nothing(self):
+        feed = ScriptedFeed(
+            ([make_entry('a', 5)], 5),
+            stores.PollResult(
+                [make_change('a', 4)], 4, age=1.0, is_billable=False
+            ),
+            ([make_change('b', 6)], 6),
+        )
+        reader = FragileReader()
+        mirror = await follow(feed, reader, 0.5)
+        assert reader.applied == {'a': (5, True), 'b': (6, True)}
+        assert mirror.change_log.revision == 6 and feed.read_count == 1
+
+    @run_async
+    async def test_store_that_lost_its_revisions_is_followed_again(self):
+        async def return_lower_revision():
+            await anyio.sleep(0.1)
+            return [], 3
+
+        listing = [make_entry('a', 2), make_entry('b', 3)], 3
+        feed = ScriptedFeed(
+            ([make_entry('a', 50), make_entry('c', 60)], 60),
+            return_lower_revision,
+            *[listing] * mirrors.MAX_REGRESSIONS,
+        )
+        reader = FragileReader()
+        mirror = await follow(feed, reader, 3.0)
+        assert reader.applied['a'] == (2, True)
+        assert reader.applied['b'] == (3, True)
+        assert reader.applied['c'] == (3, False)
+        assert mirror.change_log.revision == 3
