Let the drain and the reserve of a stop follow the grace period

Callers saw: with a grace period of 2 s everything in progress was cut after 0.8 s, before the listening socket was closed; an unexpected error of the membership list's removal cut all requests in progress at once, and one that hung kept the process until the end. Cause: fixed 2.4 s and 1.2 s, so that the time limit ended inside the drain; members.leave() ran before the wait for the requests, and only StoreError was expected. Fix: both are limited to a share of the grace period (as before at 8 s); leaving the list runs beside the wait, has a time limit, and its errors are recorded, also a cancelled future's.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import signal
 import socket
 
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -42,15 +44,21 @@
 VERSION_RESULTS_KIND = 'version'
 # Time for which a stopping gateway still serves new connections. A load
 # balancer that checks readiness once a second and needs two failed checks has
-# stopped sending callers by then.
+# stopped sending callers by then. The share of the grace period limits it
+# where that is short.
 READINESS_DRAIN_SECONDS = 2.4
+READINESS_DRAIN_SHARE = 0.3
 # Longest delay of the first callers until the first configuration is loaded.
 # Callers time out if a gateway does not read their request within a second.
 FIRST_CONFIG_TIMEOUT_SECONDS = 0.4
 # Interval at which a stopping gateway checks for requests in progress.
 REQUEST_POLL_SECONDS = 0.05
 # Part of the grace period that is reserved for the exit of the process.
+# Servers that are still at work have had five sixths of it.
 EXIT_RESERVE_SECONDS = 1.2
+EXIT_RESERVE_SHARE = 0.15
+# Time limit for the removal of the membership entry.
+LEAVE_TIMEOUT_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -455,9 +463,13 @@
         The gateway reports that it is not ready, closes idle connections and
         waits for the requests in progress.
         """
-        deadline = clock.make_deadline(
-            self._options.grace_period_seconds - EXIT_RESERVE_SECONDS
+        grace = self._options.grace_period_seconds
+        now = clock.now()
+        drain_until = now + min(
+            READINESS_DRAIN_SECONDS, READINESS_DRAIN_SHARE * grace
         )
+        reserve = min(EXIT_RESERVE_SECONDS, EXIT_RESERVE_SHARE * grace)
+        stop_at = now + grace - reserve
         self._is_stopping = True
         self.caller_listener.is_closing = True
         logs.LOG.info(
@@ -465,15 +477,32 @@
             self.caller_listener.active_requests,
             extra={'fields': {'event': 'stopping'}},
         )
-        with anyio.move_on_at(deadline):
-            await anyio.sleep(READINESS_DRAIN_SECONDS)
-            self.caller_listener.close_idle()
+        with anyio.move_on_at(stop_at):
+            await anyio.sleep(clock.remaining(drain_until))
+            with containment.contain('stop'):
+                self.caller_listener.close_idle()
             # A load balancer without another gateway may send callers on and
             # on. Whoever connects from now on is refused and goes to another
             # gateway, while there is time to answer those accepted before.
-            self.caller_listener.stop_accepting()
-            await self.members.leave()
-            await self._wait_for_requests()
+            with containment.contain('stop'):
+                self.caller_listener.stop_accepting()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._leave)
+                await self._wait_for_requests()
+
+    async def _leave(self) -> None:
+        """Leaves the membership list, unless that takes too long."""
+        try:
+            with anyio.move_on_after(LEAVE_TIMEOUT_SECONDS):
+                await self.members.leave()
+        except anyio.get_cancelled_exc_class() as exc:
+            # A cancelled future raises this too, without a cancellation of
+            # the task.
+            if anyio.current_effective_deadline() == -math.inf:
+                raise
+            containment.record_error('stop', exc)
+        except Exception as exc:
+            containment.record_error('stop', exc)
 
     async def _wait_for_requests(self) -> None:
         """Waits until no request is in progress or being sent."""
