--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,16 +1,22 @@
 """Tests of a gateway that is stopped while callers keep coming."""
 
+import asyncio
+import dataclasses
 import socket
 
 import anyio
+import pytest
 
 from chivejunction import clock
 from chivejunction.coordination import forward_gateway
+from chivejunction.transport import caller_connections
 from tests import forward_rig
 from tests.forward_rig import run_async
 
 DRAIN_SECONDS = 0.3
 RESPONSE_SECONDS = 0.4
+# Time between a caller's connection and its request.
+FIRST_REQUEST_LAG = 0.9
 
 
 async def respond_slowly(request, stream):
@@ -81,3 +87,331 @@
             assert all(r.is_complete for r in accepted)
             assert callers.refused_at
             group.cancel_scope.cancel()
+
+
+def set_grace_period(rig, seconds):
+    """Sets the grace period of a rig's gateway."""
+    rig.gateway._options = dataclasses.replace(
+        rig.gateway._options, grace_period_seconds=seconds
+    )
+
+
+async def respond_never(request, stream):
+    """Reads a request and does not respond."""
+    await anyio.sleep(60)
+
+
+def make_slow_server(seconds):
+    """Returns a script that responds after some time."""
+
+    async def script(request, stream):
+        await anyio.sleep(seconds)
+        await stream.send(forward_rig.encode_response(request))
+
+    return script
+
+
+class Stop:
+    """A stop of a rig's gateway, as SIGTERM begins it.
+
+    Attributes:
+        started_at: Monotonic time of its begin.
+        ended_at: Monotonic time at which the gateway's tasks were cancelled.
+    """
+
+    def __init__(self, rig, group):
+        self._rig = rig
+        self._group = group
+        self.started_at = self.ended_at = 0.0
+
+    async def run(self):
+        """Stops the gateway and ends all connections."""
+        self.started_at = clock.now()
+        await self._rig.gateway._shut_down()
+        self.ended_at = clock.now()
+        self._group.cancel_scope.cancel()
+
+    @property
+    def seconds(self):
+        """Duration of the stop."""
+        return self.ended_at - self.started_at
+
+
+async def play_stop(grace, scripts, calls, config=None, prepare=None, count=1):
+    """Plays a stop; returns it, the responses and the servers.
+
+    Args:
+        grace: Grace period in seconds.
+        scripts: Script of the server of each service.
+        calls: Seconds after the signal (negative: before it) and paths.
+        config: Configuration document; None for the default one.
+        prepare: Called with the rig before the stop.
+        count: Number of servers of each service.
+    """
+    responses = {}
+    servers = {}
+    async with (
+        anyio.create_task_group() as callers,
+        anyio.create_task_group() as group,
+    ):
+        rig = forward_rig.Rig(group, config)
+        set_grace_period(rig, grace)
+        for service, script in scripts.items():
+            servers[service] = [
+                await rig.add_server(script, service) for _ in range(count)
+            ]
+        await rig.serve()
+        if prepare is not None:
+            prepare(rig)
+        begin_at = clock.make_deadline(0.3)
+
+        async def call(seconds, target):
+            await anyio.sleep_until(begin_at + seconds - FIRST_REQUEST_LAG)
+            stream = await rig.connect()
+            await anyio.sleep_until(begin_at + seconds)
+            name = f'r-{seconds}-{target}'
+            async with stream:
+                responses[seconds, target] = await rig.exchange(
+                    stream, target, Request_Id=name, Deadline_Ms='12000'
+                )
+
+        for seconds, target in calls:
+            callers.start_soon(call, seconds, target)
+        await anyio.sleep_until(begin_at)
+        stop = Stop(rig, group)
+        group.start_soon(stop.run)
+    return stop, responses, servers
+
+
+LONG_ROUTES = [
+    forward_rig.make_route(
+        'once', '/once/', 'non_idempotent', max_attempts=1, timeout_ms=12000
+    ),
+    forward_rig.make_route('safe', '/safe/', timeout_ms=12000),
+    forward_rig.make_route(
+        'stream',
+        '/stream/',
+        'streaming',
+        service='pool',
+        timeout_ms=12000,
+        max_attempts=1,
+        gap_target_ms=60000,
+    ),
+]
+
+
+class TestLateRequests:
+    """Guards against requests that are taken too late to be answered."""
+
+    @run_async
+    async def test_late_request_is_refused_and_not_passed_on(self):
+        """A connection whose first request comes 0.9 s after its accept."""
+        stop, responses, servers = await play_stop(
+            4.0,
+            {'desk': respond_never},
+            [(1.7, '/once/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        response = responses[1.7, '/once/a']
+        assert response.status == 503
+        assert response.is_complete
+        assert float(response.headers['retry-after']) > 0
+        assert response.headers['connection'] == 'close'
+        assert not servers['desk'][0].received_requests
+
+    @run_async
+    async def test_request_in_the_drain_is_served(self):
+        stop, responses, _ = await play_stop(
+            4.0, {'desk': forward_rig.respond_ok}, [(0.5, '/once/a')]
+        )
+        assert responses[0.5, '/once/a'].status == 200
+
+    @run_async
+    async def test_waiting_request_is_refused_when_admission_ends(self):
+        """No server has room, and the route allows a wait of 2.5 s."""
+        routes = [
+            forward_rig.make_route(
+                'once',
+                '/once/',
+                'non_idempotent',
+                max_attempts=1,
+                timeout_ms=20000,
+                target_latency_ms=20000,
+            )
+        ]
+        started_at = clock.now()
+        ended_at = []
+
+        async def end_wait(rig):
+            while rig.gateway.caller_listener.active_requests == 0:
+                await anyio.sleep(0.01)
+            while rig.gateway.caller_listener.active_requests:
+                await anyio.sleep(0.01)
+            ended_at.append(clock.now())
+
+        def prepare(rig):
+            rig._group.start_soon(end_wait, rig)
+
+        stop, responses, _ = await play_stop(
+            4.0,
+            {},
+            [(0.5, '/once/a')],
+            forward_rig.make_config(routes=routes),
+            prepare,
+        )
+        response = responses[0.5, '/once/a']
+        assert response.status == 503
+        assert started_at < ended_at[0] < stop.started_at + 2.0
+
+
+class TestEndOfGracePeriod:
+    """Guards against requests that end with a closed connection."""
+
+    @run_async
+    async def test_request_in_progress_is_answered(self):
+        """Whether the server ran it is not known."""
+        stop, responses, _ = await play_stop(
+            2.0,
+            {'desk': respond_never},
+            [(-0.1, '/once/a'), (-0.1, '/safe/a'), (0.3, '/once/b')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        for response in responses.values():
+            assert response.status == 502
+            assert response.is_complete
+        assert 5 / 6 * 2.0 < stop.seconds < 2.0
+
+    @run_async
+    async def test_plain_response_without_its_body_is_answered(self):
+        async def respond_head_only(request, stream):
+            data = forward_rig.encode_response(request, b'x' * 100)
+            await stream.send(data[:-50])
+            await anyio.sleep(60)
+
+        _, responses, _ = await play_stop(
+            2.0,
+            {'desk': respond_head_only},
+            [(-0.1, '/once/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        assert responses[-0.1, '/once/a'].status == 502
+
+    @run_async
+    async def test_stream_in_progress_does_not_look_complete(self):
+        _, responses, _ = await play_stop(
+            2.0,
+            {'pool': forward_rig.make_event_stream(1000, pause=0.1)},
+            [(-0.1, '/stream/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        response = responses[-0.1, '/stream/a']
+        assert response.status == 200
+        assert not response.is_complete
+
+    @run_async
+    async def test_caller_that_does_not_read_delays_nothing(self):
+        """Its response fills the socket buffers."""
+
+        async def respond_large(request, stream):
+            body = b'x' * 4_000_000
+            await stream.send(forward_rig.encode_response(request, body))
+
+        async with anyio.create_task_group() as group:
+            rig = forward_rig.Rig(group)
+            set_grace_period(rig, 2.0)
+            await rig.add_server(respond_large)
+            await rig.serve()
+            async with await rig.connect() as stream:
+                await stream.send(rig.write_request('/once/a'))
+                await anyio.sleep(0.2)
+                stop = Stop(rig, group)
+                await stop.run()
+        assert stop.seconds < 2.0
+
+    @run_async
+    async def test_failed_attempt_is_not_repeated_too_late(self):
+        """The second server would be cut in the middle of its work."""
+
+        async def break_off_late(request, stream):
+            await anyio.sleep(1.4)
+            return False
+
+        _, responses, servers = await play_stop(
+            2.0,
+            {'desk': break_off_late},
+            [(0.1, '/safe/a')],
+            forward_rig.make_config(
+                routes=[
+                    forward_rig.make_route(
+                        'safe',
+                        '/safe/',
+                        timeout_ms=12000,
+                        target_latency_ms=3000,
+                    )
+                ]
+            ),
+            count=2,
+        )
+        assert responses[0.1, '/safe/a'].status == 502
+        received = [len(s.received_requests) for s in servers['desk']]
+        assert sorted(received) == [0, 1]
+
+
+class TestGracePeriods:
+    """Guards against a drain that is longer than the grace period."""
+
+    @pytest.mark.parametrize('grace', [1.0, 2.0, 3.0])
+    def test_short_grace_period_closes_the_socket(self, monkeypatch, grace):
+        closed_at = []
+        monkeypatch.setattr(
+            caller_connections.Listener,
+            'stop_accepting',
+            lambda _: closed_at.append(clock.now()),
+        )
+
+        @run_async
+        async def play():
+            stop, responses, _ = await play_stop(
+                grace,
+                {'desk': make_slow_server(grace / 3)},
+                [(grace / 4, '/once/a')],
+                forward_rig.make_config(routes=LONG_ROUTES),
+            )
+            assert responses[grace / 4, '/once/a'].status == 200
+            assert stop.seconds < grace
+            assert closed_at[0] - stop.started_at < grace / 2
+
+        play()
+
+
+class TestHangingStop:
+    """Guards against a stop that does not end or cuts what is in progress."""
+
+    @pytest.mark.parametrize(
+        'error',
+        [KeyError('x'), OSError('x'), asyncio.CancelledError(), None],
+    )
+    def test_failing_leave_does_not_cut_requests(self, error):
+        """A membership entry that cannot be removed; None hangs."""
+
+        async def leave():
+            if error is None:
+                await anyio.sleep(60)
+            raise error
+
+        def prepare(rig):
+            rig.gateway.members.leave = leave
+
+        @run_async
+        async def play():
+            stop, responses, _ = await play_stop(
+                2.0,
+                {'desk': make_slow_server(1.0)},
+                [(0.1, '/once/a')],
+                forward_rig.make_config(routes=LONG_ROUTES),
+                prepare,
+            )
+            assert responses[0.1, '/once/a'].status == 200
+            assert stop.seconds < 2.0
+
+        play()
