--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -383,6 +383,11 @@
             'Age of the proof that the configuration is the newest.',
             lambda: min(self.config_freshness.age, 1e6),
         )
+        metrics.make_gauge(
+            'lost_log_lines',
+            'Log lines that were dropped or could not be written.',
+            logs.count_lost_lines,
+        )
         metrics.make_gauge(
             'failing_tasks',
             'Tasks that have failed and wait to run again.',
