--- a/chivejunction/platform/__main__.py
+++ b/chivejunction/platform/__main__.py
@@ -13,6 +13,21 @@
 
 from chivejunction.transport import listening
 
+STANDARD_DESCRIPTORS = (0, 1, 2)
+
+
+def open_standard_descriptors() -> None:
+    """Opens the null device for standard descriptors that are closed.
+
+    Otherwise a socket would get such a descriptor, and with it the log lines.
+    """
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest closed descriptor is used.
+            os.open(os.devnull, os.O_RDWR)
+
 
 def find_caller_address(text: str) -> str:
     """Returns the address for callers in a settings file.
@@ -24,7 +39,11 @@
         text: Content of the settings file.
 
     Returns:
-        ``IP:PORT``; empty if the file names none.
+        ``IP:PORT``.
+
+    Raises:
+        Exception: The file names none. The YAML parser raises errors of many
+            types, depending on the text.
     """
     _, _, section = f'\n{text}'.partition('\nlisten:\n')
     for line in section.splitlines():
@@ -35,30 +54,29 @@
             return value.strip().strip('\'"')
     import yaml
 
-    try:
-        return yaml.safe_load(text)['listen']['front']
-    except (yaml.YAMLError, LookupError, TypeError, AttributeError):
-        return ''
+    return yaml.safe_load(text)['listen']['front']
 
 
 def bind_caller_socket() -> socket.socket | None:
     """Returns the listening socket for callers.
 
     Returns:
-        The socket; None if the settings file has no usable address. The
-        program then reports the error or binds the address itself.
+        The socket; None if the settings file has no usable address, or the
+        address is in use. The program then reports the error or binds the
+        address itself.
     """
     path = os.environ.get('CHIVEJUNCTION_NODE_FILE', '')
     try:
         with open(path, encoding='utf-8') as file:
             address, _, port = find_caller_address(file.read()).rpartition(':')
         return listening.bind_socket(address, int(port))
-    except (OSError, AttributeError, ValueError, OverflowError):
+    except Exception:
         return None
 
 
 def main() -> None:
     """Ignores SIGHUP, binds the address for callers, runs the program."""
+    open_standard_descriptors()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = bind_caller_socket()
     from chivejunction.platform import program
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,7 @@
 """Tests of the platform's settings, configuration, entries and headers."""
 
+import asyncio
+import copy
 import dataclasses
 import json
 
@@ -7,6 +9,7 @@
 import pytest
 import yaml
 
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction.platform import configuration
 from chivejunction.platform import entries
@@ -44,10 +47,10 @@
 REGIONS = {'bkk-a': 'bkk'}
 
 
-def write_settings(folder, **fields):
+def write_settings(folder, document=None, **fields):
     """Writes a settings file; returns its path."""
     path = folder / 'boot.yaml'
-    path.write_text(yaml.safe_dump({**SETTINGS, **fields}))
+    path.write_text(yaml.safe_dump({**(document or SETTINGS), **fields}))
     return str(path)
 
 
@@ -84,6 +87,32 @@
         with pytest.raises(errors.SettingError, match='cannot be read'):
             settings.read_settings('/nowhere/boot.yaml')
 
+    @pytest.mark.parametrize(
+        'path', [(), ('limits',), ('bounds',), ('platform',)]
+    )
+    def test_null_is_an_absent_field(self, tmp_path, path):
+        models = {
+            (): settings.Settings,
+            ('limits',): settings.Resources,
+            ('bounds',): settings.Bounds,
+            ('platform',): settings.StoreSettings,
+        }
+        for name in list_optional_fields(models[path]):
+            absent, null = copy.deepcopy((SETTINGS, SETTINGS))
+            absent['limits'] = null['limits'] = {'cores': 2.0}
+            for document in (absent, null):
+                target = document
+                for step in path:
+                    target = target[step]
+                target.pop(name, None)
+                if document is null:
+                    target[name] = None
+            read = [
+                settings.read_settings(write_settings(tmp_path, document=d))
+                for d in (absent, null)
+            ]
+            assert read[0] == read[1], name
+
 
 class TestSettingsFile:
     def test_each_change_is_reported_once(self, tmp_path):
@@ -134,11 +163,86 @@
         anyio.run(check)
 
 
+# A configuration with each kind of object.
+FULL_CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'shop.example',
+            'prefix': '/s/',
+            'kind': 'streaming',
+            'traffic_split': [{'service': 'pool', 'weight': 90}],
+        }
+    ],
+    'services': [
+        {
+            'name': 'pool',
+            'engine': {
+                'slots': 64,
+                'models': [{'name': 'small', 'cost': 0.008}],
+            },
+        }
+    ],
+    'limits': {'idle_timeout_ms': 15000},
+    'tenants': [{'name': 'temple', 'api_keys': ['key-1']}],
+}
+
+
+def list_objects(value):
+    """Returns all mappings in a document."""
+    if isinstance(value, dict):
+        items = value.values()
+        return [value, *(o for item in items for o in list_objects(item))]
+    if isinstance(value, list):
+        return [o for item in value for o in list_objects(item)]
+    return []
+
+
+def list_optional_fields(model):
+    """Returns the names of the fields of a model that have defaults."""
+    return [
+        name
+        for name, field in model.model_fields.items()
+        if not field.is_required()
+    ]
+
+
 class TestConfiguration:
+    # Models of the objects of FULL_CONFIG, in the order of list_objects.
+    MODELS = (
+        configuration.ConfigDocument,
+        configuration.RouteConfig,
+        configuration.TrafficSplit,
+        configuration.ServiceConfig,
+        configuration.EngineConfig,
+        configuration.ModelConfig,
+        configuration.CallerLimitsConfig,
+        configuration.OrganisationConfig,
+    )
+
     def read(self, **fields):
         config = forward_rig.make_config(**fields)
         return configuration.decode_route_table(json.dumps(config).encode())
 
+    def decode(self, document):
+        return configuration.decode_route_table(json.dumps(document).encode())
+
+    @pytest.mark.parametrize('number', range(len(MODELS)))
+    def test_null_is_an_absent_field(self, number):
+        for name in list_optional_fields(self.MODELS[number]):
+            absent, null = copy.deepcopy((FULL_CONFIG, FULL_CONFIG))
+            list_objects(absent)[number].pop(name, None)
+            list_objects(null)[number][name] = None
+            assert self.decode(null) == self.decode(absent), name
+
+    @pytest.mark.parametrize('value', [None, 7, 'x', [[]], {'a': [None]}])
+    def test_new_fields_are_ignored(self, value):
+        document = copy.deepcopy(FULL_CONFIG)
+        for changed in list_objects(document):
+            changed['new_field'] = value
+        assert self.decode(document) == self.decode(FULL_CONFIG)
+
     def test_kind_of_route_sets_repeat_policy(self):
         table = self.read()
         repeat_by_route = {
@@ -208,13 +312,80 @@
             {'address': 7},
             {'zone': 'mars'},
             {'slots': 'many'},
+            {'slots': 0},
+            {'slots': 10**400},
+            {'slots': True},
             {'service': None},
+            {'service': 'po\ud83dol'},
+            {'address': '10.1.0.9:65536'},
+            {'address': '10.1.0.9:0'},
+            {'address': '10.1.0.256:80'},
+            {'address': 'host.example:80'},
+            {'address': '\u0660.1.0.9:80'},
+            {'address': f'{"h" * 70}.example:80'},
+            {'address': '[::1]:80'},
+            {'address': '\ud83d:80'},
+            {'cold_left_ms': float('nan')},
+            {'cold_left_ms': float('inf')},
+            {'cold_left_ms': 10**400},
+            {'born': 10**400},
+            {'born': 'early'},
         ],
     )
     def test_invalid_field_is_a_protocol_error(self, fields):
         with pytest.raises(errors.ProtocolError):
             self.read(**fields)
 
+    @pytest.mark.parametrize(
+        'field',
+        [
+            'service',
+            'address',
+            'zone',
+            'version',
+            'slots',
+            'state',
+            'cold_left_ms',
+        ],
+    )
+    def test_missing_field_is_a_protocol_error(self, field):
+        entry = {k: v for k, v in ENTRY.items() if k != field}
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry(
+                'servers/i-1', json.dumps(entry).encode(), REGIONS
+            )
+
+    def test_null_start_time_is_an_absent_one(self):
+        assert self.read(born=None).started_at_ms == 0
+
+    def test_fields_that_the_router_does_not_need_may_be_odd(self):
+        entry = {**ENTRY, 'sequence': 'x', 'models': [[[]]], 'new': None}
+        del entry['born']
+        backend = servers.decode_server_entry(
+            'servers/i-1', json.dumps(entry).encode(), REGIONS
+        )
+        assert backend.slots == 64 and backend.started_at_ms == 0
+
+    @pytest.mark.parametrize('instance', ['', 'i\r\nA: b', ' i', 'i\t', 'i\0'])
+    def test_id_that_fits_no_header_is_a_protocol_error(self, instance):
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry(
+                'servers/' + instance, json.dumps(ENTRY).encode(), REGIONS
+            )
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'[' * 2000,
+            b'{"a":' * 2000,
+            json.dumps(ENTRY)[:-1].encode() + b',"a":' + b'[' * 10**5,
+            b'{"slots":' + b'9' * 5000 + b'}',
+        ],
+    )
+    def test_nested_or_long_entry_is_a_protocol_error(self, value):
+        with pytest.raises(errors.ProtocolError):
+            servers.decode_server_entry('servers/i-1', value, REGIONS)
+
     def test_entry_that_is_not_json_is_a_protocol_error(self):
         with pytest.raises(errors.ProtocolError):
             servers.decode_server_entry('servers/x', b'\xff\x00', REGIONS)
@@ -232,13 +403,17 @@
 
 class TestEntryReader:
     def apply(self, key, value, may_have_expired=False):
-        gateway = RecordingGateway()
+        return self.apply_to(
+            RecordingGateway(), key, value, may_have_expired
+        ).calls
+
+    def apply_to(self, gateway, key, value, may_have_expired=False):
         entry = None
         if value is not None:
             entry = stores.Entry(key, value, 3, 0)
         reader = entries.EntryReader(gateway, REGIONS)
         reader.apply(stores.Change(key, 3, entry), may_have_expired)
-        return gateway.calls
+        return gateway
 
     def test_key_that_begins_like_the_configuration_is_ignored(self):
         value = json.dumps(forward_rig.make_config()).encode()
@@ -266,6 +441,54 @@
         assert self.apply('other/x', b'1') == []
         assert self.apply('op/config', b'{') == []
 
+    def test_unexpected_error_ends_one_entry_only(self, monkeypatch):
+        def fail(*args):
+            raise RecursionError('too deep')
+
+        monkeypatch.setattr(containment, '_reported_until', {})
+        monkeypatch.setattr(servers, 'decode_server_entry', fail)
+        assert self.apply('servers/i-1', b'{}') == [
+            ('remove_backend', 'i-1', False)
+        ]
+        assert containment.list_recent_errors() == [entries.PART]
+        monkeypatch.setattr(containment, '_reported_until', {})
+        monkeypatch.setattr(configuration, 'decode_route_table', fail)
+        assert self.apply('op/config', b'{}') == []
+        assert containment.list_recent_errors() == [entries.PART]
+
+    def test_server_that_was_added_in_part_is_removed(self, monkeypatch):
+        class FailingGateway(RecordingGateway):
+            def update_backend(self, entry):
+                raise OverflowError('int too large to convert to float')
+
+        monkeypatch.setattr(containment, '_reported_until', {})
+        value = json.dumps(ENTRY).encode()
+        gateway = self.apply_to(FailingGateway(), 'servers/i-1', value)
+        assert gateway.calls == [('remove_backend', 'i-1', False)]
+
+    def test_cancellation_is_passed_on(self, monkeypatch):
+        def cancel(*args):
+            raise asyncio.CancelledError
+
+        monkeypatch.setattr(servers, 'decode_server_entry', cancel)
+        with pytest.raises(asyncio.CancelledError):
+            self.apply('servers/i-1', b'{}')
+
+    @pytest.mark.parametrize(
+        'key',
+        [
+            *(prefix + '\ud800' for prefix in entries.ENTRY_READERS),
+            'servers/a\udfff/b',
+            7,
+            None,
+        ],
+    )
+    def test_key_that_cannot_be_encoded_is_skipped(self, monkeypatch, key):
+        monkeypatch.setattr(containment, '_reported_until', {})
+        assert self.apply(key, b'{}') == []
+        assert self.apply(key, None) == []
+        assert containment.list_recent_errors() == []
+
 
 class TestHeaders:
     def test_hop_by_hop_headers_are_dropped(self):
