Soak: odd entries, held ports, broken outputs, resets, restarts in series

New faults: entries of other writers, nonsense from the store, ports that are held at a restart, an output that is closed or not read, lowered descriptors, callers that reset at any moment, and restarts in series; configurations get absent, null and new fields. New checks: a process that ends by itself, an added route that is refused more than 3 s after its confirmation, or after the same process has served it, and a kept connection that is closed after its request ran.

A disruption now counts from its begin to its end. Only its end counted before, so that a call within a long fault was taken as undisrupted.

--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -8,19 +8,26 @@
 """
 
 import collections
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import json
 import math
 import os
 import pathlib
 import random
+import resource
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
 import time
+from urllib import parse
 
 import anyio
+from anyio import abc
 import fire
 import h11
 import httpcore
@@ -28,11 +35,13 @@
 
 from bench import ports
 from chivejunction.platform import configuration
+from chivejunction.platform import program
 from chivejunction.platform import servers
 from chivejunction.platform import settings
 from chivejunction.transport import sockets
 from fakes import forward_server
 from fakes import platform_documents
+from fakes import proxy as fake_proxy
 
 # Odd seeds use one region for each gateway. Even seeds use a single region, in
 # which gateways poll one another as relays.
@@ -45,8 +54,11 @@
 REVOCATION_SECONDS = 5.0
 DRAIN_SECONDS = 3.0
 CONFIG_SECONDS = 3.0
+CONTACT_SECONDS = 4.0
 GRACE_SECONDS = 8.0
 BODY_BYTES = 300
+# Time after which a client gives up.
+CALL_SECONDS = 3.5
 # Tolerance for scheduling delays and for differences between the clocks that
 # clients and servers read on one host.
 CLOCK_TOLERANCE_SECONDS = 0.3
@@ -54,11 +66,25 @@
 # Time after a fault in which the time limits do not apply: a fault of the
 # store extends them by the time to regain contact and the outer limit.
 MAX_DISRUPTION_SECONDS = 10.0
+# Pause before a gateway that ended by itself is started again.
+RESTART_DELAY_SECONDS = 0.3
+# Number of the newest routes that clients use.
+RECENT_ROUTES = 3
+ODD_ENTRIES = 30
+RESETS = 25
+LOG_LINES = 5
 
 
 @dataclasses.dataclass
 class Call:
-    """One request with its result at the client."""
+    """One request with its result at the client.
+
+    Attributes:
+        is_kept: Whether its connection has carried a request before.
+        is_closed: Whether the gateway closed the connection before the end
+            of the response.
+        is_abandoned: Whether the client gave it up on purpose.
+    """
 
     id: str
     kind: str
@@ -68,6 +94,9 @@
     status: int = 0
     ended_at: float = 0.0
     is_complete: bool = False
+    is_kept: bool = False
+    is_closed: bool = False
+    is_abandoned: bool = False
     problem: str = ''
 
 
@@ -106,6 +135,11 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.environments: dict[str, dict] = {}
+        # All processes, and those that the soak has ended.
+        self.started: list[subprocess.Popen] = []
+        self.ended: set[subprocess.Popen] = set()
+        # Times of the starts of each gateway after the first.
+        self.restarts: dict[int, list[float]] = collections.defaultdict(list)
         self.public_port = self.ports.find_port()
         # The metrics port is fixed, so concurrent runs need different
         # addresses. They are derived from the public port, which no other
@@ -121,11 +155,14 @@
         self.keys = list(KEYS)
         self.version = 1
         self.extra_routes = 0
+        # Times at which added routes were confirmed, oldest first.
+        self.confirmed_at: dict[str, float] = {}
         self.calls: list[Call] = []
         self.revoked_at: dict[str, float] = {}
         self.drained_at: dict[str, float] = {}
         self.terminations: list[Termination] = []
-        self.disruptions: list[tuple[str, float]] = []
+        # Targets with begin and end.
+        self.disruptions: list[tuple[str, float, float]] = []
         self.violations: list[str] = []
         self.is_finished = False
         self.http = httpcore.AsyncConnectionPool()
@@ -133,28 +170,116 @@
     # Processes.
 
     def start_process(
-        self, name: str, command: list[str], **environment
+        self,
+        name: str,
+        command: list[str],
+        output: int | None = None,
+        preexec: Callable | None = None,
+        **environment,
     ) -> None:
-        """Starts a process whose output is appended to a log file."""
+        """Starts a process.
+
+        Args:
+            name: Name of the process.
+            command: Program and arguments.
+            output: Descriptor for its output; its log file by default.
+            preexec: Called in the new process before the program.
+            **environment: Further environment variables.
+        """
         self.commands[name] = command
         self.environments[name] = environment
-        with (self.folder / f'{name}.log').open('a') as log:
-            self.processes[name] = subprocess.Popen(
+        with self.get_log(name).open('a') as log:
+            process = subprocess.Popen(
                 command,
-                stdout=log,
-                stderr=log,
+                stdout=log if output is None else output,
+                stderr=log if output is None else output,
+                preexec_fn=preexec,
                 env={**os.environ, **environment},
             )
+        self.processes[name] = process
+        self.started.append(process)
 
-    def restart_process(self, name: str, process: subprocess.Popen) -> None:
-        """Restarts an ended process unless another fault has done so."""
-        if self.processes[name] is not process:
-            return
-        process.wait()
+    def get_log(self, name: str) -> pathlib.Path:
+        """Returns the log file of a process."""
+        return self.folder / f'{name}.log'
+
+    def start_again(self, number: int, **options) -> None:
+        """Starts a gateway again, with options of start_process."""
+        name = f'gw-{number}'
+        self.restarts[number].append(time.time())
         self.start_process(
-            name, self.commands[name], **self.environments[name]
+            name, self.commands[name], **options, **self.environments[name]
+        )
+
+    def restart_gateway(
+        self, number: int, process: subprocess.Popen, **options
+    ) -> None:
+        """Restarts an ended gateway unless another fault has done so."""
+        if self.processes[f'gw-{number}'] is process:
+            process.wait()
+            self.start_again(number, **options)
+
+    def kill(self, process: subprocess.Popen) -> None:
+        """Kills a process."""
+        self.ended.add(process)
+        process.kill()
+
+    async def terminate_gateway(
+        self, number: int, process: subprocess.Popen
+    ) -> None:
+        """Stops a gateway with SIGTERM.
+
+        A gateway that does not end within the grace period is a violation
+        and is killed.
+        """
+        name = f'gw-{number}'
+        self.ended.add(process)
+        process.send_signal(signal.SIGTERM)
+        stop = Termination(number, time.time())
+        self.terminations.append(stop)
+        with anyio.move_on_after(GRACE_SECONDS):
+            while process.poll() is None:
+                await anyio.sleep(0.05)
+        if process.poll() is None:
+            self.violations.append(
+                f'graceful_shutdown: {name} did not end within '
+                f'{GRACE_SECONDS} s'
+            )
+            process.kill()
+        else:
+            stop.ended_at = time.time()
+        # SIGTERM ends a process that has just started, SIGKILL is a fault.
+        if process.wait() not in (0, -signal.SIGTERM, -signal.SIGKILL):
+            self.add_own_end(name, process)
+
+    def add_own_end(self, name: str, process: subprocess.Popen) -> None:
+        """Adds the violation of a process that ended by itself."""
+        lines = [
+            line
+            for line in self.get_log(name)
+            .read_text('utf-8', 'replace')
+            .splitlines()
+            if 'chivejunction.decision' not in line
+        ]
+        self.violations.append(
+            f'own_end: {name} ended with status {process.returncode}: '
+            + ' / '.join(lines[-LOG_LINES:])
         )
 
+    async def run_restarts(self) -> None:
+        """Restarts gateways that end by themselves, until cancelled."""
+        while True:
+            await anyio.sleep(0.1)
+            for number in range(len(self.addresses)):
+                name = f'gw-{number}'
+                process = self.processes[name]
+                if process in self.ended or process.poll() is None:
+                    continue
+                self.ended.add(process)
+                self.add_own_end(name, process)
+                await anyio.sleep(RESTART_DELAY_SECONDS)
+                self.restart_gateway(number, process)
+
     def start_module(self, name, module, **options) -> None:
         """Starts a fake server.
 
@@ -229,9 +354,9 @@
 
     def stop_all(self) -> None:
         """Ends all processes of this run."""
-        for process in self.processes.values():
+        for process in self.started:
             process.kill()
-        for process in self.processes.values():
+        for process in self.started:
             process.wait()
 
     # The operator.
@@ -247,7 +372,11 @@
                 response = await self.http.request(
                     method,
                     f'http://127.0.0.1:{port}{path}',
-                    content=json.dumps(value).encode(),
+                    content=(
+                        value
+                        if isinstance(value, bytes)
+                        else json.dumps(value).encode()
+                    ),
                 )
                 return response.status
             except (httpcore.NetworkError, httpcore.ProtocolError):
@@ -260,7 +389,8 @@
         self, method: str, key: str, value=None
     ) -> None:
         """Sends a request to the store as the operator."""
-        await self.request(method, self.store_port, f'/operator/{key}', value)
+        path = f'/operator/{parse.quote(key)}'
+        await self.request(method, self.store_port, path, value)
 
     async def configure(self) -> float:
         """Writes the next configuration; returns when it was accepted."""
@@ -268,6 +398,9 @@
         names = ['safe', 'once', 'stream']
         names += [f'extra{n}' for n in range(self.extra_routes)]
         value = platform_documents.make_config(self.version, names, self.keys)
+        for edit in platform_documents.CONFIG_EDITS:
+            if self.rng.random() < 0.3:
+                edit(value)
         await self.send_operator_request(
             'PUT', configuration.CONFIG_KEY, value
         )
@@ -285,14 +418,14 @@
             count += 1
             call = Call(
                 id=f'c{number}-{count}',
-                kind=rng.choice(('safe', 'once', 'stream')),
+                kind=rng.choice(('safe', 'once', 'stream', self.choose(rng))),
                 key=rng.choice(KEYS),
                 gateway=rng.randrange(len(self.addresses)),
                 sent_at=time.time(),
             )
             self.calls.append(call)
             stream = streams.pop(call.gateway, None)
-            with anyio.move_on_after(3.5):
+            with anyio.move_on_after(CALL_SECONDS):
                 stream = await self.make_call(call, stream)
             call.ended_at = time.time()
             if call.is_complete and stream is not None:
@@ -300,8 +433,14 @@
             elif stream is not None:
                 await stream.aclose()
 
+    def choose(self, rng: random.Random) -> str:
+        """Returns one of the routes added last."""
+        routes = list(self.confirmed_at)[-RECENT_ROUTES:]
+        return rng.choice(routes or ['safe'])
+
     async def make_call(self, call: Call, stream):
         """Sends one request; returns the connection for reuse, or None."""
+        call.is_kept = stream is not None
         try:
             if stream is None:
                 stream = await anyio.connect_tcp(
@@ -313,6 +452,7 @@
             await stream.send(request)
             keep_connection = await self.read_response(call, stream)
         except (*sockets.DISCONNECT_ERRORS, h11.RemoteProtocolError):
+            call.is_closed = True
             return None
         if not keep_connection:
             await stream.aclose()
@@ -356,20 +496,35 @@
 
     def add_disruption(self, target: str, seconds: float = 0.0) -> None:
         """Records a fault of a target with its duration in seconds."""
-        self.disruptions.append((target, time.time() + seconds))
-
-    def is_undisrupted(self, target: str, since: float, until: float) -> bool:
+        now = time.time()
+        self.disruptions.append((target, now, now + seconds))
+
+    def is_undisrupted(
+        self,
+        target: str,
+        since: float,
+        until: float,
+        margin: float = MAX_DISRUPTION_SECONDS,
+    ) -> bool:
         """Returns whether no fault affected a target around a period.
 
         Args:
             target: Name given to add_disruption.
             since: Start of the period.
             until: End of the period.
+            margin: Time in seconds for which a fault has effects.
         """
         return not any(
-            name == target
-            and since - MAX_DISRUPTION_SECONDS <= at <= until + 1
-            for name, at in self.disruptions
+            name == target and since - margin <= end and begin <= until + 1
+            for name, begin, end in self.disruptions
+        )
+
+    def is_in_touch(self, call: Call) -> bool:
+        """Returns whether a call's gateway and its path were sound."""
+        since = call.sent_at - CONFIG_SECONDS
+        return self.is_undisrupted('core', since, call.ended_at) and all(
+            self.is_undisrupted(name, since, call.ended_at, CONTACT_SECONDS)
+            for name in (f'gw-{call.gateway}', f'link-{call.gateway}')
         )
 
     # Checks.
@@ -386,6 +541,7 @@
         unknown = set(runs) - {call.id for call in self.calls}
         for name in unknown:
             self.violations.append(f'unasked: {name} ran')
+        self._check_regressions()
         for instance, at in self.drained_at.items():
             self._check_drained(instance, at, runs)
 
@@ -416,9 +572,8 @@
                 f'withdrawn_key: {call.id} ran with {call.key}'
             )
         if call.status in (401, 404) and not revoked_at:
-            self.violations.append(
-                f'denied: {call.id} got status {call.status}'
-            )
+            self._check_denied(call)
+        self._check_lost(call, runs)
         for stop in self.terminations:
             name, at = f'gw-{stop.gateway}', stop.at
             # The process that ended cannot have cut later calls.
@@ -427,6 +582,7 @@
                 call.gateway == stop.gateway
                 and runs
                 and not call.is_complete
+                and not call.is_abandoned
                 and at - 3 < call.sent_at < until
                 and self.is_undisrupted(name, at, at + GRACE_SECONDS)
                 and self.is_undisrupted('servers', at, at + GRACE_SECONDS)
@@ -435,6 +591,60 @@
                     f'graceful_shutdown: {call.id} at {name} was interrupted'
                 )
 
+    def _check_denied(self, call: Call) -> None:
+        text = f'{call.id} at gw-{call.gateway} got status {call.status}'
+        confirmed_at = self.confirmed_at.get(call.kind)
+        if confirmed_at is None:
+            self.violations.append(f'denied: {text}')
+            return
+        delay = call.sent_at - confirmed_at
+        if delay > CONFIG_SECONDS + CLOCK_TOLERANCE_SECONDS and (
+            self.is_in_touch(call)
+        ):
+            self.violations.append(
+                f'not_in_force: {text} for {call.kind} {delay:.2f} s after '
+                'its confirmation'
+            )
+
+    def _check_regressions(self) -> None:
+        """Adds requests for routes that a process has served before."""
+        served_at: dict[tuple[int, str], float] = {}
+        for call in sorted(self.calls, key=lambda call: call.sent_at):
+            if call.kind not in self.confirmed_at:
+                continue
+            key = call.gateway, call.kind
+            if call.status == 200:
+                served_at.setdefault(key, call.ended_at)
+            since = served_at.get(key, math.inf)
+            # A process of before a restart serves until its grace period ends.
+            if (
+                call.status == 404
+                and call.sent_at > since + CLOCK_TOLERANCE_SECONDS
+                and not any(
+                    since - GRACE_SECONDS <= at <= call.ended_at
+                    for at in self.restarts[call.gateway]
+                )
+            ):
+                self.violations.append(
+                    f'regression: {call.id} got 404 for {call.kind} at '
+                    f'gw-{call.gateway}, which had served it'
+                )
+
+    def _check_lost(self, call: Call, runs: list[dict]) -> None:
+        name = f'gw-{call.gateway}'
+        if (
+            call.is_kept
+            and call.is_closed
+            and runs
+            and self.is_undisrupted(
+                name, call.sent_at, call.ended_at, CONTACT_SECONDS
+            )
+            and self.is_undisrupted('servers', call.sent_at, call.ended_at)
+        ):
+            self.violations.append(
+                f'lost: {call.id} ran, {name} closed its kept connection'
+            )
+
     def _check_drained(self, instance, at, runs) -> None:
         if not self.is_undisrupted('store', at, at + DRAIN_SECONDS):
             return
@@ -466,39 +676,150 @@
     return '' if body.decode() == expected else f'got events {body!r}'
 
 
-async def kill_gateway(soak: Soak, rng: random.Random) -> None:
-    """Kills a gateway and restarts it within about a second."""
-    name = f'gw-{rng.randrange(len(soak.addresses))}'
+async def kill_gateway(soak: Soak, rng: random.Random, **options) -> None:
+    """Kills a gateway and restarts it within about a second.
+
+    Args:
+        soak: Run.
+        rng: Source of random numbers.
+        **options: Options of the new process, see start_process.
+    """
+    number = rng.randrange(len(soak.addresses))
+    name = f'gw-{number}'
     soak.add_disruption(name, 1)
     process = soak.processes[name]
-    process.kill()
+    soak.kill(process)
     await anyio.sleep(rng.uniform(0, 1))
-    soak.restart_process(name, process)
+    soak.restart_gateway(number, process, **options)
 
 
 async def stop_gateway(soak: Soak, rng: random.Random) -> None:
-    """Stops a gateway with SIGTERM and restarts it.
+    """Stops a gateway with SIGTERM and restarts it."""
+    number = rng.randrange(len(soak.addresses))
+    process = soak.processes[f'gw-{number}']
+    await soak.terminate_gateway(number, process)
+    soak.restart_gateway(number, process)
 
-    A gateway that does not end within the grace period is a violation and is
-    killed.
-    """
+
+async def restart_repeatedly(soak: Soak, rng: random.Random) -> None:
+    """Starts a gateway some times, each time beside the process before."""
     number = rng.randrange(len(soak.addresses))
     name = f'gw-{number}'
+    async with anyio.create_task_group() as group:
+        for _ in range(rng.randint(2, 5)):
+            process = soak.processes[name]
+            if rng.random() < 0.5:
+                soak.add_disruption(name, 1)
+                soak.kill(process)
+            else:
+                group.start_soon(soak.terminate_gateway, number, process)
+                # Sends the signal.
+                await anyio.sleep(0)
+            soak.start_again(number)
+            await anyio.sleep(rng.uniform(0.1, 1.5))
+
+
+async def hold_port(soak: Soak, rng: random.Random) -> None:
+    """Restarts a gateway while another process holds one of its ports."""
+    number = rng.randrange(len(soak.addresses))
+    name = f'gw-{number}'
+    port, kind = rng.choice(
+        (
+            (program.METRICS_PORT, socket.SOCK_STREAM),
+            (soak.readiness_port, socket.SOCK_STREAM),
+            (soak.hints_port, socket.SOCK_STREAM),
+            (soak.hints_port, socket.SOCK_DGRAM),
+            (soak.public_port, socket.SOCK_STREAM),
+        )
+    )
+    seconds = rng.uniform(0.5, 3)
+    soak.add_disruption(name, seconds)
     process = soak.processes[name]
-    process.send_signal(signal.SIGTERM)
-    stop = Termination(number, time.time())
-    soak.terminations.append(stop)
-    with anyio.move_on_after(GRACE_SECONDS):
-        while process.poll() is None:
-            await anyio.sleep(0.05)
+    soak.kill(process)
+    process.wait()
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Another fault may have started the gateway again.
+        with contextlib.suppress(OSError):
+            sock.bind((soak.addresses[number], port))
+            if kind == socket.SOCK_STREAM:
+                sock.listen()
+        soak.restart_gateway(number, process)
+        await anyio.sleep(seconds)
+
+
+def close_output() -> None:
+    """Closes standard output and error of a new process."""
+    os.close(1)
+    os.close(2)
+
+
+async def break_output(soak: Soak, rng: random.Random) -> None:
+    """Restarts a gateway whose output is closed or not read."""
+    kind = rng.choice(('closed', 'no reader', 'not read', 'full'))
+    if kind == 'closed':
+        await kill_gateway(soak, rng, preexec=close_output)
+        return
+    if kind == 'full':
+        output = os.open('/dev/full', os.O_WRONLY)
+    else:
+        reader, output = os.pipe()
+        if kind == 'no reader':
+            os.close(reader)
+    await kill_gateway(soak, rng, output=output)
+    os.close(output)
+
+
+async def lower_descriptors(soak: Soak, rng: random.Random) -> None:
+    """Limits the descriptors of a gateway to fewer than it needs."""
+    name = f'gw-{rng.randrange(len(soak.addresses))}'
+    process = soak.processes[name]
+    if process.poll() is not None:
+        return
+    seconds = rng.uniform(0.5, 3)
+    soak.add_disruption(name, seconds)
+    kind = resource.RLIMIT_NOFILE
+    soft, hard = resource.prlimit(process.pid, kind)
+    lowered = rng.randint(12, 40)
+    resource.prlimit(process.pid, kind, (lowered, hard))
+    await anyio.sleep(seconds)
     if process.poll() is None:
-        soak.violations.append(
-            f'graceful_shutdown: {name} did not end within {GRACE_SECONDS} s'
+        resource.prlimit(process.pid, kind, (soft, hard))
+
+
+async def reset_connections(soak: Soak, rng: random.Random) -> None:
+    """Opens connections to a gateway and resets them at any moment."""
+    number = rng.randrange(len(soak.addresses))
+    process = soak.processes[f'gw-{number}']
+    is_suspended = rng.random() < 0.5
+    if is_suspended:
+        process.send_signal(signal.SIGSTOP)
+    for _ in range(RESETS):
+        call = Call(
+            id=f'reset-{len(soak.calls)}',
+            kind=rng.choice(('safe', 'once', 'stream')),
+            key=rng.choice(KEYS),
+            gateway=number,
+            sent_at=time.time(),
+            is_abandoned=True,
         )
-        process.kill()
-    else:
-        stop.ended_at = time.time()
-    soak.restart_process(name, process)
+        soak.calls.append(call)
+        request = platform_documents.make_request(
+            call.kind, call.id, call.key, 3000, b'x' * BODY_BYTES
+        )
+        with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
+            stream = await anyio.connect_tcp(
+                soak.addresses[number], soak.public_port
+            )
+            size = rng.choice((0, rng.randrange(len(request)), len(request)))
+            await stream.send(request[:size])
+            await anyio.sleep(0 if is_suspended else rng.uniform(0, 0.1))
+            stream.extra(abc.SocketAttribute.raw_socket).setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            await stream.aclose()
+    if is_suspended:
+        process.send_signal(signal.SIGCONT)
 
 
 async def freeze_gateway(soak: Soak, rng: random.Random) -> None:
@@ -531,12 +852,43 @@
         )
     )
     soak.add_disruption('store', 4)
+    soak.add_disruption(f'link-{number}', 4)
     control = soak.proxy_control_ports[number]
     await soak.request('POST', control, '/faults', faults)
     await anyio.sleep(rng.uniform(0.5, 4))
     await soak.request('POST', control, '/faults', {'delay': 0.0})
 
 
+async def corrupt_store_responses(soak: Soak, rng: random.Random) -> None:
+    """Makes a gateway get responses of the store that make no sense."""
+    number = rng.randrange(len(soak.addresses))
+    kind = rng.choice(list(fake_proxy.NONSENSE))
+    seconds = rng.uniform(0.5, 4)
+    soak.add_disruption('store', seconds)
+    soak.add_disruption(f'link-{number}', seconds)
+    control = soak.proxy_control_ports[number]
+    faults = {'nonsense': kind, 'cut': True}
+    await soak.request('POST', control, '/faults', faults)
+    await anyio.sleep(seconds)
+    await soak.request('POST', control, '/faults', {'nonsense': ''})
+
+
+async def write_odd_entries(soak: Soak, rng: random.Random) -> None:
+    """Writes entries as another writer may, and removes them later."""
+    entries = [
+        entry
+        for prefix in platform_documents.ENTRY_PREFIXES
+        if prefix != configuration.CONFIG_KEY
+        for entry in platform_documents.list_odd_entries(prefix)
+    ]
+    chosen = rng.sample(entries, ODD_ENTRIES)
+    for key, value in chosen:
+        await soak.send_operator_request('PUT', key, value)
+    await anyio.sleep(rng.uniform(0.5, 4))
+    for key, _ in chosen:
+        await soak.send_operator_request('DELETE', key)
+
+
 async def disrupt_store(soak: Soak, rng: random.Random) -> None:
     """Makes the store fail, respond late, or lose responses or history."""
     fault, value, normal_value = rng.choice(
@@ -551,6 +903,7 @@
     )
     seconds = rng.uniform(0.5, 6)
     soak.add_disruption('store', seconds)
+    soak.add_disruption('core', seconds)
     if fault == 'forget':
         await soak.request('POST', soak.store_port, '/forget', None)
         return
@@ -560,6 +913,7 @@
         'POST', soak.store_port, '/faults', {fault: normal_value}
     )
     soak.add_disruption('store')
+    soak.add_disruption('core')
 
 
 async def corrupt_responses(soak: Soak, rng: random.Random) -> None:
@@ -581,7 +935,7 @@
     instance = rng.choice(list(soak.servers))
     service = soak.servers.pop(instance)[0]
     soak.add_disruption('servers', 4)
-    soak.processes[instance].kill()
+    soak.kill(soak.processes[instance])
     await anyio.sleep(rng.uniform(0, 3))
     await soak.send_operator_request('DELETE', servers.PREFIX + instance)
     soak.server_count += 1
@@ -611,7 +965,8 @@
 async def add_route(soak: Soak, rng: random.Random) -> None:
     """Adds a route to the configuration."""
     soak.extra_routes += 1
-    await soak.configure()
+    name = f'extra{soak.extra_routes - 1}'
+    soak.confirmed_at[name] = await soak.configure()
 
 
 FAULTS = (
@@ -626,6 +981,16 @@
     drain_server,
     revoke_key,
     add_route,
+    restart_repeatedly,
+    hold_port,
+    break_output,
+    lower_descriptors,
+    reset_connections,
+    corrupt_store_responses,
+    write_odd_entries,
+    # More often than others, because most checks of changes need one.
+    add_route,
+    add_route,
 )
 
 
@@ -646,6 +1011,7 @@
         soak.start_gateway(number)
     await anyio.sleep(2.5)
     async with anyio.create_task_group() as group:
+        group.start_soon(soak.run_restarts)
         for number in range(clients):
             group.start_soon(soak.run_client, number)
         await soak.run_faults(seconds)
@@ -654,6 +1020,8 @@
         begin = time.time()
         await anyio.sleep(2)
         soak.is_finished = True
+        await anyio.sleep(CALL_SECONDS)
+        group.cancel_scope.cancel()
     after_faults = [c for c in soak.calls if c.sent_at > begin]
     served = sum(c.status == 200 for c in after_faults if c.key in soak.keys)
     expected = sum(c.key in soak.keys for c in after_faults)
--- a/fakes/platform_documents.py
+++ b/fakes/platform_documents.py
@@ -1,5 +1,8 @@
 """Documents and requests of the users' platform for fakes and benches."""
 
+from collections.abc import Iterator
+import json
+
 # Kind of the routes with these names; other routes are idempotent.
 KIND_BY_ROUTE = {'once': 'non_idempotent', 'stream': 'streaming'}
 
@@ -138,6 +141,14 @@
             item.update(NEW_FIELDS)
 
 
+# Changes of the fields of a configuration that leave it valid.
+CONFIG_EDITS = (
+    remove_optional_fields,
+    set_optional_fields,
+    add_new_fields,
+)
+
+
 def make_route(name: str) -> dict:
     """Returns a route; its kind and limits depend on the name."""
     return {
@@ -172,3 +183,94 @@
 def get_signature(headers: dict[str, str]) -> str:
     """Returns the server's signature of a response; empty without one."""
     return headers.get('response-seal', '')
+
+
+# Of a service that no route uses, so that valid ones change nothing.
+SERVER_ENTRY = make_server_entry('other', 9, 'bkk-a', 'ready')
+HUGE_NUMBER = b'9' * 400
+# Values that another writer may leave under any key.
+ODD_VALUES = (
+    b'',
+    b'[' * 2000,
+    b'[' * 2000 + b']' * 2000,
+    b'{"a":' * 2000,
+    b'"\\ud800"',
+    b'{"\\udc00": "\\ud800"}',
+    b'["\\ud800", "\\ud800", "\\ud800", 1]',
+    HUGE_NUMBER,
+    b'1e400',
+    b'NaN',
+    b'null',
+    b'[]',
+    b'[null, null, null, null]',
+    b'["127.0.0.1", 1e400, "bkk", NaN]',
+    b'["127.0.0.1", ' + HUGE_NUMBER + b', "bkk", ' + HUGE_NUMBER + b']',
+    b'["\\ud800", 99999, "\\ud800", -1]',
+    b'{}',
+    b'\xff\xfe\x00\x80',
+    b'x' * 1_000_000,
+)
+ODD_NAMES = (
+    'x',
+    '',
+    'ไทย',
+    '%00%2F',
+    'a b\n\r\t',
+    '../x',
+    '"',
+    '\x00',
+    'é' * 90,
+)
+ODD_FIELD_VALUES = (
+    b'null',
+    b'NaN',
+    b'-Infinity',
+    b'1e400',
+    HUGE_NUMBER,
+    b'"\\ud800"',
+    b'[]',
+    b'{}',
+    b'""',
+    b'-1',
+)
+ENTRY_PREFIXES = (
+    'op/config',
+    'op/rollout/',
+    'op/evacuate/',
+    'servers/',
+    'chivejunction/members/',
+    'chivejunction/moves/',
+    'chivejunction/harmful/',
+    'unknown/',
+    '',
+)
+# Sound entries, of which one field at a time gets an odd value.
+SOUND_ENTRIES = {
+    'servers/': SERVER_ENTRY | {'born': 1, 'sequence': 1},
+    'op/rollout/': {'service': 'other', 'target': 'v2', 'duration_s': 60},
+    'chivejunction/moves/': {
+        'state': 'running',
+        'stage': 1,
+        'order': 1,
+        'elapsed': 0.1,
+    },
+    'op/config': make_config(2, ['safe'], ['key-a']),
+}
+
+
+def list_odd_entries(prefix: str) -> Iterator[tuple[str, bytes]]:
+    """Yields keys and values of odd entries below a prefix."""
+    is_key = prefix and not prefix.endswith('/')
+    for number, value in enumerate(ODD_VALUES):
+        yield prefix if is_key else f'{prefix}x{number}', value
+    if not is_key:
+        for name in ODD_NAMES:
+            yield prefix + name, b'\xff'
+    sound = SOUND_ENTRIES.get(prefix, {})
+    # A version of any size is valid.
+    for field in [f for f in sound if f != 'version' or not is_key]:
+        for number, value in enumerate(ODD_FIELD_VALUES):
+            rest = json.dumps({k: v for k, v in sound.items() if k != field})
+            text = rest.encode()[:-1] + f', "{field}": '.encode() + value
+            key = prefix if is_key else f'{prefix}{field}{number}'
+            yield key, text + b'}'
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -561,99 +561,6 @@
         self.check(gateway)
 
 
-# Of a service that no route uses, so that valid ones change nothing.
-SERVER_ENTRY = platform_documents.make_server_entry(
-    'other', 9, DOMAINS[0], 'ready'
-)
-HUGE_NUMBER = b'9' * 400
-# Values that any writer may leave under any key.
-ODD_VALUES = (
-    b'',
-    b'[' * 2000,
-    b'[' * 2000 + b']' * 2000,
-    b'{"a":' * 2000,
-    b'"\\ud800"',
-    b'{"\\udc00": "\\ud800"}',
-    b'["\\ud800", "\\ud800", "\\ud800", 1]',
-    HUGE_NUMBER,
-    b'1e400',
-    b'NaN',
-    b'null',
-    b'[]',
-    b'[null, null, null, null]',
-    b'["127.0.0.1", 1e400, "bkk", NaN]',
-    b'["127.0.0.1", ' + HUGE_NUMBER + b', "bkk", ' + HUGE_NUMBER + b']',
-    b'["\\ud800", 99999, "\\ud800", -1]',
-    b'{}',
-    b'\xff\xfe\x00\x80',
-    b'x' * 1_000_000,
-)
-ODD_NAMES = (
-    'x',
-    '',
-    'ไทย',
-    '%00%2F',
-    'a b\n\r\t',
-    '../x',
-    '"',
-    '\x00',
-    'é' * 90,
-)
-ODD_FIELD_VALUES = (
-    b'null',
-    b'NaN',
-    b'-Infinity',
-    b'1e400',
-    HUGE_NUMBER,
-    b'"\\ud800"',
-    b'[]',
-    b'{}',
-    b'""',
-    b'-1',
-)
-PREFIXES = (
-    'op/config',
-    'op/rollout/',
-    'op/evacuate/',
-    'servers/',
-    'chivejunction/members/',
-    'chivejunction/moves/',
-    'chivejunction/harmful/',
-    'unknown/',
-    '',
-)
-# Sound entries, of which one field at a time gets an odd value.
-SOUND_ENTRIES = {
-    'servers/': SERVER_ENTRY | {'born': 1, 'sequence': 1},
-    'op/rollout/': {'service': 'other', 'target': 'v2', 'duration_s': 60},
-    'chivejunction/moves/': {
-        'state': 'running',
-        'stage': 1,
-        'order': 1,
-        'elapsed': 0.1,
-    },
-    'op/config': platform_documents.make_config(2, ['safe'], [KEY]),
-}
-
-
-def list_entries(prefix: str):
-    """Yields keys and values of odd entries below a prefix."""
-    is_key = prefix and not prefix.endswith('/')
-    for number, value in enumerate(ODD_VALUES):
-        yield prefix if is_key else f'{prefix}x{number}', value
-    if not is_key:
-        for name in ODD_NAMES:
-            yield prefix + name, b'\xff'
-    sound = SOUND_ENTRIES.get(prefix, {})
-    # A version of any size is valid.
-    for field in sound.keys() - {'version' if is_key else ''}:
-        for number, value in enumerate(ODD_FIELD_VALUES):
-            rest = json.dumps({k: v for k, v in sound.items() if k != field})
-            text = rest.encode()[:-1] + f', "{field}": '.encode() + value
-            key = prefix if is_key else f'{prefix}{field}{number}'
-            yield key, text + b'}'
-
-
 # Fields of an item that the store adds to each response.
 MALFORMED_ITEMS = {
     'key_of_a_server': {'key': 'servers/\ud800'},
@@ -672,11 +579,11 @@
 class TestOddEntries:
     """Guards against entries of other writers that end or block a gateway."""
 
-    @pytest.mark.parametrize('prefix', PREFIXES)
+    @pytest.mark.parametrize('prefix', platform_documents.ENTRY_PREFIXES)
     def test_next_configuration_comes_into_force(self, region, prefix):
         region.start_all()
         keys = set()
-        for key, value in list_entries(prefix):
+        for key, value in platform_documents.list_odd_entries(prefix):
             region.put(key, value)
             keys.add(key)
         try:
