--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -591,16 +591,18 @@
                     f'graceful_shutdown: {call.id} at {name} was interrupted'
                 )
 
+    def has_due_route(self, call: Call) -> bool:
+        """Returns whether the added route of a call must be in force."""
+        confirmed_at = self.confirmed_at.get(call.kind, math.inf)
+        delay = call.sent_at - confirmed_at - CLOCK_TOLERANCE_SECONDS
+        return delay > CONFIG_SECONDS and self.is_in_touch(call)
+
     def _check_denied(self, call: Call) -> None:
         text = f'{call.id} at gw-{call.gateway} got status {call.status}'
-        confirmed_at = self.confirmed_at.get(call.kind)
-        if confirmed_at is None:
+        if call.kind not in self.confirmed_at:
             self.violations.append(f'denied: {text}')
-            return
-        delay = call.sent_at - confirmed_at
-        if delay > CONFIG_SECONDS + CLOCK_TOLERANCE_SECONDS and (
-            self.is_in_touch(call)
-        ):
+        elif self.has_due_route(call):
+            delay = call.sent_at - self.confirmed_at[call.kind]
             self.violations.append(
                 f'not_in_force: {text} for {call.kind} {delay:.2f} s after '
                 'its confirmation'
@@ -1059,7 +1061,12 @@
     counts = collections.Counter(
         f'{c.kind} {c.status if c.is_complete else "cut"}' for c in soak.calls
     )
-    print(json.dumps({'seed': seed, 'calls': counts, 'folder': folder}))
+    due = sum(soak.has_due_route(call) for call in soak.calls)
+    print(
+        json.dumps(
+            {'seed': seed, 'calls': counts, 'due': due, 'folder': folder}
+        )
+    )
     for violation in soak.violations:
         print('VIOLATION', violation)
     sys.exit(bool(soak.violations))
