Go on accepting after errors of accept, and free descriptors

A gateway whose idle callers had used up its descriptors ended: EMFILE left the loop that accepts, and with it the task group of all connections. So did EPROTO, ENETDOWN, ENOBUFS and the like; ECONNABORTED left the connections behind it in the queue for a turn.

For lack of resources the listener closes the connections of all listeners that have been idle longest (a sixteenth, eight at least; those accepted within a second still may send their request), waits 50 ms and goes on. Callers of one address get three quarters of the descriptors, so that connections to servers and store are left some. Only an unusable listening socket (EBADF, EINVAL, ENOTSOCK) still ends the task.

Accepts that fail all the time are tried 3 to 20 times in 0.5 s.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -9,8 +9,11 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import errno
 import math
+import resource
 import socket
+import sys
 
 import anyio
 from anyio import abc
@@ -20,6 +23,7 @@
 from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.protocol import forwarding
 from chivejunction.transport import listening
 from chivejunction.transport import sockets
@@ -32,6 +36,28 @@
 MAX_PIPELINED_BYTES = 65536
 # Name of connections in logs and metrics of unexpected errors.
 CONNECTION_PART = 'caller connection'
+# Share of the descriptors of this process that callers of an address may use.
+CALLER_SHARE = 0.75
+# Idle connections that are closed at once for lack of descriptors: this share
+# of them, and at least this number.
+CLOSED_IDLE_SHARE = 1 / 16
+MIN_CLOSED_IDLE = 8
+# Pause after a failed accept.
+ACCEPT_RETRY_SECONDS = 0.05
+# Time without a failed accept after which the next one is reported again.
+ACCEPT_REPORT_SECONDS = 10.0
+RESOURCE_ERRORS = {
+    errno.EMFILE: 'EMFILE',
+    errno.ENFILE: 'ENFILE',
+    errno.ENOBUFS: 'ENOBUFS',
+    errno.ENOMEM: 'ENOMEM',
+}
+UNUSABLE_SOCKET_ERRORS = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)
+ACCEPT_FAILURES = metrics.make_counter(
+    'accept_failures', 'Failed accepts of connections.', 'error'
+)
+# Those of all listeners, as they share the descriptors.
+_open_connections: set['CallerConnection'] = set()
 
 
 def is_cancelled() -> bool:
@@ -114,6 +140,23 @@
         await self._connection.flush()
 
 
+def find_max_sockets() -> int:
+    """Returns the number of sockets that callers of an address may use."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, int(CALLER_SHARE * limit))
+
+
+def close_longest_idle() -> None:
+    """Closes some connections, those that have been idle longest."""
+    idle = [c for c in _open_connections if c.is_idle]
+    idle.sort(key=lambda connection: connection.idle_deadline)
+    count = max(MIN_CLOSED_IDLE, int(CLOSED_IDLE_SHARE * len(idle)))
+    for connection in idle[:count]:
+        connection.close_if_idle()
+
+
 Handler = Callable[[RawRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -128,6 +171,9 @@
             progress.
         active_requests: Number of requests in progress.
         connections: Open connections.
+        accepted_sockets: Number of accepted sockets that are not closed yet.
+        max_sockets: Number of them beyond which callers wait in the queue of
+            the kernel. The other descriptors are left to outgoing connections.
         accept_scope: Scope of the task that accepts connections, or None.
     """
 
@@ -138,6 +184,8 @@
     connections: set['CallerConnection'] = dataclasses.field(
         default_factory=set
     )
+    accepted_sockets: int = 0
+    max_sockets: int = dataclasses.field(default_factory=find_max_sockets)
     accept_scope: anyio.CancelScope | None = None
 
     async def serve(self, address: str, port: int) -> None:
@@ -155,25 +203,62 @@
             # A cancelled wait loses no connection, a cancelled accept could.
             with sock, anyio.CancelScope() as self.accept_scope:
                 try:
-                    while True:
-                        await anyio.wait_readable(sock)
-                        self._serve_queued(group, sock)
+                    await self._accept(group, sock)
                 finally:
-                    self._serve_queued(group, sock)
+                    # A failed accept leaves them to the close.
+                    with contextlib.suppress(OSError):
+                        self._serve_queued(group, sock)
+
+    async def _accept(self, group, sock: socket.socket) -> None:
+        """Accepts connections until cancelled.
+
+        While there are no descriptors for more, connections that have been
+        idle longest are closed.
+        """
+        report_at = clock.now()
+        while True:
+            try:
+                await anyio.wait_readable(sock)
+                self._serve_queued(group, sock)
+                continue
+            except OSError as exc:
+                if exc.errno in UNUSABLE_SOCKET_ERRORS:
+                    raise
+                name = RESOURCE_ERRORS.get(exc.errno, 'other')
+                ACCEPT_FAILURES.labels(name).inc()
+                if clock.has_passed(report_at):
+                    containment.record_error('accept', exc)
+                report_at = clock.make_deadline(ACCEPT_REPORT_SECONDS)
+                if exc.errno in RESOURCE_ERRORS:
+                    close_longest_idle()
+            # The socket stays readable.
+            await anyio.sleep(ACCEPT_RETRY_SECONDS)
 
     def _serve_queued(self, group, sock: socket.socket) -> None:
-        """Serves the connections that the kernel has queued."""
+        """Serves the connections that the kernel has queued.
+
+        Raises:
+            OSError: Some of them cannot be accepted at present.
+        """
+        if self.accepted_sockets >= self.max_sockets:
+            raise OSError(errno.EMFILE, 'too many connections')
         for accepted in listening.accept_queued(sock):
+            self.accepted_sockets += 1
             group.start_soon(self._serve_accepted, accepted)
+            if self.accepted_sockets >= self.max_sockets:
+                return
 
     async def _serve_accepted(self, accepted: socket.socket) -> None:
-        with accepted, containment.contain(CONNECTION_PART):
-            try:
-                stream = await abc.SocketStream.from_socket(accepted)
-            except (OSError, ValueError):
-                # The caller has reset the connection before the accept.
-                return
-            await self.serve_stream(stream)
+        try:
+            with accepted, containment.contain(CONNECTION_PART):
+                try:
+                    stream = await abc.SocketStream.from_socket(accepted)
+                except (OSError, ValueError):
+                    # The caller has reset the connection before the accept.
+                    return
+                await self.serve_stream(stream)
+        finally:
+            self.accepted_sockets -= 1
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections are served on.
@@ -190,6 +275,7 @@
         """
         connection = CallerConnection(stream, self)
         self.connections.add(connection)
+        _open_connections.add(connection)
         try:
             with containment.contain(CONNECTION_PART):
                 await connection.serve()
@@ -199,6 +285,7 @@
             containment.record_error(CONNECTION_PART, exc)
         finally:
             self.connections.discard(connection)
+            _open_connections.discard(connection)
             with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
                 await stream.aclose()
 
@@ -241,6 +328,17 @@
         self._has_served = False
         self.is_reading = True
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for a request and is to stay open."""
+        scope = self._idle_scope
+        return scope is not None and not scope.cancel_called
+
+    @property
+    def idle_deadline(self) -> float:
+        """Monotonic time at which an idle connection is to be closed."""
+        return self._idle_scope.deadline
+
     def close_if_idle(self) -> None:
         """Closes the connection if no part of a request was received.
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import socket
 import struct
@@ -129,3 +130,145 @@
             await anyio.sleep(0.05)
             assert not rig.listener.connections
         assert 'caller connection' in containment.list_recent_errors()
+
+
+class FailingSocket(socket.socket):
+    """Listening socket whose accepts fail as a script says.
+
+    Attributes:
+        failures: Error numbers of the next accepts.
+        accepts: Number of accepts so far.
+    """
+
+    failures: tuple | list = ()
+    accepts = 0
+
+    def accept(self):
+        """Accepts a connection, or fails."""
+        self.accepts += 1
+        if self.failures:
+            number = self.failures.pop(0)
+            raise OSError(number, os.strerror(number))
+        return super().accept()
+
+
+def bind_failing_socket(address, port):
+    """Returns a listening socket whose accepts can fail."""
+    plain = listening.bind_socket(address, port)
+    return FailingSocket(fileno=plain.detach())
+
+
+class TestFailedAccepts:
+    """Guards against an accept whose error ends all connections."""
+
+    @pytest.mark.parametrize(
+        'name',
+        [
+            'ECONNABORTED',
+            'EPROTO',
+            'ENETDOWN',
+            'EHOSTUNREACH',
+            'EPERM',
+            'EMFILE',
+            'ENFILE',
+            'ENOBUFS',
+            'ENOMEM',
+            'EIO',
+        ],
+    )
+    @run_async
+    async def test_listener_goes_on(self, name, monkeypatch):
+        monkeypatch.setattr(caller_connections, 'MIN_CLOSED_IDLE', 0)
+        sock = bind_failing_socket('127.0.0.1', 0)
+        async with (
+            start(make_socket=lambda *_: sock) as rig,
+            await rig.connect() as kept,
+        ):
+            assert await rig.call(kept) == 200
+            sock.failures = [getattr(errno, name)] * 3
+            assert await rig.call() == 200
+            assert not sock.failures
+            assert await rig.call(kept) == 200
+
+    def test_connections_behind_an_aborted_one_are_accepted(self):
+        sock = bind_failing_socket('127.0.0.1', 0)
+        sock.setblocking(False)
+        sock.failures = [errno.ECONNABORTED]
+        with sock, socket.create_connection(sock.getsockname(), 2):
+            accepted = list(listening.accept_queued(sock))
+            assert len(accepted) == 1
+            accepted[0].close()
+
+    def test_endless_errors_of_connections_do_not_hang(self):
+        sock = bind_failing_socket('127.0.0.1', 0)
+        sock.setblocking(False)
+        sock.failures = [errno.EPERM] * 100_000
+        with sock, pytest.raises(PermissionError):
+            list(listening.accept_queued(sock))
+
+    @run_async
+    async def test_lack_of_descriptors_is_no_busy_loop(self, monkeypatch):
+        monkeypatch.setattr(caller_connections, 'ACCEPT_REPORT_SECONDS', 0.2)
+        sock = bind_failing_socket('127.0.0.1', 0)
+        recorded = containment.ERRORS.labels('accept')._value
+        counted = caller_connections.ACCEPT_FAILURES.labels('EMFILE')._value
+        recorded_before, counted_before = recorded.get(), counted.get()
+        async with start(make_socket=lambda *_: sock) as rig:
+            sock.failures = [errno.EMFILE] * 100_000
+            async with await rig.connect() as stream:
+                await anyio.sleep(0.5)
+                assert 3 < sock.accepts < 20
+                assert counted.get() - counted_before == sock.accepts
+                # One line for each time without descriptors.
+                assert recorded.get() - recorded_before == 1
+                sock.failures = []
+                assert await rig.call(stream) == 200
+                await anyio.sleep(0.2)
+                sock.failures = [errno.EMFILE]
+                assert await rig.call() == 200
+                assert recorded.get() - recorded_before == 2
+
+    @run_async
+    async def test_longest_idle_connections_are_closed(self, monkeypatch):
+        monkeypatch.setattr(caller_connections, 'MIN_CLOSED_IDLE', 2)
+        sock = bind_failing_socket('127.0.0.1', 0)
+        async with (
+            start(make_socket=lambda *_: sock) as rig,
+            await rig.connect() as first,
+            await rig.connect() as second,
+            await rig.connect() as third,
+        ):
+            for stream in (second, third, first):
+                assert await rig.call(stream) == 200
+                await anyio.sleep(0.02)
+            sock.failures = [errno.EMFILE]
+            assert await rig.call() == 200
+            for stream in (second, third):
+                assert (await forward_rig.read_response(stream)).status == 0
+            assert await rig.call(first) == 200
+
+    @run_async
+    async def test_connections_of_another_listener_give_descriptors(self):
+        """A starved readiness endpoint would take the gateway out of use."""
+        sock = bind_failing_socket('127.0.0.1', 0)
+        async with (
+            start() as callers,
+            start(make_socket=lambda *_: sock) as readiness,
+            await callers.connect() as idle,
+        ):
+            assert await callers.call(idle) == 200
+            sock.failures = [errno.EMFILE]
+            assert await readiness.call() == 200
+            assert (await forward_rig.read_response(idle)).status == 0
+
+    @run_async
+    async def test_some_descriptors_are_left_to_outgoing_connections(self):
+        async with start() as rig, contextlib.AsyncExitStack() as stack:
+            rig.listener.max_sockets = 5
+            for _ in range(5):
+                stream = await stack.enter_async_context(await rig.connect())
+                assert await rig.call(stream) == 200
+            assert rig.listener.accepted_sockets == 5
+            with anyio.fail_after(1):
+                assert await rig.call() == 200
+            assert rig.listener.accepted_sockets <= 5
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -278,3 +278,22 @@
                 os.devnull for n in closed
             ]
             assert gateway.is_running()
+
+
+class TestFewDescriptors:
+    """Guards against idle callers that use up the descriptors."""
+
+    def test_process_goes_on_and_serves_new_callers(self, tmp_path):
+        with (
+            GatewayProcess(tmp_path, limits='ulimit -n 150; ') as gateway,
+            contextlib.ExitStack() as stack,
+        ):
+            for _ in range(400):
+                stack.enter_context(gateway.connect())
+            time.sleep(2)
+            assert gateway.is_running()
+            for _ in range(20):
+                assert gateway.call().startswith(b'HTTP/1.1 503 ')
+            with gateway.connect(gateway.ready_address) as ready:
+                assert gateway.call(ready).startswith(b'HTTP/1.1 503 ')
+            assert gateway.stop() == 0
