Serve a request that crosses the close of an idle connection

A stopping gateway closed a kept channel although the request on it had been read, if both came in the same turn of the event loop: close_idle cancels the wait for data, and what the protocol got in that turn, or the kernel held, was thrown away with the connection.

After a cancelled wait the connection now receives once more, for 10 ms at most, and serves a request that it finds. It counts as unread request meanwhile, so that the process does not end. Data goes before a timer that is due in the same turn, so this last wait loses nothing.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -34,6 +34,9 @@
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
+# Wait for the data that the kernel holds; data goes before a timer that is due
+# in the same turn of the event loop.
+LAST_RECEIVE_SECONDS = 0.01
 # Name of connections in logs and metrics of unexpected errors.
 CONNECTION_PART = 'caller connection'
 # Share of the descriptors of this process that callers of an address may use.
@@ -462,6 +465,20 @@
                 data = b''
         self._conn.receive_data(data)
 
+    async def _receive_last(self) -> bool:
+        """Receives data that came as the wait for a request was cancelled.
+
+        A cancelled wait leaves data that was read in the stream, and the
+        kernel may hold some.
+
+        Returns:
+            Whether there was any, or the caller has closed the connection.
+        """
+        self.is_reading = True
+        with anyio.move_on_after(LAST_RECEIVE_SECONDS) as scope:
+            await self._receive()
+        return not scope.cancelled_caught
+
     async def _read_request(self, limits) -> RawRequest | None:
         head = await self._read_head(limits)
         if head is None:
@@ -496,7 +513,7 @@
                 self._idle_scope = scope
                 await self._receive()
             self._idle_scope = None
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and not await self._receive_last():
                 return None
             self.is_reading = True
             event = self._conn.next_event()
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -6,8 +6,11 @@
 import os
 import socket
 import struct
+import time
 
 import anyio
+from anyio import abc
+from anyio._backends import _asyncio
 import pytest
 
 from chivejunction import containment
@@ -272,3 +275,98 @@
             with anyio.fail_after(1):
                 assert await rig.call() == 200
             assert rig.listener.accepted_sockets <= 5
+
+
+class TestCloseOfIdleConnections:
+    """Guards against a close that crosses a request that has been read."""
+
+    async def connect_idle(self, rig):
+        """Returns a connection that waits for its second request."""
+        sock = rig.connect_blocking()
+        sock.setblocking(False)
+        stream = await abc.SocketStream.from_socket(sock)
+        assert await rig.call(stream) == 200
+        await anyio.sleep(0.02)
+        return sock, stream
+
+    @run_async
+    async def test_request_that_arrives_just_before(self):
+        async with start() as rig:
+            sock, stream = await self.connect_idle(rig)
+            async with stream:
+                sock.send(REQUEST)
+                rig.listener.close_idle()
+                response = await forward_rig.read_response(stream)
+                assert response.status == 200
+                assert response.headers['connection'] == 'close'
+                # The connection is closed after the response.
+                assert (await forward_rig.read_response(stream)).status == 0
+
+    @run_async
+    async def test_request_that_is_read_in_the_same_turn(self):
+        async with start() as rig:
+            sock, stream = await self.connect_idle(rig)
+            (connection,) = rig.listener.connections
+            protocol = connection._stream._protocol
+            data_received = protocol.data_received
+
+            def close_and_receive(data):
+                protocol.data_received = data_received
+                rig.listener.close_idle()
+                data_received(data)
+
+            protocol.data_received = close_and_receive
+            async with stream:
+                sock.send(REQUEST)
+                response = await forward_rig.read_response(stream)
+                assert response.status == 200
+
+    @run_async
+    async def test_part_of_a_request_counts_as_unread_request(self):
+        async with start() as rig:
+            sock, stream = await self.connect_idle(rig)
+            async with stream:
+                sock.send(REQUEST[:5])
+                rig.listener.close_idle()
+                for _ in range(5):
+                    await anyio.sleep(0.01)
+                    assert rig.listener.has_unread_requests()
+                sock.send(REQUEST[5:])
+                response = await forward_rig.read_response(stream)
+                assert response.status == 200
+                assert not rig.listener.has_unread_requests()
+
+    @run_async
+    async def test_request_at_the_end_of_the_idle_timeout(self, monkeypatch):
+        """The timer and the data may be due in the same turn."""
+        protocol = _asyncio.StreamProtocol
+        receive = protocol.data_received
+        read, handled = [], []
+
+        def data_received(self, data):
+            if data == REQUEST:
+                read.append(data)
+            receive(self, data)
+
+        async def handle(raw, reply):
+            handled.append(raw)
+            await echo(raw, reply)
+
+        async def call(rig, seconds):
+            sock, stream = await self.connect_idle(rig)
+            async with stream:
+                await anyio.sleep(seconds)
+                with contextlib.suppress(OSError):
+                    sock.send(REQUEST)
+                # Delays the turn, so that the timer is due as well.
+                time.sleep(0.005)
+                await forward_rig.read_response(stream)
+
+        monkeypatch.setattr(protocol, 'data_received', data_received)
+        limits = forwarding.CallerLimits(header_seconds=1, idle_seconds=0.5)
+        async with start(handle) as rig:
+            rig.listener.get_limits = lambda: limits
+            async with anyio.create_task_group() as group:
+                for number in range(60):
+                    group.start_soon(call, rig, 0.35 + number / 100)
+        assert len(read) == len(handled) >= 60
