Refuse configurations whose values fail at run time

An invalid configuration was taken if its JSON types fitted loosely: texts and true as numbers, negative limits, a prefix without slashes (it also matches paths beside it), time-outs of 0, numbers that overflow in later products, a route whose weights are all 0 (IndexError for each of its requests), names that fit no header. An empty key let requests without a key in as that tenant.

Types are strict now, except that 3.0 may stand for a whole number; numbers are finite, not negative and at most 10**15; versions have no bound. A configuration that breaks this is refused as a whole, and the version before stays in force. Empty keys are dropped.

Older, deleted and repeated versions were ignored before as well; a test covers it now.

--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -1,6 +1,7 @@
 """Operators' configuration and rollout orders in the platform's store."""
 
 import json
+from typing import Annotated
 
 import pydantic
 
@@ -31,14 +32,26 @@
 }
 
 
-class TrafficSplit(settings.SettingsModel):
+def _check_prefix(prefix: str) -> str:
+    if not (prefix.startswith('/') and prefix.endswith('/')):
+        raise ValueError('a prefix begins and ends with a slash')
+    return prefix
+
+
+class ConfigModel(settings.SettingsModel):
+    """Base of the models of operators' documents, with strict types."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+
+class TrafficSplit(ConfigModel):
     """Share of a route's traffic that a service receives."""
 
     service: str
-    weight: float = 1.0
+    weight: settings.Amount = 1.0
 
 
-class RouteConfig(settings.SettingsModel):
+class RouteConfig(ConfigModel):
     """A route.
 
     Attributes:
@@ -48,30 +61,30 @@
 
     name: str
     host: str
-    prefix: str
+    prefix: Annotated[str, pydantic.AfterValidator(_check_prefix)]
     kind: str
     service: str | None = None
     traffic_split: list[TrafficSplit] = []
-    timeout_ms: float = 30_000
-    target_latency_ms: float = 1_000
-    gap_target_ms: float = 0
-    priority: int = 5
-    max_attempts: int = 1
-    model_tiers: list[str] = []
+    timeout_ms: settings.PositiveAmount = 30_000
+    target_latency_ms: settings.Amount = 1_000
+    gap_target_ms: settings.Amount = 0
+    priority: settings.Count = 5
+    max_attempts: settings.Count = 1
+    model_tiers: list[settings.HeaderValue] = []
     public: bool = False
     sticky: bool = False
     can_resume: bool = False
     allowed_regions: list[str] = []
 
 
-class ModelConfig(settings.SettingsModel):
+class ModelConfig(ConfigModel):
     """A model; ``cost`` is per 1,000 tokens."""
 
     name: str
-    cost: float = 0.0
+    cost: settings.Amount = 0.0
 
 
-class EngineConfig(settings.SettingsModel):
+class EngineConfig(ConfigModel):
     """Capacity of each inference engine of a service.
 
     Attributes:
@@ -84,42 +97,42 @@
         models: Models that the engines run.
     """
 
-    slots: int = 0
-    kv_tokens: int = 0
-    kv_bytes: float = pydantic.Field(0.0, ge=0)
-    link_mbps: float = pydantic.Field(0.0, ge=0)
-    stride: int = pydantic.Field(1, ge=1)
+    slots: settings.Count = 0
+    kv_tokens: settings.Count = 0
+    kv_bytes: settings.Amount = 0.0
+    link_mbps: settings.Amount = 0.0
+    stride: settings.PositiveCount = 1
     models: list[ModelConfig] = []
 
 
-class ServiceConfig(settings.SettingsModel):
+class ServiceConfig(ConfigModel):
     """A service with the limits of its backend servers."""
 
     name: str
-    max_conns: int = 100
-    cold_per_s: float = 0.0
+    max_conns: settings.Count = 100
+    cold_per_s: settings.Amount = 0.0
     engine: EngineConfig | None = None
 
 
-class CallerLimitsConfig(settings.SettingsModel):
+class CallerLimitsConfig(ConfigModel):
     """Limits on the requests and connections of callers."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 5000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: settings.PositiveCount = 16384
+    max_body_bytes: settings.Count = 4194304
+    header_timeout_ms: settings.PositiveAmount = 5000
+    idle_timeout_ms: settings.PositiveAmount = 15000
 
 
-class OrganisationConfig(settings.SettingsModel):
+class OrganisationConfig(ConfigModel):
     """An organisation with its API keys."""
 
-    name: str
+    name: settings.HeaderValue
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: settings.Count | None = None
     allowed_regions: list[str] = []
 
 
-class ConfigDocument(settings.SettingsModel):
+class ConfigDocument(ConfigModel):
     """Configuration of all routes, services and organisations.
 
     Without ``tenants`` no route needs an API key; with an empty list no key
@@ -133,7 +146,7 @@
     tenants: list[OrganisationConfig] | None = None
 
 
-class RolloutDocument(settings.SettingsModel):
+class RolloutDocument(ConfigModel):
     """Order to move a service to the version ``target``."""
 
     service: str
@@ -149,6 +162,8 @@
     ]
     if not shares and config.service:
         shares = [forwarding.ServiceShare(config.service, 1.0)]
+    if not shares:
+        raise ValueError(f'all weights of route {config.name!r} are 0')
     return forwarding.Route(
         name=config.name,
         host=config.host,
@@ -202,7 +217,7 @@
             for route in document.routes
             if route.service or route.traffic_split
         ]
-    except (pydantic.ValidationError, KeyError) as exc:
+    except (ValueError, KeyError) as exc:
         raise errors.ProtocolError(
             f'configuration is not valid: {exc}'
         ) from exc
@@ -211,7 +226,9 @@
         organisation = forwarding.ForwardOrganisation(
             tenant.name, tenant.priority, frozenset(tenant.allowed_regions)
         )
-        organisations.update(dict.fromkeys(tenant.api_keys, organisation))
+        # A request without a key has an empty one.
+        keys = filter(None, tenant.api_keys)
+        organisations.update(dict.fromkeys(keys, organisation))
     limits = document.limits
     return route_tables.build_table(
         document.version,
--- a/chivejunction/platform/servers.py
+++ b/chivejunction/platform/servers.py
@@ -49,7 +49,7 @@
         ProtocolError: The entry is not valid or its failure domain unknown.
     """
     instance = key[len(PREFIX) :]
-    if not instance or not settings.is_header_value(instance):
+    if not settings.is_header_value(instance):
         raise errors.ProtocolError(f'{key!r} has no instance id')
     try:
         record = ServerEntry.model_validate_json(value)
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -15,16 +15,34 @@
 # are finite.
 MAX_NUMBER = 10**15
 
-# Numbers of the documents of the platform and of other writers.
-Count = Annotated[int, pydantic.Field(ge=0, le=MAX_NUMBER)]
-PositiveCount = Annotated[int, pydantic.Field(ge=1, le=MAX_NUMBER)]
-Amount = Annotated[float, pydantic.Field(ge=0, le=MAX_NUMBER)]
-PositiveAmount = Annotated[float, pydantic.Field(gt=0, le=MAX_NUMBER)]
-
 
 def is_header_value(text: str) -> bool:
     """Returns whether a text may be the value of an HTTP header."""
-    return text.isprintable() and text == text.strip()
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
+def _check_header_value(text: str) -> str:
+    if not is_header_value(text):
+        raise ValueError('not the value of a header')
+    return text
+
+
+def _make_whole(number):
+    """Returns a number such as 3.0 as an integer; others are unchanged."""
+    if isinstance(number, float) and number.is_integer():
+        return int(number)
+    return number
+
+
+HeaderValue = Annotated[str, pydantic.AfterValidator(_check_header_value)]
+Count = Annotated[
+    int,
+    pydantic.BeforeValidator(_make_whole),
+    pydantic.Field(ge=0, le=MAX_NUMBER),
+]
+PositiveCount = Annotated[Count, pydantic.Field(ge=1)]
+Amount = Annotated[float, pydantic.Field(ge=0, le=MAX_NUMBER)]
+PositiveAmount = Annotated[float, pydantic.Field(gt=0, le=MAX_NUMBER)]
 
 
 class SettingsModel(pydantic.BaseModel):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -281,6 +281,114 @@
         table = self.read(tenants=[])
         assert table.find_route('shop.example', '/safe/x').needs_key
 
+    def test_whole_numbers_may_be_written_with_a_fraction(self):
+        document = copy.deepcopy(FULL_CONFIG)
+        document['routes'][0]['priority'] = 3.0
+        document['services'][0]['engine']['slots'] = 64.0
+        table = self.decode(document)
+        assert table.find_route('shop.example', '/s/').urgency == 3
+        assert table.services['pool'].slots == 64
+
+    def test_large_version(self):
+        assert self.read(version=2**80).version == 2**80
+
+    def test_empty_key_is_no_key(self):
+        tenants = [{'name': 'temple', 'api_keys': ['', 'key-1']}]
+        table = self.read(tenants=tenants)
+        assert table.find_organisation('') is None
+        assert table.find_organisation('key-1').name == 'temple'
+
+    @pytest.mark.parametrize(
+        ('number', 'field', 'value'),
+        [
+            (0, 'version', '8'),
+            (0, 'version', True),
+            (0, 'version', 8.5),
+            (0, 'routes', {}),
+            (0, 'tenants', {'name': 'x'}),
+            (1, 'kind', 'once'),
+            (1, 'prefix', 's/'),
+            (1, 'prefix', '/s'),
+            (1, 'prefix', ''),
+            (1, 'timeout_ms', 0),
+            (1, 'timeout_ms', -1),
+            (1, 'timeout_ms', '3000'),
+            (1, 'timeout_ms', float('nan')),
+            (1, 'timeout_ms', float('inf')),
+            (1, 'timeout_ms', 10**40),
+            (1, 'target_latency_ms', float('nan')),
+            (1, 'gap_target_ms', -1),
+            (1, 'priority', -1),
+            (1, 'priority', 10**40),
+            (1, 'max_attempts', -1),
+            (1, 'max_attempts', 10**40),
+            (1, 'public', 'maybe'),
+            (1, 'public', 1),
+            (1, 'model_tiers', ['a\r\nB: c']),
+            (1, 'allowed_regions', 'bkk'),
+            (1, 'traffic_split', [{'service': 'pool', 'weight': 0}]),
+            (2, 'weight', -1),
+            (2, 'weight', float('nan')),
+            (2, 'weight', 1e300),
+            (3, 'max_conns', 10**40),
+            (3, 'max_conns', -1),
+            (3, 'cold_per_s', float('nan')),
+            (3, 'cold_per_s', -0.5),
+            (4, 'slots', -1),
+            (4, 'kv_tokens', 10**40),
+            (4, 'link_mbps', 1e308),
+            (4, 'stride', 0),
+            (5, 'cost', float('-inf')),
+            (6, 'header_timeout_ms', 0),
+            (6, 'idle_timeout_ms', float('nan')),
+            (6, 'max_header_bytes', 0),
+            (6, 'max_body_bytes', -1),
+            (7, 'name', ''),
+            (7, 'name', 'a\nb'),
+            (7, 'name', 'a\ud83d'),
+            (7, 'api_keys', 'key-1'),
+            (7, 'priority', -1),
+        ],
+    )
+    def test_invalid_value_is_a_protocol_error(self, number, field, value):
+        document = copy.deepcopy(FULL_CONFIG)
+        list_objects(document)[number][field] = value
+        with pytest.raises(errors.ProtocolError):
+            self.decode(document)
+
+    def test_invalid_or_older_document_does_not_replace_a_version(self):
+        async def check():
+            async with forward_rig.start() as rig:
+                gateway = rig.gateway
+                reader = entries.EntryReader(gateway, REGIONS)
+
+                def write(document, revision):
+                    value = None
+                    if document is not None:
+                        value = stores.Entry(
+                            'op/config',
+                            json.dumps(document).encode(),
+                            revision,
+                            0,
+                        )
+                    reader.apply(
+                        stores.Change('op/config', revision, value), False
+                    )
+                    return gateway.route_table
+
+                new = {**FULL_CONFIG, 'version': 2**70}
+                table = write(new, 101)
+                assert table.version == 2**70
+                assert write({**new, 'version': 2**71, 'routes': 7}, 102) is (
+                    table
+                )
+                assert write({**new, 'routes': []}, 103) is table
+                assert write({**new, 'version': 9, 'routes': []}, 104) is table
+                assert write(None, 105) is table
+                assert write({**new, 'version': 2**70 + 1}, 106) is not table
+
+        anyio.run(check)
+
     def test_invalid_document_is_a_protocol_error(self):
         with pytest.raises(errors.ProtocolError, match='configuration'):
             configuration.decode_route_table(b'{"version": "x"}')
