Apply a changed failure domain of a known server

A server whose entry named another failure domain for a while kept that one for the life of its process: BackendTable.update copied version, slots and state of a known server only. Its evacuation and the regions of routes then went by the wrong domain.

tests/test_backend_selection.py: test_failure_domain_follows_the_entry failed before.

--- a/chivejunction/state/backends.py
+++ b/chivejunction/state/backends.py
@@ -219,6 +219,8 @@
             self._by_process_hash[hash_process(entry)] = entry
             self._by_service.setdefault(entry.service, []).append(entry)
             return entry
+        known.failure_domain = entry.failure_domain
+        known.region = entry.region
         known.version = entry.version
         known.slots = entry.slots
         known.is_leaving = entry.is_leaving or known.said_leaving
--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -289,6 +289,14 @@
         pool.add('a', started_at_ms=1).record_failure()
         assert pool.add('a', started_at_ms=2).error_share == 0
 
+    def test_failure_domain_follows_the_entry(self, pool):
+        """An evacuation must not miss a server that was listed wrongly."""
+        pool.add('a')
+        pool.add('a', failure_domain='cnx-a', region='cnx')
+        pool.table.closed_domains.add('cnx-a')
+        assert pool.choose() is None
+        assert pool.table.get('a').region == 'cnx'
+
     def test_service_reusing_an_address_does_not_replace_a_server(self, pool):
         """Guards against servers that are identified by their address."""
         pool.add('a')
