Refuse rollout orders without a sound duration or service

By the code (not run), an order with a duration of 0 or less is complete within about a second, so that the old servers stopped while the new ones had no traffic yet; one with 40 digits never moved. An order whose service is not that of its key moved another service and could not be withdrawn by its key. Both are skipped now, and the order before stays in force.

An evacuation held with any value before.

--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -151,7 +151,7 @@
 
     service: str
     target: str
-    duration_s: float
+    duration_s: settings.PositiveAmount
 
 
 def _make_route(config: RouteConfig, has_keys: bool) -> forwarding.Route:
--- a/chivejunction/platform/entries.py
+++ b/chivejunction/platform/entries.py
@@ -90,17 +90,26 @@
 @ENTRY_READERS.register(configuration.ROLLOUT_PREFIX)
 def _read_rollout(reader, change, may_have_expired) -> None:
     moves = reader.gateway.moves
+    service = change.key[len(configuration.ROLLOUT_PREFIX) :]
     if change.entry is None:
-        moves.remove_order(change.key[len(configuration.ROLLOUT_PREFIX) :])
+        moves.remove_order(service)
         return
-    moves.set_order(
-        configuration.decode_rollout_order(change.entry.value, change.revision)
+    order = configuration.decode_rollout_order(
+        change.entry.value, change.revision
     )
+    # The order is removed by its key.
+    if order.service != service:
+        raise errors.ProtocolError(
+            f'{change.key!r} orders a move of service {order.service!r}'
+        )
+    moves.set_order(order)
 
 
 @ENTRY_READERS.register(configuration.EVACUATION_PREFIX)
 def _read_evacuation(reader, change, may_have_expired) -> None:
     domain = change.key[len(configuration.EVACUATION_PREFIX) :]
+    if not domain:
+        raise errors.ProtocolError(f'{change.key!r} names no failure domain')
     reader.gateway.set_domain(domain, change.entry is not None)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 
 from chivejunction import containment
 from chivejunction import errors
+from chivejunction.coordination import version_moves
 from chivejunction.platform import configuration
 from chivejunction.platform import entries
 from chivejunction.platform import headers
@@ -396,6 +397,49 @@
             configuration.decode_rollout_order(b'{}', 3)
 
 
+class TestRolloutOrders:
+    ORDER = {'service': 'pool', 'target': 'v2', 'duration_s': 12}
+
+    def make_reader(self):
+        gateway = RecordingGateway()
+        gateway.moves = version_moves.VersionMoves(
+            None, configuration.encode_move_status
+        )
+        return entries.EntryReader(gateway, REGIONS)
+
+    def write(self, reader, key, value, revision):
+        entry = None
+        if value is not None:
+            value = json.dumps(value).encode()
+            entry = stores.Entry(key, value, revision, 0)
+        reader.apply(stores.Change(key, revision, entry), False)
+        return sorted(reader.gateway.moves._moves)
+
+    @pytest.mark.parametrize(
+        'seconds',
+        [0, -1, float('nan'), float('inf'), 10**40, '12', True, None, [12]],
+    )
+    def test_order_without_a_sound_duration_is_skipped(self, seconds):
+        """Guards against a move that is complete at once, or never."""
+        reader = self.make_reader()
+        order = {**self.ORDER, 'duration_s': seconds}
+        assert self.write(reader, 'op/rollout/pool', order, 3) == []
+
+    def test_order_of_another_service_than_its_key_is_skipped(self):
+        reader = self.make_reader()
+        assert self.write(reader, 'op/rollout/desk', self.ORDER, 3) == []
+        assert self.write(reader, 'op/rollout/', self.ORDER, 4) == []
+
+    def test_order_with_new_fields_holds_until_it_is_deleted(self):
+        reader = self.make_reader()
+        order = {**self.ORDER, 'new': [None], 'other': None}
+        key = 'op/rollout/pool'
+        assert self.write(reader, key, order, 3) == ['pool']
+        assert self.write(reader, 'op/rollout/desk', None, 4) == ['pool']
+        assert self.write(reader, key, {'target': 7}, 5) == ['pool']
+        assert self.write(reader, key, None, 6) == []
+
+
 class TestServerEntries:
     def read(self, **fields):
         value = json.dumps({**ENTRY, **fields}).encode()
@@ -535,6 +579,17 @@
             ('set_domain', 'bkk-a', False)
         ]
 
+    @pytest.mark.parametrize(
+        'value', [b'', b'\xff\0', b'null', b'[' * 2000, b'{"x": 1e999}']
+    )
+    def test_evacuation_holds_with_any_value(self, value):
+        assert self.apply('op/evacuate/bkk-a', value) == [
+            ('set_domain', 'bkk-a', True)
+        ]
+
+    def test_evacuation_of_no_domain_is_skipped(self):
+        assert self.apply('op/evacuate/', b'{}') == []
+
     def test_server_removed_during_an_outage_may_have_lapsed(self):
         assert self.apply('servers/i-1', None, True) == [
             ('remove_backend', 'i-1', True)
