Replace an invalid or deleted record of a version move

A record of a version move that another writer left stopped that move for good: it was ignored without its revision, so that each later write failed its condition; after a deleted record too. Very deep JSON raised RecursionError, a negative stage was taken and then indexed the last one, which moves all sessions at once.

Records are validated by a strict model. The revision of an invalid one is kept, a deleted one is taken as absent, and the next write replaces it.

tests/test_version_moves.py: all 15 cases of test_invalid_record_is_ignored_and_replaced and test_deleted_record_is_written_again failed before. The first replaces test_invalid_record_is_ignored, whose last line asserted the cause: that the revision stays 0; the new one checks stage, state and the written record.

--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -17,6 +17,7 @@
 import statistics
 
 import anyio
+import pydantic
 
 from chivejunction import clock
 from chivejunction import errors
@@ -112,6 +113,8 @@
 # a write reaches all gateways within about a second.
 STAGE_WRITE_DELAY_SECONDS = 0.6
 REVERT_WRITE_JITTER_SECONDS = 0.05
+# A record with a larger elapsed share of the ordered time is invalid.
+MAX_ELAPSED_SHARE = 1e9
 
 
 def is_latency_high(ratio: float | None, old_ratio: float) -> bool:
@@ -144,6 +147,24 @@
     revision: int
 
 
+class MoveRecord(pydantic.BaseModel):
+    """Record of a move in the store; unknown fields are ignored.
+
+    Attributes:
+        order: Revision of the operator's order.
+        stage: Index into ``STAGES``.
+        state: State of the move.
+        elapsed: Elapsed share of the ordered time.
+    """
+
+    model_config = pydantic.ConfigDict(strict=True, allow_inf_nan=False)
+
+    order: int
+    stage: int = pydantic.Field(ge=0)
+    state: State
+    elapsed: float = pydantic.Field(ge=0, le=MAX_ELAPSED_SHARE)
+
+
 @dataclasses.dataclass(slots=True)
 class VersionResults:
     """Recent results of one version.
@@ -433,47 +454,44 @@
     def apply_record(self, entry: stores.Entry) -> None:
         """Applies the record of a move from the store.
 
-        A record that is invalid is logged and ignored. A stage is never
-        lowered, and a move that has ended does not resume.
+        A record that is invalid is logged and ignored, and replaced by the
+        next write. A stage is never lowered, and a move that has ended does
+        not resume.
 
         Args:
             entry: Entry of the store; its key ends with the service.
         """
+        service = entry.key[len(PREFIX) :]
+        move = self._moves.get(service)
         try:
-            value = json.loads(entry.value)
-            service = entry.key[len(PREFIX) :]
-            state = State(value['state'])
-            stage = min(int(value['stage']), len(STAGES) - 1)
-            order_revision = int(value['order'])
-            elapsed = float(value['elapsed'])
-            if not math.isfinite(elapsed):
-                raise ValueError('elapsed time is not finite')
-        except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+            record = MoveRecord.model_validate_json(entry.value)
+        except pydantic.ValidationError as exc:
             logs.LOG.warning(
-                'ignored invalid version move record %s: %r', entry.key, exc
+                'ignored invalid version move record %r: %r', entry.key, exc
             )
+            if move is not None and entry.revision > move.revision:
+                move.revision, move.is_recorded = entry.revision, False
             return
         self._records[service] = entry
-        move = self._moves.get(service)
         if move is None or entry.revision <= move.revision:
             return
         move.revision = entry.revision
-        if order_revision != move.order.revision:
+        if record.order != move.order.revision:
             return
         move.is_recorded = True
         # Keeps the elapsed time if all gateways restart.
         move.started_at = min(
-            move.started_at, clock.now() - elapsed * move.order.seconds
+            move.started_at, clock.now() - record.elapsed * move.order.seconds
         )
-        move.stage = max(move.stage, stage)
-        if move.state is State.RUNNING and state is not move.state:
-            move.state = state
+        move.stage = max(move.stage, min(record.stage, len(STAGES) - 1))
+        if move.state is State.RUNNING and record.state is not move.state:
+            move.state = record.state
             move.ended_at = clock.now()
             logs.log_decision(
                 'version move ended',
                 service=service,
                 target=move.order.target,
-                state=state.value,
+                state=record.state.value,
                 revision=entry.revision,
             )
 
@@ -770,7 +788,7 @@
             logs.LOG.info(
                 'cannot write version move record of %s: %s', service, exc
             )
-            await self._read_record(key)
+            await self._read_record(move, key)
             return
         logs.log_decision(
             'version move stage',
@@ -784,12 +802,15 @@
             stores.Entry(key, json.dumps(value).encode(), revision, 0)
         )
 
-    async def _read_record(self, key: str) -> None:
+    async def _read_record(self, move: Move, key: str) -> None:
         """Applies the store's record after a conflict or a lost response."""
         try:
             entry = await self._store.get(key)
         except errors.StoreError as exc:
             logs.LOG.info('cannot read version move record %s: %s', key, exc)
             return
-        if entry is not None:
+        if entry is None:
+            # It was deleted; the next write creates it again.
+            move.revision, move.is_recorded = 0, False
+        else:
             self.apply_record(entry)
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -302,11 +302,67 @@
         elapsed = moves._moves['pool'].find_elapsed_share()
         assert elapsed == pytest.approx(0.62)
 
-    def test_invalid_record_is_ignored(self, now):
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'\xff',
+            b'[' * 2000,
+            b'{"order":' * 2000,
+            b'7',
+            b'null',
+            b'{"order": 5, "stage": -1, "state": "running", "elapsed": 0}',
+            b'{"order": 5, "stage": 1e999, "state": "running", "elapsed": 0}',
+            b'{"order": 5, "stage": "3", "state": "running", "elapsed": 0}',
+            b'{"order": 5, "stage": 3, "state": "over", "elapsed": 0}',
+            b'{"order": 5, "stage": 3, "state": ["x"], "elapsed": 0}',
+            b'{"order": 5, "stage": 3, "state": "running", "elapsed": NaN}',
+            b'{"order": 5, "stage": 3, "state": "running", "elapsed": 1e300}',
+            b'{"order": 5, "stage": 3, "state": "running", "elapsed": -1}',
+            b'{"order": 5, "stage": 3, "state": "running"}',
+            b'{"order": 5, "stage": 3, "state": "running", "elapsed": '
+            + b'9' * 400
+            + b'}',
+        ],
+    )
+    @run_async
+    async def test_invalid_record_is_ignored_and_replaced(self, value):
+        """Guards against a move that another writer stops for good."""
+        store = stores.MemoryStore()
+        moves = make_moves(store)
+        key = version_moves.PREFIX + 'pool'
+        await store.swap(key, value, 0)
+        moves.apply_record(store.entries[key])
+        move = moves._moves['pool']
+        assert (move.stage, move.state) == (0, version_moves.State.RUNNING)
+        await advance(moves, 0.5)
+        assert json.loads(store.entries[key].value)['order'] == 5
+        assert move.is_recorded
+
+    @run_async
+    async def test_deleted_record_is_written_again(self):
+        store = stores.MemoryStore()
+        moves = make_moves(store)
+        await advance(moves, 0.1)
+        key = version_moves.PREFIX + 'pool'
+        await store.delete(key, store.entries[key].revision)
+        moves._moves['pool'].is_halted = True
+        await advance(moves, 0.7)
+        assert json.loads(store.entries[key].value)['state'] == 'reverted'
+
+    def test_record_with_new_fields_is_applied(self, now):
         moves = make_moves()
+        value = {
+            'order': 5,
+            'stage': 9,
+            'state': 'running',
+            'elapsed': 0,
+            'new': None,
+        }
         key = version_moves.PREFIX + 'pool'
-        moves.apply_record(transport_stores.Entry(key, b'\xff', 99, 0))
-        assert moves._moves['pool'].revision == 0
+        moves.apply_record(
+            transport_stores.Entry(key, json.dumps(value).encode(), 9, 0)
+        )
+        assert moves._moves['pool'].stage == 3
 
     def test_stage_is_never_lowered(self, now):
         moves = make_moves()
