Refuse odd entries of members, and join again if the own one is lost

An entry of the membership list that another writer left was taken with a port or an address that no datagram can be sent to (OverflowError and UnicodeError in the task that sends hints), with a capacity that is not a number, or ended the process by its depth. A gateway whose own entry was removed or overwritten stayed out of the list of all others for good, as it renewed its lease only.

A strict model checks the values.

The rig of tests/test_backend_selection.py wrote an empty address, which is refused now; it writes 127.0.0.1.

--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -1,11 +1,14 @@
 """Membership list of the running forwarding gateways, kept in the store."""
 
 import dataclasses
+import ipaddress
 import json
 import math
 import random
+from typing import Annotated
 
 import anyio
+import pydantic
 
 from chivejunction import clock
 from chivejunction import errors
@@ -34,6 +37,26 @@
 MAX_CACHED_COUNTS = 4096
 # Two, so that one may fail.
 MIN_RELAYS = 2
+MAX_PORT = 65535
+# An entry with more cores is invalid.
+MAX_CAPACITY = 1e6
+
+
+def _check_address(text: str) -> str:
+    ipaddress.IPv4Address(text)
+    return text
+
+
+# Value of a gateway's entry: the fields of ``Member``.
+ENTRY_VALUE = pydantic.TypeAdapter(
+    tuple[
+        Annotated[str, pydantic.AfterValidator(_check_address)],
+        Annotated[int, pydantic.Field(gt=0, le=MAX_PORT)],
+        str,
+        Annotated[float, pydantic.Field(ge=0, le=MAX_CAPACITY)],
+    ],
+    config=pydantic.ConfigDict(strict=True, allow_inf_nan=False),
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,9 +97,10 @@
     ):
         self._store = store
         self.name = name
-        self._address = address
         self._region = region
-        self._capacity = capacity
+        self._own_member = Member(*address, region, capacity)
+        # Whether another writer removed or changed the entry of this gateway.
+        self._is_own_entry_lost = False
         self._members: dict[str, Member] = {}
         # Monotonic times until which gateways are kept whose entry may have
         # expired during an outage of the store.
@@ -103,6 +127,9 @@
         """
         name = change.key[len(PREFIX) :]
         self._sharing_counts.clear()
+        if name == self.name:
+            # Until its value proves to be the one that was written.
+            self._is_own_entry_lost = True
         if change.entry is None:
             if may_have_expired and name in self._members:
                 self._lapsed[name] = clock.make_deadline(LAPSE_GRACE_SECONDS)
@@ -110,14 +137,13 @@
                 self._members.pop(name, None)
             return
         try:
-            address, port, region, capacity = json.loads(change.entry.value)
-            member = Member(
-                str(address), int(port), str(region), float(capacity)
-            )
-        except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+            member = Member(*ENTRY_VALUE.validate_json(change.entry.value))
+        except pydantic.ValidationError as exc:
             raise errors.ProtocolError(
-                f'malformed entry of member {name}: {exc}'
+                f'malformed entry of member {name!r}: {exc!r}'
             ) from exc
+        if name == self.name:
+            self._is_own_entry_lost = member != self._own_member
         self._members[name] = member
         self._lapsed.pop(name, None)
 
@@ -247,6 +273,9 @@
         retry_delay = RETRY_DELAY_SECONDS
         while True:
             try:
+                if lease and self._is_own_entry_lost:
+                    logs.LOG.warning('member entry lost, joining again')
+                    lease = 0
                 if lease and not await self._store.keep_alive(lease):
                     lease = 0
                 if not lease:
@@ -265,9 +294,9 @@
         key = PREFIX + self.name
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = await self._store.get(key)
-        value = json.dumps(
-            [*self._address, self._region, self._capacity]
-        ).encode()
+        value = json.dumps(dataclasses.astuple(self._own_member)).encode()
+        # Changes of the entry that arrive from now on may be later ones.
+        self._is_own_entry_lost = False
         await self._store.swap(
             key, value, entry.revision if entry else 0, lease
         )
--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -19,6 +19,7 @@
 SERVICE = forwarding.BackendService(
     'pool', max_connections=100, cold_rate=8.0, cache_tokens=200_000
 )
+MEMBER_VALUE = b'["127.0.0.1", 1, "bkk", 1]'
 
 
 class Pool:
@@ -30,7 +31,7 @@
         )
         for number in range(gateways):
             key = f'{gateway_membership.PREFIX}gw-{number}'
-            entry = transport_stores.Entry(key, b'["", 1, "bkk", 1]', 1, 0)
+            entry = transport_stores.Entry(key, MEMBER_VALUE, 1, 0)
             gateway_members.apply(transport_stores.Change(key, 1, entry))
         self.table = backends.BackendTable()
         self.server_backlogs = backlogs.Backlogs()
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -292,6 +292,96 @@
                     await anyio.sleep(0.01)
             group.cancel_scope.cancel()
 
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'\xff',
+            b'[' * 2000,
+            b'{}',
+            b'["127.0.0.1", 2, "bkk"]',
+            b'["127.0.0.1", 0, "bkk", 1]',
+            b'["127.0.0.1", 65536, "bkk", 1]',
+            b'["127.0.0.1", -1, "bkk", 1]',
+            b'["127.0.0.1", 1e999, "bkk", 1]',
+            b'["127.0.0.1", "2", "bkk", 1]',
+            b'["host.example", 2, "bkk", 1]',
+            b'["::1", 2, "bkk", 1]',
+            b'["\\ud800", 2, "bkk", 1]',
+            b'["127.0.0.1", 2, "\\ud800", 1]',
+            b'["127.0.0.1", 2, null, 1]',
+            b'["127.0.0.1", 2, "bkk", NaN]',
+            b'["127.0.0.1", 2, "bkk", Infinity]',
+            b'["127.0.0.1", 2, "bkk", -1]',
+            b'["127.0.0.1", 2, "bkk", ' + b'9' * 400 + b']',
+        ],
+    )
+    def test_invalid_entry_keeps_the_previous_one(self, value):
+        gateways = make_members('gw-1', 1)
+        add_member(gateways, 'gw-2', 7)
+        key = gateway_membership.PREFIX + 'gw-2'
+        entry = transport_stores.Entry(key, value, 5, 0)
+        with pytest.raises(errors.ProtocolError):
+            gateways.apply(transport_stores.Change(key, 5, entry))
+        assert gateways.find_address('gw-2') == ('127.0.0.1', 7)
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            None,
+            b'?',
+            b'["127.0.0.9", 7, "bkk", 1]',
+            b'["127.0.0.1", 7, "x", 1]',
+        ],
+    )
+    @run_async
+    async def test_joins_again_if_another_writer_changes_its_entry(
+        self, monkeypatch, value
+    ):
+        monkeypatch.setattr(
+            gateway_membership, 'RENEWAL_INTERVAL_SECONDS', 0.05
+        )
+        store = stores.MemoryStore()
+        key = gateway_membership.PREFIX + 'gw-1'
+        gateways = gateway_membership.GatewayMembership(
+            store, 'gw-1', ('127.0.0.1', 7), 'bkk'
+        )
+
+        def notify():
+            entry = store.entries.get(key)
+            try:
+                gateways.apply(
+                    transport_stores.Change(key, store.revision, entry)
+                )
+            except errors.ProtocolError:
+                pass
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(gateways.run)
+            with anyio.fail_after(5):
+                while key not in store.entries:
+                    await anyio.sleep(0.01)
+                own = store.entries[key]
+                notify()
+                # In the normal case the entry is written once.
+                await anyio.sleep(0.3)
+                assert store.writes == 1
+                if value is None:
+                    await store.delete(key, own.revision)
+                else:
+                    await store.swap(key, value, own.revision)
+                notify()
+                while (
+                    key not in store.entries
+                    or store.entries[key].value != own.value
+                ):
+                    await anyio.sleep(0.01)
+                writes = store.writes
+                notify()
+                await anyio.sleep(0.3)
+                assert store.writes == writes
+                assert store.entries[key].lease in store.leases
+            group.cancel_scope.cancel()
+
 
 class TestWindowedBudget:
     def test_extra_attempts_stay_within_share_and_allowance(self, monkeypatch):
