--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -19,6 +19,7 @@
 SERVICE = forwarding.BackendService(
     'pool', max_connections=100, cold_rate=8.0, cache_tokens=200_000
 )
+MEMBER_VALUE = b'["127.0.0.1", 1, "bkk", 1]'
 
 
 class Pool:
@@ -30,7 +31,7 @@
         )
         for number in range(gateways):
             key = f'{gateway_membership.PREFIX}gw-{number}'
-            entry = transport_stores.Entry(key, b'["", 1, "bkk", 1]', 1, 0)
+            entry = transport_stores.Entry(key, MEMBER_VALUE, 1, 0)
             gateway_members.apply(transport_stores.Change(key, 1, entry))
         self.table = backends.BackendTable()
         self.server_backlogs = backlogs.Backlogs()
@@ -289,6 +290,14 @@
         pool.add('a', started_at_ms=1).record_failure()
         assert pool.add('a', started_at_ms=2).error_share == 0
 
+    def test_failure_domain_follows_the_entry(self, pool):
+        """An evacuation must not miss a server that was listed wrongly."""
+        pool.add('a')
+        pool.add('a', failure_domain='cnx-a', region='cnx')
+        pool.table.closed_domains.add('cnx-a')
+        assert pool.choose() is None
+        assert pool.table.get('a').region == 'cnx'
+
     def test_service_reusing_an_address_does_not_replace_a_server(self, pool):
         """Guards against servers that are identified by their address."""
         pool.add('a')
