Read the items of store responses one by one

Changes that were confirmed to operators were not in force: one item that could not be read rejected the whole answer, which was asked for again from the same revision for ever. Deep nesting (RecursionError) ended the process, numbers beyond 64 bits and half surrogates failed later, in the encoding for followers. An answer to a watch without its events confirmed the copy.

- An entry without a readable value is passed on with an empty one, which its decoder refuses: it must not look deleted.
In a listing, the revision of the store stands in for an unreadable one.
- An item of a listing without a readable key is skipped, logged and counted.
A change without a readable key or revision asks for a listing instead, as if the history was lost, here and at the followers.
- A page that announces more entries but gives none to go on from was taken as the end of the listing, so that all other entries looked deleted.
It is now an error.
- Answers of other calls, numbers that are not whole, positive and of 63 bits, a lease 0, and keys that cannot be sent are store errors.
- A short pause comes before entries are read again, also for a store that answers 410 on and on.

--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -126,6 +126,8 @@
                     'change history lost, reading all entries: %s', exc
                 )
                 self._is_loaded = False
+                # All gateways may read all entries for the same reason.
+                await anyio.sleep(clock.jitter(RETRY_DELAY_SECONDS, 0.5))
             except errors.StoreError as exc:
                 self._record_failure(exc)
                 await anyio.sleep(clock.jitter(RETRY_DELAY_SECONDS, 0.5))
--- a/chivejunction/platform/store.py
+++ b/chivejunction/platform/store.py
@@ -3,10 +3,13 @@
 import base64
 import contextlib
 import json
+from typing import Any
 from urllib import parse
 
 from chivejunction import clock
 from chivejunction import errors
+from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.transport import http_client
 from chivejunction.transport import stores
 
@@ -15,6 +18,15 @@
 BODY_TIMEOUT_SECONDS = 4.0
 # A listing with more pages fails.
 MAX_LISTING_PAGES = 200
+# The store's own limit is 200.
+MAX_KEY_BYTES = 1024
+# MessagePack, in which changes are relayed, has no longer whole numbers.
+MAX_NUMBER = 2**63 - 1
+MALFORMED_ITEMS = metrics.make_counter(
+    'store_malformed_items',
+    'Items of store responses of which a field could not be read.',
+    'endpoint',
+)
 
 
 def _encode_base64(value: bytes) -> str:
@@ -32,20 +44,70 @@
         raise error(f'{endpoint}: malformed response: {exc!r}') from exc
 
 
-def _parse_entry(item: dict) -> stores.Entry:
-    return stores.Entry(
-        key=item['key'],
-        value=base64.b64decode(item.get('value') or ''),
-        revision=int(item['revision']),
-        lease=int(item.get('lease') or 0),
+def _record_malformed_item(endpoint: str, item: Any, exc: Exception) -> None:
+    MALFORMED_ITEMS.labels(endpoint).inc()
+    logs.LOG.warning(
+        '%s: malformed item: %r: %s', endpoint, exc, ascii(item)[:200]
     )
 
 
-def _parse_change(item: dict) -> stores.Change:
-    revision = int(item['revision'])
+def _parse_number(value: Any, least: int = 0, most: int = MAX_NUMBER) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError('not a whole number')
+    if not least <= value <= most:
+        raise ValueError(f'number not from {least} to {most}')
+    return value
+
+
+def _parse_key(item: dict) -> str:
+    key = item['key']
+    if not isinstance(key, str) or not key:
+        raise TypeError('key is no text')
+    if len(key.encode()) > MAX_KEY_BYTES:
+        raise ValueError(f'key has over {MAX_KEY_BYTES} bytes')
+    return key
+
+
+def _parse_entry(
+    endpoint: str, item: dict, store_revision: int
+) -> stores.Entry:
+    """Parses an item of the store.
+
+    An entry whose value cannot be read must not look deleted. Its value is
+    empty, which decoders refuse.
+
+    Args:
+        endpoint: Endpoint that returned the item.
+        item: The item.
+        store_revision: Revision of the store, which stands in for a revision
+            of the item that cannot be read.
+
+    Raises:
+        MALFORMED_DOCUMENT_ERRORS: The key cannot be read.
+    """
+    entry = stores.Entry(_parse_key(item), b'', store_revision, 0)
+    parsers = {
+        'value': lambda text: base64.b64decode(text or '', validate=True),
+        'revision': lambda number: _parse_number(number, 1, store_revision),
+        'lease': lambda number: _parse_number(number or 0),
+    }
+    for name, parse_field in parsers.items():
+        try:
+            setattr(entry, name, parse_field(item.get(name)))
+        except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+            _record_malformed_item(endpoint, item, exc)
+    return entry
+
+
+def _parse_change(item: dict, store_revision: int) -> stores.Change:
+    # A change needs its own revision: it must not hide those that follow.
+    key = _parse_key(item)
+    revision = _parse_number(item['revision'], 1, store_revision)
     if item.get('deleted'):
-        return stores.Change(item['key'], revision, None)
-    return stores.Change(item['key'], revision, _parse_entry(item))
+        return stores.Change(key, revision, None)
+    return stores.Change(
+        key, revision, _parse_entry('kv-watch', item, store_revision)
+    )
 
 
 class PlatformStore(stores.Store, stores.ChangeFeed):
@@ -66,7 +128,11 @@
         if status == 404:
             return None
         with _reject_malformed('kv-key'):
-            return _parse_entry(response)
+            revision = _parse_number(response['revision'], 1)
+            entry = _parse_entry('kv-key', response, revision)
+            if entry.key != key:
+                raise ValueError(f'item of another key than {key}')
+            return entry
 
     async def list_prefix(self, prefix: str) -> list[stores.Entry]:
         """Returns all entries whose keys start with a prefix."""
@@ -89,18 +155,43 @@
                 query['after'] = after
             _, response = await self._read('kv-range', query)
             with _reject_malformed('kv-range'):
+                page_revision = _parse_number(response['store_revision'], 1)
                 if revision is None:
-                    revision = int(response['store_revision'])
-                entries.extend(
-                    _parse_entry(item) for item in response['items']
-                )
-                if not response.get('has_more') or not response['items']:
+                    revision = page_revision
+                elif page_revision < revision:
+                    raise ValueError('revision of an earlier page was higher')
+                page = self._parse_page(response, prefix, page_revision)
+                entries.extend(page)
+                if not response.get('has_more'):
                     return entries, revision
-            after = entries[-1].key
+                # An incomplete listing would make the other keys look deleted.
+                if not page or page[-1].key == after:
+                    raise ValueError('more entries, but none to go on from')
+            after = page[-1].key
         raise errors.StoreError(
             f'listing of {prefix} has more than {MAX_LISTING_PAGES} pages'
         )
 
+    @staticmethod
+    def _parse_page(
+        response: dict, prefix: str, revision: int
+    ) -> list[stores.Entry]:
+        """Returns the entries of a page without those that have no key."""
+        items = response['items']
+        if not isinstance(items, list):
+            raise TypeError('items is no list')
+        page = []
+        for item in items:
+            try:
+                entry = _parse_entry('kv-range', item, revision)
+                if not entry.key.startswith(prefix):
+                    raise ValueError(f'key outside of {prefix}')
+            except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+                _record_malformed_item('kv-range', item, exc)
+                continue
+            page.append(entry)
+        return page
+
     async def poll_changes(
         self,
         prefix: str,
@@ -118,7 +209,9 @@
                 unavailable.
 
         Raises:
-            RevisionCompacted: The store no longer has these changes.
+            RevisionCompacted: The store no longer has these changes, or one of
+                them has no key or revision that can be read, so that only a
+                listing shows what has changed.
             StoreError: The call failed.
         """
         status, response = await self._read(
@@ -136,14 +229,22 @@
                 f'store has no history after revision {after}'
             )
         with _reject_malformed('kv-watch'):
-            changes = [
-                _parse_change(item) for item in response.get('events', [])
-            ]
-            # The store returns an empty response only at the end of the wait.
-            waited = 0.0 if changes else seconds
-            return stores.PollResult(
-                changes, int(response['store_revision']), waited
-            )
+            revision = _parse_number(response['store_revision'], 1)
+            items = response.get('events', [])
+            if not isinstance(items, list) or 'items' in response:
+                raise TypeError('events is no list')
+        changes = []
+        for item in items:
+            try:
+                changes.append(_parse_change(item, revision))
+            except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+                _record_malformed_item('kv-watch', item, exc)
+                raise errors.RevisionCompacted(
+                    f'unreadable change after revision {after}'
+                ) from exc
+        # The store returns an empty response only at the end of the wait.
+        waited = 0.0 if changes else seconds
+        return stores.PollResult(changes, revision, waited)
 
     async def swap(
         self,
@@ -176,7 +277,8 @@
             'POST', 'kv-lease', {'ttl_ms': seconds * 1000}
         )
         with _reject_malformed('kv-lease'):
-            return int(response['lease'])
+            # 0 would stand for keys without a lease.
+            return _parse_number(response['lease'], 1)
 
     async def keep_alive(self, lease: int) -> int:
         """Renews a lease; returns the seconds left, 0 if it has expired."""
@@ -186,7 +288,7 @@
         if status == 404:
             return 0
         with _reject_malformed('kv-keep'):
-            return int(response['ttl_ms']) // 1000
+            return _parse_number(response['ttl_ms']) // 1000
 
     async def revoke_lease(self, lease: int) -> None:
         """Ends a lease and removes its keys."""
@@ -208,7 +310,7 @@
         if status == 404:
             raise errors.StoreError(f'{key} not written: its lease has ended')
         with _reject_malformed('kv-txn', errors.StoreResultUnknown):
-            return int(response['revision'])
+            return _parse_number(response['revision'], 1)
 
     async def _read(
         self,
@@ -217,7 +319,10 @@
         accepted_statuses=(),
         timeout_seconds=stores.RESPONSE_TIMEOUT_SECONDS,
     ):
-        url = f'{self._url}{endpoint}?{parse.urlencode(query)}'
+        try:
+            url = f'{self._url}{endpoint}?{parse.urlencode(query)}'
+        except UnicodeError as exc:
+            raise errors.StoreError(f'{endpoint}: {exc}') from exc
         try:
             return await self._call(
                 'GET', url, None, accepted_statuses, timeout_seconds
@@ -260,7 +365,7 @@
             raise errors.StoreError(f'store answered status {status} to {url}')
         try:
             response = json.loads(content) if content else {}
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise errors.TransportError(
                 f'{url}: response body is not JSON'
             ) from exc
