Bound the bodies of responses to our own calls

Processes of users ran out of memory: whatever answers at the address of the store or of a gateway may send bytes without end, and the client kept all of them until its time limit of up to five seconds. Addresses that are no valid ones, for example a port over 65535 in an entry of another gateway, raised errors that the callers of the client do not expect, which ended the process.

A body of over 16 MB is now an error, upon which httpcore closes the connection. Errors that an odd response or address causes are transport errors. Heads were bounded before by h11 (100 kB).

--- a/chivejunction/transport/http_client.py
+++ b/chivejunction/transport/http_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import h11
 import httpcore
 
 from chivejunction import clock
@@ -14,6 +15,9 @@
 # dropped the state of a connection, it still looks open until it is used.
 IDLE_TIMEOUT_SECONDS = 5.0
 CONNECT_TIMEOUT_SECONDS = 2.0
+# A page of a listing has 1 MB before its encoding. A relay may pass on several
+# configurations of that size.
+MAX_BODY_BYTES = 16_000_000
 
 # Errors raised before the first byte of a request is sent.
 UNSENT_ERRORS = (
@@ -21,6 +25,21 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
+# Further errors that a response or an odd address can cause.
+PEER_ERRORS = (
+    ArithmeticError,
+    OSError,
+    RuntimeError,
+    TypeError,
+    ValueError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+    httpcore.ProxyError,
+    httpcore.UnsupportedProtocol,
+)
 
 
 class Client:
@@ -28,9 +47,15 @@
 
     Args:
         max_connections: Limit on connections to all hosts together.
+        max_body_bytes: Longest body of a response to ``call``.
     """
 
-    def __init__(self, max_connections: int = 1000):
+    def __init__(
+        self,
+        max_connections: int = 1000,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
+        self._max_body_bytes = max_body_bytes
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             max_keepalive_connections=64,
@@ -113,22 +138,38 @@
                 body, as long as data keeps arriving.
 
         Raises:
-            TransportError: The call failed or timed out.
+            TransportError: The call failed or timed out, or the response is
+                too long.
         """
         try:
             with anyio.fail_after(clock.remaining(deadline) + body_timeout):
                 async with self.stream(
                     method, url, deadline, headers, body
                 ) as response:
-                    content = await response.aread()
+                    content = await self._read_body(response)
         except TimeoutError as exc:
             raise errors.TransportError(f'{method} {url} timed out') from exc
+        except PEER_ERRORS as exc:
+            raise errors.TransportError(
+                f'{method} {ascii(url)}: {exc!r}'
+            ) from exc
         response_headers = {
             k.decode('latin-1').lower(): v.decode('latin-1')
             for k, v in response.headers
         }
         return response.status, response_headers, content
 
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        parts, size = [], 0
+        async for part in response.aiter_stream():
+            size += len(part)
+            if size > self._max_body_bytes:
+                raise errors.TransportError(
+                    f'response has over {self._max_body_bytes} bytes'
+                )
+            parts.append(part)
+        return b''.join(parts)
+
     async def call_json(
         self, method: str, url: str, deadline: float, value: Any = None
     ) -> tuple[int, Any]:
@@ -144,5 +185,5 @@
         )
         try:
             return status, json.loads(content) if content else None
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise errors.TransportError(f'{url}: body is not JSON') from exc
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -77,3 +77,103 @@
             with pytest.raises(errors.TransportError):
                 await call(url, 5.0)
             assert clock.now() - started < 1.5
+
+
+@contextlib.asynccontextmanager
+async def serve_endless(head, part, sent):
+    """Yields the URL of a server whose response never ends.
+
+    Args:
+        head: First bytes of the response.
+        part: Bytes that are repeated after them.
+        sent: List to which the number of bytes of each write is added.
+    """
+
+    async def respond(stream):
+        with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
+            await stream.receive()
+            await stream.send(head)
+            while True:
+                await stream.send(part)
+                sent.append(len(part))
+        await stream.aclose()
+
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, respond)
+        yield f'http://127.0.0.1:{port}/'
+        group.cancel_scope.cancel()
+
+
+class TestEndlessResponses:
+    """Guards against responses that use up the memory of the process."""
+
+    PART = b'x' * 65536
+
+    @run_async
+    @pytest.mark.parametrize(
+        ('head', 'part'),
+        [
+            (b'HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n', PART),
+            (b'HTTP/1.1 200 OK\r\n\r\n', PART),
+            (
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+                b'10000\r\n' + PART + b'\r\n',
+            ),
+            (b'HTTP/1.1 200 OK\r\nA: ', PART),
+            (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n' * 999),
+            (b'', PART),
+        ],
+    )
+    async def test_response_over_the_bound_is_cut_off(self, head, part):
+        sent = []
+        client = http_client.Client(max_body_bytes=300_000)
+        async with serve_endless(head, part, sent) as url:
+            with pytest.raises(errors.TransportError) as caught:
+                await client.call(
+                    'GET', url, clock.make_deadline(2.0), body_timeout=2.0
+                )
+            assert 'timed out' not in str(caught.value)
+            # The connection is closed, so the server cannot go on.
+            await anyio.sleep(0.1)
+            count = len(sent)
+            await anyio.sleep(0.1)
+            assert len(sent) == count
+
+    @run_async
+    async def test_response_at_the_bound_is_read(self):
+        async with serve(0.0) as url:
+            client = http_client.Client(max_body_bytes=10 * PARTS)
+            _, _, body = await client.call(
+                'GET', url, clock.make_deadline(1.0)
+            )
+            assert len(body) == 10 * PARTS
+
+
+class TestAddresses:
+    """Addresses come from entries that other programs may have written."""
+
+    @run_async
+    @pytest.mark.parametrize(
+        'address',
+        [
+            '127.0.0.1:99999999',
+            '127.0.0.1:-1',
+            '127.0.0.1:x',
+            '[::1:80',
+            'a b:1',
+            'half\ud800:1',
+            'x' * 300 + ':1',
+            '127.0.0.1:1/\n',
+            '',
+        ],
+    )
+    async def test_invalid_address_is_a_transport_error(self, address):
+        with pytest.raises(errors.TransportError):
+            await call(f'http://{address}', 0.0)
+
+    @run_async
+    async def test_unknown_scheme_is_a_transport_error(self):
+        with pytest.raises(errors.TransportError):
+            await call('gopher://127.0.0.1:1', 0.0)
