Keep only the last change of each key in the change log

Replaced changes were never listed, so that followers get the same as before. A property test compares what a follower ends up with to the state of the store, at each revision.

Seen failing before: test_replaced_values_are_not_kept, test_large_values_are_evicted_before_they_fill_the_memory.

--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -1,6 +1,8 @@
 """Tests of the local copy of the store and of its change log."""
 
 import anyio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from chivejunction import errors
 from chivejunction.coordination import mirrors
@@ -187,6 +189,78 @@
         assert log.list_after(5) is None
         assert len(log.list_after(log.revision - 3)) == 3
 
+    def test_replaced_values_are_not_kept(self):
+        """Guards against running out of memory by many changes of a key.
+
+        A configuration has up to 1 MB and may change every few seconds.
+        """
+        log = change_log.ChangeLog()
+        log.reset(1)
+        for number in range(2, 100):
+            entry = stores.Entry('config', b'x' * 1000, number, 0)
+            log.extend([stores.Change('config', number, entry)], number)
+        assert len(log) == 1
+        assert [c.revision for c in log.list_after(1)] == [99]
+
+    def test_large_values_are_evicted_before_they_fill_the_memory(self):
+        log = change_log.ChangeLog()
+        log.reset(1)
+        value = b'x' * (change_log.MAX_BYTES // 4)
+        for number in range(2, 12):
+            entry = stores.Entry(f'k{number}', value, number, 0)
+            log.extend([stores.Change(f'k{number}', number, entry)], number)
+        assert len(log) <= 4
+        assert log.list_after(2) is None
+        assert log.list_after(10)[0].key == 'k11'
+
+    def test_lists_nothing_before_its_first_revision(self):
+        log = change_log.ChangeLog()
+        log.reset(5)
+        assert log.list_after(4) is None
+        assert log.list_after(5) == []
+        log.extend([make_change('a', 7)], 8)
+        assert log.list_after(4) is None
+        assert [c.key for c in log.list_after(5)] == ['a']
+        assert log.list_after(99) == []
+        log.reset(20)
+        assert log.list_after(8) is None
+
+    @given(
+        st.lists(
+            st.lists(
+                st.tuples(st.sampled_from('abcd'), st.booleans()), max_size=5
+            ),
+            max_size=8,
+        ),
+        st.integers(0, 40),
+    )
+    def test_follower_ends_with_the_state_of_the_store(self, batches, after):
+        """A follower at any revision misses nothing and gets nothing older."""
+        log = change_log.ChangeLog()
+        log.reset(1)
+        revision, states = 1, {1: {}}
+        for batch in batches:
+            changes = []
+            for key, is_deleted in batch:
+                revision += 1
+                changes.append(make_change(key, revision, is_deleted))
+                state = dict(states[revision - 1])
+                state.pop(key, None)
+                if not is_deleted:
+                    state[key] = revision
+                states[revision] = state
+            log.extend(changes, revision)
+        listed = log.list_after(after)
+        if after not in states:
+            assert listed is None or (listed == [] and after > revision)
+            return
+        state = dict(states[after])
+        for change in listed:
+            state.pop(change.key, None)
+            if change.entry is not None:
+                state[change.key] = change.revision
+        assert state == states[revision]
+
 
 class TestConfirmation:
     @run_async
