Refuse late requests in a stop, answer those left at its end

Callers saw: in a planned stop, in calm, requests that came late (first request 0.9 s after the accept, body or head in pieces) were passed on and cut with no answer as the grace period ended, among them requests that may not be repeated (LOST). So were all others in progress then, and requests that waited for a server. Cause: nothing ended the admission of requests on open connections, and the tasks of the connections were cancelled at the end. Fix: a request read later than 2.9 s (0.36 of the grace period) after the signal, or that still waits for its first server then, is refused with 503 and Retry-After; it was not run. Callers that come so late sit on connections accepted before, and a refusal costs one retry elsewhere. At the end of the grace period the deadline of each request is moved up, which gives 502 (fate unknown), 503 (not run) or the error response at hand while there is time to write them; streams are reset. No repetition begins with less time left than the route's objective.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -190,7 +190,7 @@
             now,
         )
         try:
-            while not clock.has_passed(deadline):
+            while not clock.has_passed(min(deadline, context.last_attempt_at)):
                 event = self._wake_events[ticket.number] = anyio.Event()
                 check_at = clock.make_deadline(CAPACITY_CHECK_SECONDS)
                 with anyio.move_on_at(min(deadline, check_at)) as scope:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -48,15 +48,23 @@
 # where that is short.
 READINESS_DRAIN_SECONDS = 2.4
 READINESS_DRAIN_SHARE = 0.3
+# Time in which a stopping gateway passes requests on. One that is read later,
+# on a connection that was accepted before, is refused: its caller can still
+# go to another gateway, and nothing was run.
+ADMISSION_SECONDS = 2.9
+ADMISSION_SHARE = 0.36
 # Longest delay of the first callers until the first configuration is loaded.
 # Callers time out if a gateway does not read their request within a second.
 FIRST_CONFIG_TIMEOUT_SECONDS = 0.4
 # Interval at which a stopping gateway checks for requests in progress.
 REQUEST_POLL_SECONDS = 0.05
-# Part of the grace period that is reserved for the exit of the process.
-# Servers that are still at work have had five sixths of it.
+# Part of the grace period that is reserved for the final responses to
+# requests in progress and the exit of the process. Servers that are still at
+# work have had five sixths of it.
 EXIT_RESERVE_SECONDS = 1.2
 EXIT_RESERVE_SHARE = 0.15
+# Part of the reserve for the final responses.
+FINAL_RESPONSE_SHARE = 0.3
 # Time limit for the removal of the membership entry.
 LEAVE_TIMEOUT_SECONDS = 1.0
 
@@ -461,23 +469,26 @@
         """Shuts down gracefully within the grace period.
 
         The gateway reports that it is not ready, closes idle connections and
-        waits for the requests in progress.
+        waits for the requests in progress. Those that are left near the end
+        of the grace period get a final response.
         """
         grace = self._options.grace_period_seconds
         now = clock.now()
         drain_until = now + min(
             READINESS_DRAIN_SECONDS, READINESS_DRAIN_SHARE * grace
         )
+        admit_until = now + min(ADMISSION_SECONDS, ADMISSION_SHARE * grace)
         reserve = min(EXIT_RESERVE_SECONDS, EXIT_RESERVE_SHARE * grace)
         stop_at = now + grace - reserve
         self._is_stopping = True
         self.caller_listener.is_closing = True
+        self._forwarder.schedule_stop(admit_until, stop_at)
         logs.LOG.info(
             'stopping with %d requests in progress',
             self.caller_listener.active_requests,
             extra={'fields': {'event': 'stopping'}},
         )
-        with anyio.move_on_at(stop_at):
+        with anyio.move_on_at(stop_at + FINAL_RESPONSE_SHARE * reserve):
             await anyio.sleep(clock.remaining(drain_until))
             with containment.contain('stop'):
                 self.caller_listener.close_idle()
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -63,6 +63,25 @@
         self._chooser = chooser
         self._attempts = attempts
         self._prompt_guard = prompt_guard
+        self._admit_until = self._stop_at = math.inf
+        # Requests in progress and the scopes of their deadlines.
+        self._active: dict[
+            request_context.RequestContext, anyio.CancelScope
+        ] = {}
+
+    def schedule_stop(self, admit_until: float, stop_at: float) -> None:
+        """Limits all requests to the times of a stop of this gateway.
+
+        Args:
+            admit_until: Monotonic time after which requests that are read
+                or wait for a server are refused.
+            stop_at: Monotonic time at which all requests in progress get
+                their final response.
+        """
+        self._admit_until, self._stop_at = admit_until, stop_at
+        for context, scope in self._active.items():
+            context.set_stop_times(admit_until, stop_at)
+            scope.deadline = context.deadline
 
     async def handle(
         self,
@@ -82,25 +101,40 @@
             await self._refuse(reply, None, exc)
             return
         try:
+            self._require_admission(request)
             context = self._create_context(request, reply)
         except errors.RefusalError as exc:
             await self._refuse(reply, request, exc)
             return
+        context.set_stop_times(self._admit_until, self._stop_at)
         try:
             with anyio.move_on_at(context.deadline) as scope:
+                self._active[context] = scope
                 try:
                     await self._run_attempts(context)
                 except errors.RefusalError as exc:
                     await self._refuse(reply, request, exc)
+            # A later stop must not cancel the final response.
+            self._active.pop(context, None)
             if scope.cancelled_caught:
-                context.reason = 'time limit reached'
+                context.reason = (
+                    'this gateway stops'
+                    if clock.has_passed(context.stop_at)
+                    else 'time limit reached'
+                )
                 await self._send_failure(context)
         except anyio.get_cancelled_exc_class():
             context.reason = 'the caller left'
             raise
         finally:
+            self._active.pop(context, None)
             self._record_result(context)
 
+    def _require_admission(self, request: forwarding.ForwardRequest) -> None:
+        """Raises RefusalError if this gateway stops too soon for a request."""
+        if request.received_at > self._admit_until:
+            raise errors.RefusalError('leaving', 'this gateway stops')
+
     def _create_context(
         self, request, reply
     ) -> request_context.RequestContext:
@@ -206,6 +240,7 @@
             and context.sent_attempts < context.route.max_attempts
             and context.broken_starts < crash_evidence.MAX_CRASHES_PER_REQUEST
             and clock.remaining(context.deadline) > MIN_REMAINING_SECONDS
+            and not clock.has_passed(context.last_attempt_at)
         )
 
     async def _send_failure(
@@ -223,7 +258,13 @@
             )
             return
         if context.verdict is request_context.NOT_RUN:
-            code = 'no_server'
+            code = (
+                'leaving'
+                if clock.has_passed(context.last_attempt_at)
+                else 'no_server'
+            )
+        elif clock.has_passed(context.stop_at):
+            code = 'server_failed'
         elif clock.remaining(context.deadline) <= MIN_REMAINING_SECONDS:
             code = 'deadline'
         else:
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from chivejunction import errors
 from chivejunction.protocol import forwarding
@@ -60,7 +61,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class RequestContext:
     """State of one request across its attempts.
 
@@ -72,6 +73,10 @@
         reply: Writes the response to the caller.
         tier: Model tier in use.
         deadline: Monotonic time by which the final response is due.
+        admit_until: Monotonic time after which a first attempt does not
+            begin, since the gateway stops.
+        stop_at: Monotonic time at which the gateway stops; the deadline is
+            not later.
         verdict: Highest verdict of all attempts.
         sent_attempts: Number of attempts that were sent.
         failed_instances: Instances whose attempts failed.
@@ -104,6 +109,8 @@
     reply: caller_connections.ResponseWriter
     tier: tier_choice.TierChoice
     deadline: float
+    admit_until: float = math.inf
+    stop_at: float = math.inf
     verdict: verdicts.Verdict = NOT_RUN
     sent_attempts: int = 0
     failed_instances: set[str] = dataclasses.field(default_factory=set)
@@ -127,6 +134,27 @@
             self.request.prompt
         )
 
+    def set_stop_times(self, admit_until: float, stop_at: float) -> None:
+        """Limits the request to the times of a stop of this gateway.
+
+        Args:
+            admit_until: Monotonic time after which no first attempt begins.
+            stop_at: Monotonic time at which the gateway stops.
+        """
+        self.admit_until, self.stop_at = admit_until, stop_at
+        self.deadline = min(self.deadline, stop_at)
+
+    @property
+    def last_attempt_at(self) -> float:
+        """Monotonic time after which no attempt begins, by the gateway's stop.
+
+        A request that was sent may be repeated for as long as a response is
+        likely before the stop.
+        """
+        if self.sent_attempts:
+            return self.stop_at - self.route.objective
+        return self.admit_until
+
     @property
     def is_retry_safe(self) -> bool:
         """Whether the request may run again after the attempts so far."""
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -96,6 +96,11 @@
     )
 
 
+async def respond_never(request, stream):
+    """Reads a request and does not respond."""
+    await anyio.sleep(60)
+
+
 def make_slow_server(seconds):
     """Returns a script that responds after some time."""
 
@@ -132,9 +137,7 @@
         return self.ended_at - self.started_at
 
 
-async def play_stop(
-    grace, scripts, calls, config=None, prepare=None, count=1
-):
+async def play_stop(grace, scripts, calls, config=None, prepare=None, count=1):
     """Plays a stop; returns it, the responses and the servers.
 
     Args:
@@ -147,35 +150,36 @@
     """
     responses = {}
     servers = {}
-    async with anyio.create_task_group() as callers:
-        async with anyio.create_task_group() as group:
-            rig = forward_rig.Rig(group, config)
-            set_grace_period(rig, grace)
-            for service, script in scripts.items():
-                servers[service] = [
-                    await rig.add_server(script, service)
-                    for _ in range(count)
-                ]
-            await rig.serve()
-            if prepare is not None:
-                prepare(rig)
-            begin_at = clock.make_deadline(0.3)
-
-            async def call(seconds, target):
-                await anyio.sleep_until(begin_at + seconds - FIRST_REQUEST_LAG)
-                stream = await rig.connect()
-                await anyio.sleep_until(begin_at + seconds)
-                name = f'r-{seconds}-{target}'
-                async with stream:
-                    responses[seconds, target] = await rig.exchange(
-                        stream, target, Request_Id=name, Deadline_Ms='12000'
-                    )
-
-            for seconds, target in calls:
-                callers.start_soon(call, seconds, target)
-            await anyio.sleep_until(begin_at)
-            stop = Stop(rig, group)
-            group.start_soon(stop.run)
+    async with (
+        anyio.create_task_group() as callers,
+        anyio.create_task_group() as group,
+    ):
+        rig = forward_rig.Rig(group, config)
+        set_grace_period(rig, grace)
+        for service, script in scripts.items():
+            servers[service] = [
+                await rig.add_server(script, service) for _ in range(count)
+            ]
+        await rig.serve()
+        if prepare is not None:
+            prepare(rig)
+        begin_at = clock.make_deadline(0.3)
+
+        async def call(seconds, target):
+            await anyio.sleep_until(begin_at + seconds - FIRST_REQUEST_LAG)
+            stream = await rig.connect()
+            await anyio.sleep_until(begin_at + seconds)
+            name = f'r-{seconds}-{target}'
+            async with stream:
+                responses[seconds, target] = await rig.exchange(
+                    stream, target, Request_Id=name, Deadline_Ms='12000'
+                )
+
+        for seconds, target in calls:
+            callers.start_soon(call, seconds, target)
+        await anyio.sleep_until(begin_at)
+        stop = Stop(rig, group)
+        group.start_soon(stop.run)
     return stop, responses, servers
 
 
@@ -196,6 +200,163 @@
 ]
 
 
+class TestLateRequests:
+    """Guards against requests that are taken too late to be answered."""
+
+    @run_async
+    async def test_late_request_is_refused_and_not_passed_on(self):
+        """A connection whose first request comes 0.9 s after its accept."""
+        stop, responses, servers = await play_stop(
+            4.0,
+            {'desk': respond_never},
+            [(1.7, '/once/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        response = responses[1.7, '/once/a']
+        assert response.status == 503
+        assert response.is_complete
+        assert float(response.headers['retry-after']) > 0
+        assert response.headers['connection'] == 'close'
+        assert not servers['desk'][0].received_requests
+
+    @run_async
+    async def test_request_in_the_drain_is_served(self):
+        stop, responses, _ = await play_stop(
+            4.0, {'desk': forward_rig.respond_ok}, [(0.5, '/once/a')]
+        )
+        assert responses[0.5, '/once/a'].status == 200
+
+    @run_async
+    async def test_waiting_request_is_refused_when_admission_ends(self):
+        """No server has room, and the route allows a wait of 2.5 s."""
+        routes = [
+            forward_rig.make_route(
+                'once',
+                '/once/',
+                'non_idempotent',
+                max_attempts=1,
+                timeout_ms=20000,
+                target_latency_ms=20000,
+            )
+        ]
+        started_at = clock.now()
+        ended_at = []
+
+        async def end_wait(rig):
+            while rig.gateway.caller_listener.active_requests == 0:
+                await anyio.sleep(0.01)
+            while rig.gateway.caller_listener.active_requests:
+                await anyio.sleep(0.01)
+            ended_at.append(clock.now())
+
+        def prepare(rig):
+            rig._group.start_soon(end_wait, rig)
+
+        stop, responses, _ = await play_stop(
+            4.0,
+            {},
+            [(0.5, '/once/a')],
+            forward_rig.make_config(routes=routes),
+            prepare,
+        )
+        response = responses[0.5, '/once/a']
+        assert response.status == 503
+        assert started_at < ended_at[0] < stop.started_at + 2.0
+
+
+class TestEndOfGracePeriod:
+    """Guards against requests that end with a closed connection."""
+
+    @run_async
+    async def test_request_in_progress_is_answered(self):
+        """Whether the server ran it is not known."""
+        stop, responses, _ = await play_stop(
+            2.0,
+            {'desk': respond_never},
+            [(-0.1, '/once/a'), (-0.1, '/safe/a'), (0.3, '/once/b')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        for response in responses.values():
+            assert response.status == 502
+            assert response.is_complete
+        assert 5 / 6 * 2.0 < stop.seconds < 2.0
+
+    @run_async
+    async def test_plain_response_without_its_body_is_answered(self):
+        async def respond_head_only(request, stream):
+            data = forward_rig.encode_response(request, b'x' * 100)
+            await stream.send(data[:-50])
+            await anyio.sleep(60)
+
+        _, responses, _ = await play_stop(
+            2.0,
+            {'desk': respond_head_only},
+            [(-0.1, '/once/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        assert responses[-0.1, '/once/a'].status == 502
+
+    @run_async
+    async def test_stream_in_progress_does_not_look_complete(self):
+        _, responses, _ = await play_stop(
+            2.0,
+            {'pool': forward_rig.make_event_stream(1000, pause=0.1)},
+            [(-0.1, '/stream/a')],
+            forward_rig.make_config(routes=LONG_ROUTES),
+        )
+        response = responses[-0.1, '/stream/a']
+        assert response.status == 200
+        assert not response.is_complete
+
+    @run_async
+    async def test_caller_that_does_not_read_delays_nothing(self):
+        """Its response fills the socket buffers."""
+
+        async def respond_large(request, stream):
+            body = b'x' * 4_000_000
+            await stream.send(forward_rig.encode_response(request, body))
+
+        async with anyio.create_task_group() as group:
+            rig = forward_rig.Rig(group)
+            set_grace_period(rig, 2.0)
+            await rig.add_server(respond_large)
+            await rig.serve()
+            async with await rig.connect() as stream:
+                await stream.send(rig.write_request('/once/a'))
+                await anyio.sleep(0.2)
+                stop = Stop(rig, group)
+                await stop.run()
+        assert stop.seconds < 2.0
+
+    @run_async
+    async def test_failed_attempt_is_not_repeated_too_late(self):
+        """The second server would be cut in the middle of its work."""
+
+        async def break_off_late(request, stream):
+            await anyio.sleep(1.4)
+            return False
+
+        _, responses, servers = await play_stop(
+            2.0,
+            {'desk': break_off_late},
+            [(0.1, '/safe/a')],
+            forward_rig.make_config(
+                routes=[
+                    forward_rig.make_route(
+                        'safe',
+                        '/safe/',
+                        timeout_ms=12000,
+                        target_latency_ms=3000,
+                    )
+                ]
+            ),
+            count=2,
+        )
+        assert responses[0.1, '/safe/a'].status == 502
+        received = [len(s.received_requests) for s in servers['desk']]
+        assert sorted(received) == [0, 1]
+
+
 class TestGracePeriods:
     """Guards against a drain that is longer than the grace period."""
 
