Take any error of a connect as an unreachable server

Callers saw: 502 for requests that no server had seen, where an entry holds a port over 65535 or a host that no encoding takes, or where the kernel had closed a pooled connection: the poll of its missing descriptor raises ValueError. The number of open connections was not released. Cause: only OSError and time-outs were expected of a connect. Fix: an error before anything was sent means that nothing was sent; a connection without a descriptor is replaced. Failed first: TestServerAddresses (3 of 8 addresses, the closed connection). Now they pass.

--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -216,7 +216,11 @@
 
     def has_no_pending_input(self) -> bool:
         """Returns whether neither data nor a close is waiting to be read."""
-        return not sockets.is_readable(self._stream)
+        try:
+            return not sockets.is_readable(self._stream)
+        except (ValueError, *sockets.DISCONNECT_ERRORS):
+            # The transport has closed the socket: there is no descriptor.
+            return False
 
     async def close(self) -> None:
         """Closes the connection; the server cancels the request on it."""
@@ -275,7 +279,8 @@
             with anyio.fail_after(limit):
                 stream = await anyio.connect_tcp(address, port)
                 sockets.enable_keepalive(sockets.get_socket(stream))
-        except (TimeoutError, OSError) as exc:
+        except Exception as exc:
+            # An address that cannot exist raises others than OSError.
             self._count_closed(instance)
             raise errors.TransportError(
                 f'connect to {address}:{port}: {exc!r}', connected=False
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -80,3 +80,48 @@
                 )
                 == 2
             )
+
+
+class TestServerAddresses:
+    """Guards against errors of addresses that no connection is made to."""
+
+    @pytest.mark.parametrize(
+        'address, port',
+        [
+            ('a..b', 80),
+            ('x' * 300, 80),
+            ('127.0.0.1', 0),
+            ('127.0.0.1', 70000),
+            ('127.0.0.1', -1),
+            ('127.0.0.1\0', 80),
+            ('', 80),
+            ('\udc80', 80),
+        ],
+    )
+    def test_odd_address_counts_as_unreachable(self, address, port):
+        @run_async
+        async def play():
+            pool = backend_connections.ConnectionPool()
+            with pytest.raises(errors.TransportError) as caught:
+                await pool.acquire('i-1', address, port, 1.0, 1e12)
+            assert not caught.value.connected
+            assert pool.count_open('i-1') == 0
+
+        play()
+
+    @run_async
+    async def test_connection_closed_while_idle_is_replaced(self):
+        """The descriptor of a closed connection cannot be polled."""
+        async with anyio.create_task_group() as group:
+            rig = forward_rig.Rig(group)
+            server = await rig.add_server(forward_rig.respond_ok)
+            pool = backend_connections.ConnectionPool()
+            address = ('127.0.0.1', server.port)
+            first = await pool.acquire('i-1', *address, 9.0, 1e12)
+            pool.release('i-1', first, None)
+            await first.close()
+            second = await pool.acquire('i-1', *address, 9.0, 1e12)
+            assert second is not first
+            assert pool.count_open('i-1') == 1
+            await second.close()
+            group.cancel_scope.cancel()
