Contain unexpected errors of an attempt and of a request

Callers saw: with an unexpected error after a server had run their request a 502 without a second attempt for repeatable ones, and a closed connection without an answer for OSError and for a cancelled future; before any server had seen the request 502 instead of 503; a log line that fails replaced a response, and a wait for a route with an objective of 0 ended by KeyError. The load of a server was not released if the start of the work failed. Cause: an attempt expected AttemptFailed only, OSError counted as the caller's disconnect, and the finally blocks could raise. Fix: such an error is recorded (readiness, log, metric) and fails this one attempt; the verdict, kept before anything is sent, decides between 502 and 503. Once a response has begun it is reset. Errors of the caller's stream count as a disconnect only once the response has begun.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -207,12 +207,13 @@
             return None
         finally:
             self._waiting_line.remove(ticket)
-            del self._wake_events[ticket.number]
+            self._wake_events.pop(ticket.number, None)
 
     def wake_waiting(self, service: str) -> None:
         """Lets the requests that wait for a service try again, in order."""
         for ticket in self._waiting_line.list_waiting(service, clock.now()):
-            self._wake_events[ticket.number].set()
+            if event := self._wake_events.get(ticket.number):
+                event.set()
 
     @staticmethod
     def _check_servable(
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -1,8 +1,11 @@
 """Attempts at backend servers over the gateway's own connections."""
 
+import math
+
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -19,6 +22,7 @@
 from chivejunction.state import backlogs
 from chivejunction.state import freshness
 from chivejunction.transport import backend_connections
+from chivejunction.transport import sockets
 
 # Time to the first byte, as a share of the route's objective, after which a
 # repeatable request is retried at another server. The longer limit applies
@@ -113,11 +117,12 @@
         context.progress = request_context.Progress.UNSENT
         context.event_interval = None
         backend.running += 1
-        work_id = self._chooser.start_work(context, choice)
+        work_id = 0
         connection = None
         is_released = False
         outcome = 'cancelled'
         try:
+            work_id = self._chooser.start_work(context, choice)
             connection = await self._connect(context, backend)
             context.work_id = work_id
             action, idle_seconds = await self._exchange_guarded(
@@ -153,37 +158,67 @@
                     context.service.name, backend.version, False
                 )
             return request_context.NextAction.RETRY
-        finally:
-            backend.running -= 1
-            self._chooser.end_attempt(work_id)
-            self._chooser.wake_waiting(backend.service)
-            if connection is not None and not is_released:
-                with anyio.CancelScope(shield=True):
-                    await self._pool.discard(backend.instance, connection)
-            ATTEMPTS.labels(context.service.name, outcome.split(':')[0]).inc()
-            logs.log_decision(
+        except BaseException as exc:
+            if is_expected(exc, context):
+                raise
+            containment.record_error(
                 'attempt',
+                exc,
                 request=context.request.id,
-                service=context.service.name,
                 instance=backend.instance,
-                domain=backend.failure_domain,
-                version=backend.version,
-                model=choice.model,
-                running=round(choice.running_attempts),
-                estimated_wait=round(choice.wait, 3),
-                estimated_work=round(choice.seconds, 3),
-                busy_seconds=round(choice.busy_seconds, 3),
-                held_tokens=choice.held_tokens,
-                copied_tokens=choice.copied_tokens,
-                copy_from=choice.copy_from,
-                error_share=round(backend.error_share, 3),
-                attempt=context.sent_attempts,
-                outcome=outcome,
-                progress=context.progress.value,
-                event_interval=context.event_interval,
-                confidence=context.confidence,
-                seconds=round(clock.now() - started_at, 4),
             )
+            outcome = context.reason = 'unexpected error'
+            context.failed_instances.add(backend.instance)
+            if context.reply.is_finished:
+                return request_context.NextAction.DONE
+            # Which bytes of a response have been sent is not known.
+            return (
+                request_context.NextAction.STOP
+                if context.reply.has_started
+                else request_context.NextAction.RETRY
+            )
+        finally:
+            backend.running -= 1
+            with containment.contain('attempt'):
+                self._chooser.end_attempt(work_id)
+            with containment.contain('attempt'):
+                self._chooser.wake_waiting(backend.service)
+            if connection is not None and not is_released:
+                with (
+                    containment.contain('attempt'),
+                    anyio.CancelScope(shield=True),
+                ):
+                    await self._pool.discard(backend.instance, connection)
+            with containment.contain('attempt'):
+                self._record_attempt(context, choice, outcome, started_at)
+
+    @staticmethod
+    def _record_attempt(context, choice, outcome, started_at) -> None:
+        backend = choice.backend
+        ATTEMPTS.labels(context.service.name, outcome.split(':')[0]).inc()
+        logs.log_decision(
+            'attempt',
+            request=context.request.id,
+            service=context.service.name,
+            instance=backend.instance,
+            domain=backend.failure_domain,
+            version=backend.version,
+            model=choice.model,
+            running=round(choice.running_attempts),
+            estimated_wait=round(choice.wait, 3),
+            estimated_work=round(choice.seconds, 3),
+            busy_seconds=round(choice.busy_seconds, 3),
+            held_tokens=choice.held_tokens,
+            copied_tokens=choice.copied_tokens,
+            copy_from=choice.copy_from,
+            error_share=round(backend.error_share, 3),
+            attempt=context.sent_attempts,
+            outcome=outcome,
+            progress=context.progress.value,
+            event_interval=context.event_interval,
+            confidence=context.confidence,
+            seconds=round(clock.now() - started_at, 4),
+        )
 
     async def _connect(self, context, backend):
         is_non_repeatable = (
@@ -577,6 +612,27 @@
         )
 
 
+def is_expected(
+    error: BaseException, context: request_context.RequestContext
+) -> bool:
+    """Returns whether an error of a request ends its task as intended.
+
+    This is so for the cancellation of the task, for the caller's disconnect
+    and for errors that end the process.
+
+    Args:
+        error: The error.
+        context: The request that it occurred in.
+    """
+    if isinstance(error, anyio.get_cancelled_exc_class()):
+        # A cancelled future raises this too, without a cancellation of the
+        # task.
+        return anyio.current_effective_deadline() == -math.inf
+    if isinstance(error, sockets.DISCONNECT_ERRORS):
+        return context.reply.has_started
+    return not isinstance(error, Exception)
+
+
 def is_prefill_measurable(choice: backend_selection.Choice) -> bool:
     """Returns whether the time to the first byte shows the prefill rate.
 
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -6,6 +6,7 @@
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -114,6 +115,14 @@
                     await self._run_attempts(context)
                 except errors.RefusalError as exc:
                     await self._refuse(reply, request, exc)
+                except BaseException as exc:
+                    if direct_attempts.is_expected(exc, context):
+                        raise
+                    containment.record_error(
+                        'request', exc, request=request.id
+                    )
+                    context.reason = 'unexpected error'
+                    await self._send_failure(context)
             # A later stop must not cancel the final response.
             self._active.pop(context, None)
             if scope.cancelled_caught:
@@ -128,7 +137,8 @@
             raise
         finally:
             self._active.pop(context, None)
-            self._record_result(context)
+            with containment.contain('request'):
+                self._record_result(context)
 
     def _require_admission(self, request: forwarding.ForwardRequest) -> None:
         """Raises RefusalError if this gateway stops too soon for a request."""
