Send no body in responses to HEAD

Callers saw: a HEAD request that was refused, or that failed after it had been passed on, ended with a closed connection and no answer. Cause: h11 rejects the body of the refusal, and the response had begun. Fix: the caller's connection drops body events of responses to HEAD.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -213,6 +213,7 @@
             FIRST_REQUEST_TIMEOUT_SECONDS
         )
         self._has_served = False
+        self._is_head_request = False
         self.is_reading = True
 
     def close_if_idle(self) -> None:
@@ -244,6 +245,9 @@
 
     async def send(self, event: h11.Event) -> None:
         """Sends or buffers an h11 event of a response."""
+        if self._is_head_request and isinstance(event, h11.Data):
+            # A response to HEAD has no body.
+            return
         data = self._conn.send(event)
         if not data:
             return
@@ -339,9 +343,11 @@
         self._conn.receive_data(data)
 
     async def _read_request(self, limits) -> RawRequest | None:
+        self._is_head_request = False
         head = await self._read_head(limits)
         if head is None:
             return None
+        self._is_head_request = head.method == b'HEAD'
         size = sum(len(k) + len(v) + 4 for k, v in head.headers)
         if size + len(head.target) + len(head.method) > limits.header_bytes:
             raise errors.RequestRejected(431, 'the headers are too large')
--- a/tests/test_attempt_errors.py
+++ b/tests/test_attempt_errors.py
@@ -183,3 +183,33 @@
                 assert containment.list_recent_errors()
 
         play()
+
+
+class TestHeadRequests:
+    """Guards against a body in the response to HEAD, which h11 rejects."""
+
+    @pytest.mark.parametrize('script', ['none', 'ok', 'error', 'silent'])
+    def test_head_request_gets_an_answer(self, script):
+        async def respond_error(request, stream):
+            await stream.send(forward_rig.encode_response(request, b'', 500))
+
+        async def respond_head(request, stream):
+            await stream.send(forward_rig.encode_response(request, b''))
+
+        async def close(request, stream):
+            return False
+
+        scripts = {'ok': respond_head, 'error': respond_error, 'silent': close}
+
+        @run_async
+        async def play():
+            async with forward_rig.start() as rig:
+                if script in scripts:
+                    await rig.add_server(scripts[script])
+                async with await rig.connect() as stream:
+                    data = rig.write_request('/once/a')
+                    await stream.send(data.replace(b'GET', b'HEAD', 1))
+                    received = await stream.receive()
+                assert received.startswith(b'HTTP/1.1 ')
+
+        play()
