--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -329,6 +329,7 @@
             FIRST_REQUEST_TIMEOUT_SECONDS
         )
         self._has_served = False
+        self._is_head_request = False
         self.is_reading = True
 
     @property
@@ -371,6 +372,9 @@
 
     async def send(self, event: h11.Event) -> None:
         """Sends or buffers an h11 event of a response."""
+        if self._is_head_request and isinstance(event, h11.Data):
+            # A response to HEAD has no body.
+            return
         data = self._conn.send(event)
         if not data:
             return
@@ -480,9 +484,11 @@
         return not scope.cancelled_caught
 
     async def _read_request(self, limits) -> RawRequest | None:
+        self._is_head_request = False
         head = await self._read_head(limits)
         if head is None:
             return None
+        self._is_head_request = head.method == b'HEAD'
         size = sum(len(k) + len(v) + 4 for k, v in head.headers)
         if size + len(head.target) + len(head.method) > limits.header_bytes:
             raise errors.RequestRejected(431, 'the headers are too large')
