Answer 502 whenever a handler ends before any part of its response

A caller's connection was closed, or kept open, without an answer when the handler of its request failed in certain ways: with an OSError that was not its connection's, with a group of such errors, with the CancelledError of a future, by returning without a response, with a header, status or body that h11 refuses, or when the time limit passed just before the response was written (then the request counted as answered). A rejection whose text cannot be encoded raised UnicodeEncodeError.

Cause: 'started' was set before anything was sent, and errors of the kind of a disconnect counted as that of the caller. The connection now knows whether any part of the response was passed to the stream. If none was, and the caller is still there, it gets 502; if one was and the rest is missing, the connection is reset. Errors are recorded, except those of a caller that left.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -17,6 +17,7 @@
 
 import anyio
 from anyio import abc
+from anyio import lowlevel
 import h11
 
 from chivejunction import clock
@@ -98,13 +99,17 @@
 
     Attributes:
         has_started: Whether sending the response has begun.
-        is_finished: Whether the complete response was sent.
     """
 
     def __init__(self, connection: 'CallerConnection'):
         self._connection = connection
         self.has_started = False
-        self.is_finished = False
+        self._has_ended = False
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the complete response was passed to the stream."""
+        return self._has_ended and self._connection.has_written
 
     async def start(self, status: int, headers: forwarding.Headers) -> None:
         """Sends status and headers.
@@ -127,7 +132,7 @@
     async def finish(self) -> None:
         """Marks the response as complete."""
         await self._connection.send(h11.EndOfMessage())
-        self.is_finished = True
+        self._has_ended = True
 
     async def send_response(
         self, status: int, headers: forwarding.Headers, body: bytes
@@ -315,6 +320,8 @@
 
     Attributes:
         is_reading: Whether a request is being read or the first one is due.
+        has_written: Whether any part of the current response was passed to
+            the stream.
     """
 
     def __init__(self, stream: abc.SocketStream, listener: Listener):
@@ -330,6 +337,7 @@
         )
         self._has_served = False
         self.is_reading = True
+        self.has_written = False
 
     @property
     def is_idle(self) -> bool:
@@ -367,7 +375,13 @@
     async def flush(self) -> None:
         """Sends the buffered data with a single write."""
         buffered, self._send_buffer = self._send_buffer, None
-        await self._stream.send(b''.join(buffered or []))
+        await self._write(b''.join(buffered or []))
+
+    async def _write(self, data: bytes) -> None:
+        # A cancellation here leaves nothing written, a later one all of it.
+        await lowlevel.checkpoint_if_cancelled()
+        self.has_written = True
+        await self._stream.send(data)
 
     async def send(self, event: h11.Event) -> None:
         """Sends or buffers an h11 event of a response."""
@@ -377,7 +391,7 @@
         if self._send_buffer is not None:
             self._send_buffer.append(data)
         else:
-            await self._stream.send(data)
+            await self._write(data)
 
     async def serve(self) -> None:
         """Serves requests until either side closes the connection."""
@@ -425,6 +439,7 @@
             Whether the response is complete and the caller still connected.
         """
         reply = ResponseWriter(self)
+        self.has_written = False
         async with anyio.create_task_group() as group:
 
             async def watch_for_disconnect() -> None:
@@ -439,20 +454,29 @@
                         return
 
             group.start_soon(watch_for_disconnect)
-            try:
-                await self._listener.handle(raw, reply)
-            except sockets.DISCONNECT_ERRORS:
-                self._is_disconnected = True
-            except Exception:
-                # An error in one request must not stop the whole process.
-                logs.LOG.exception('request handler failed')
-                if not reply.has_started:
-                    await self._reject(502, 'the request failed here')
+            await self._handle(raw, reply)
             group.cancel_scope.cancel()
-        if reply.has_started and not reply.is_finished:
+        if self.has_written and not reply.is_finished:
             sockets.reset_on_close(self._stream)
+        if not self.has_written and not self._is_disconnected:
+            await self._reject(502, 'the request failed here')
         return reply.is_finished and not self._is_disconnected
 
+    async def _handle(self, raw: RawRequest, reply: ResponseWriter) -> None:
+        """Runs the handler; its errors end only this request."""
+        try:
+            await self._listener.handle(raw, reply)
+            if not self.has_written and not self._is_disconnected:
+                raise RuntimeError('the handler sent no response')
+        except anyio.get_cancelled_exc_class() as exc:
+            if is_cancelled():
+                raise
+            containment.record_error('request', exc)
+        except Exception as exc:
+            has_caller_left = self.has_written or self._is_disconnected
+            if not has_caller_left or not sockets.is_disconnect(exc):
+                containment.record_error('request', exc)
+
     async def _receive(self) -> None:
         if self._pipelined_data:
             data, self._pipelined_data = self._pipelined_data, b''
@@ -553,8 +577,12 @@
         """Sends an error response that announces the connection's close."""
         logs.log_decision('request rejected', status=status, detail=detail)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        body = detail.encode()
+            if self.has_written:
+                return
+            # A response has failed before any part of it was sent. That to a
+            # HEAD request must have no body.
+            self._conn, detail = h11.Connection(h11.SERVER), ''
+        body = detail.encode(errors='replace')
         headers = [
             (b'content-type', b'text/plain; charset=utf-8'),
             (b'connection', b'close'),
--- a/chivejunction/transport/sockets.py
+++ b/chivejunction/transport/sockets.py
@@ -22,6 +22,16 @@
 )
 
 
+def is_disconnect(error: BaseException) -> bool:
+    """Returns whether an error is that of a connection closed or lost.
+
+    So is a group of such errors; task groups raise their errors as groups.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        return error.split(DISCONNECT_ERRORS)[1] is None
+    return isinstance(error, DISCONNECT_ERRORS)
+
+
 def enable_keepalive(sock) -> None:
     """Enables the kernel's detection of unreachable peers."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -14,6 +14,7 @@
 import pytest
 
 from chivejunction import containment
+from chivejunction import errors
 from chivejunction.protocol import forwarding
 from chivejunction.transport import caller_connections
 from chivejunction.transport import listening
@@ -370,3 +371,193 @@
                 for number in range(60):
                     group.start_soon(call, rig, 0.35 + number / 100)
         assert len(read) == len(handled) >= 60
+
+
+async def raise_group(raw, reply):
+    """Fails as a task group does whose task lost a connection."""
+    async with anyio.create_task_group() as group:
+
+        async def fail():
+            raise anyio.BrokenResourceError
+
+        group.start_soon(fail)
+
+
+async def raise_cancelled(raw, reply):
+    """Fails as a wait for a future does that was cancelled."""
+    raise asyncio.CancelledError
+
+
+async def raise_lost_connection(raw, reply):
+    """Fails as a lost connection to another server does."""
+    raise ConnectionResetError('another server')
+
+
+async def return_nothing(raw, reply):
+    """Returns without a response."""
+
+
+async def respond_too_late(raw, reply):
+    """Responds when the time limit of the request has passed."""
+    with anyio.move_on_after(0):
+        await reply.send_response(200, [], b'body')
+
+
+async def send_odd_header(raw, reply):
+    """Responds with a header that HTTP does not allow."""
+    await reply.send_response(200, [(b'a', b'b\r\nc: d')], b'body')
+
+
+async def send_odd_status(raw, reply):
+    """Responds with a status that HTTP does not know."""
+    await reply.send_response(7, [], b'')
+
+
+async def send_odd_body(raw, reply):
+    """Responds with a body of another type."""
+    await reply.send_response(200, [(b'a', b'b')], ['x'])
+
+
+async def send_too_much(raw, reply):
+    """Responds with a body where none is allowed."""
+    await reply.send_response(204, [], b'body')
+
+
+async def send_wrong_length(raw, reply):
+    """Responds with two lengths."""
+    await reply.send_response(200, [(b'content-length', b'7')], b'body')
+
+
+class TestFailedHandlers:
+    """Guards against a failed handler that leaves its caller unanswered."""
+
+    @pytest.mark.parametrize(
+        'handle',
+        [
+            raise_group,
+            raise_cancelled,
+            raise_lost_connection,
+            return_nothing,
+            respond_too_late,
+            send_odd_header,
+            send_odd_status,
+            send_odd_body,
+            send_too_much,
+            send_wrong_length,
+        ],
+    )
+    @run_async
+    async def test_caller_gets_a_502(self, handle):
+        failing = [True]
+
+        async def fail_once(raw, reply):
+            if failing:
+                failing.clear()
+                await handle(raw, reply)
+            else:
+                await echo(raw, reply)
+
+        async with start(fail_once) as rig, await rig.connect() as kept:
+            await kept.send(REQUEST)
+            response = await forward_rig.read_response(kept)
+            assert (response.status, response.is_complete) == (502, True)
+            assert response.headers['connection'] == 'close'
+            assert await rig.call() == 200
+        assert 'request' in containment.list_recent_errors()
+
+    @run_async
+    async def test_caller_that_leaves_is_no_error(self, monkeypatch):
+        monkeypatch.setattr(containment, '_reported_until', {})
+        gone = anyio.Event()
+
+        async def respond_late(raw, reply):
+            with anyio.CancelScope(shield=True):
+                await gone.wait()
+                await anyio.sleep(0.02)
+                await reply.start(200, [])
+                for _ in range(3):
+                    await reply.send(b'x' * 100_000)
+
+        async with start(respond_late) as rig:
+            sock = rig.connect_blocking()
+            sock.send(REQUEST)
+            await anyio.sleep(0.02)
+            reset(sock)
+            gone.set()
+            await anyio.sleep(0.1)
+            assert rig.listener.active_requests == 0
+        assert containment.list_recent_errors() == []
+
+    @run_async
+    async def test_caller_that_leaves_before_the_502(self):
+        gone = anyio.Event()
+
+        async def fail_late(raw, reply):
+            await gone.wait()
+            raise ExceptionGroup('group', [ConnectionResetError('gone')])
+
+        async with start(fail_late) as rig:
+            sock = rig.connect_blocking()
+            sock.send(REQUEST)
+            await anyio.sleep(0.02)
+            reset(sock)
+            gone.set()
+            assert await rig.call() == 502
+            assert rig.listener.active_requests == 0
+
+    @run_async
+    async def test_error_after_the_start_cuts_the_response(self):
+        async def fail(raw, reply):
+            await reply.start(200, [])
+            await reply.send(b'part')
+            raise ExceptionGroup('group', [ValueError('bug')])
+
+        async with start(fail) as rig, await rig.connect() as stream:
+            await stream.send(REQUEST)
+            response = await forward_rig.read_response(stream)
+            assert (response.status, response.is_complete) == (200, False)
+
+    @run_async
+    async def test_odd_text_in_a_rejection(self):
+        async with start() as rig:
+
+            def get_limits():
+                return LIMITS
+
+            async def read_request(connection, limits):
+                raise errors.RequestRejected(400, 'kit-\ud83d')
+
+            read = caller_connections.CallerConnection._read_request
+            caller_connections.CallerConnection._read_request = read_request
+            try:
+                assert await rig.call() == 400
+            finally:
+                caller_connections.CallerConnection._read_request = read
+            assert await rig.call() == 200
+
+    @pytest.mark.parametrize(
+        'data',
+        [
+            b'GET / HTTP/1.1\r\nHost: x\r\n\xff\xfe: y\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: x\r\nA: \xed\xa0\xbd\r\n\r\n',
+            b'GET /\xed\xa0\xbd HTTP/1.1\r\nHost: x\r\n\r\n',
+            b'\xed\xa0\xbd / HTTP/1.1\r\nHost: x\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: x\r\nContent-Length: \xb2\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: x\r\nContent-Length: %s\r\n\r\n'
+            % (b'9' * 5000),
+            b'GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\n',
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'%s\r\n' % (b'f' * 5000),
+            b'GET / HTTP/9.9\r\nHost: x\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: x\r\n\r\n',
+        ],
+    )
+    @run_async
+    async def test_odd_request(self, data, monkeypatch):
+        monkeypatch.setattr(containment, '_reported_until', {})
+        async with start() as rig, await rig.connect() as stream:
+            await stream.send(data)
+            response = await forward_rig.read_response(stream)
+            assert response.status in (200, 400, 413, 431, 501, 505)
+            assert await rig.call() == 200
+        assert containment.list_recent_errors() == []
