--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -187,20 +187,19 @@
         folder: Folder for its files.
         redirection: Redirections of the shell.
         limits: Commands of the shell to run before.
+        output: File for its output; one in the folder by default.
 
     Attributes:
         address: IP address and port for callers.
         ready_address: Those of the readiness endpoint.
-        log: File with its output.
     """
 
-    def __init__(self, folder, redirection='', limits=''):
+    def __init__(self, folder, redirection='', limits='', output=None):
         # The port for metrics is the same at each gateway.
         octets = [random.randint(1, 254) for _ in range(3)]
         ip = '127.' + '.'.join(map(str, octets))
         ports = [fleet.find_port() for _ in range(4)]
         self.address, self.ready_address = (ip, ports[0]), (ip, ports[1])
-        self.log = folder / 'log'
         path = folder / 'boot.yaml'
         settings = {
             'node_name': 'gw-1',
@@ -216,11 +215,11 @@
         }
         path.write_text(yaml.safe_dump(settings))
         command = f'exec "$0" -m chivejunction.platform {redirection}'
-        with self.log.open('wb') as log:
+        with (folder / 'log').open('wb') as log:
             self._process = subprocess.Popen(
                 ['sh', '-c', limits + command, sys.executable],
-                stdout=log,
-                stderr=log,
+                stdout=output or log,
+                stderr=output or log,
                 env={'CHIVEJUNCTION_NODE_FILE': str(path)},
             )
 
@@ -297,3 +296,33 @@
             with gateway.connect(gateway.ready_address) as ready:
                 assert gateway.call(ready).startswith(b'HTTP/1.1 503 ')
             assert gateway.stop() == 0
+
+
+class TestFailingOutput:
+    """Guards against an output whose errors end the process."""
+
+    def check(self, tmp_path, **streams):
+        with GatewayProcess(tmp_path, **streams) as gateway:
+            for _ in range(20):
+                assert gateway.call().startswith(b'HTTP/1.1 503 ')
+            assert gateway.is_running()
+            assert gateway.stop() == 0
+
+    def test_full_device(self, tmp_path):
+        self.check(tmp_path, redirection='>/dev/full 2>&1')
+
+    def test_pipe_without_a_reader(self, tmp_path):
+        reader, writer = os.pipe()
+        os.close(reader)
+        with open(writer, 'wb') as output:
+            self.check(tmp_path, output=output)
+
+    def test_pipe_that_is_not_read(self, tmp_path):
+        reader, writer = os.pipe()
+        with open(reader, 'rb'), open(writer, 'wb') as output:
+            os.set_blocking(writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while os.write(writer, bytes(4096)):
+                    continue
+            os.set_blocking(writer, True)
+            self.check(tmp_path, output=output)
