Serve prompts that name a shared part twice

A request whose prompt repeats a shared part got 502 after its first failed attempt, and could not be sent again: HarmfulPromptGuard.track took the part out of its table twice (KeyError). The hashes of a prompt now name each shared part once.

tests/test_harmful_prompts.py: TestRepeatedParts failed before (502, KeyError in the log).

--- a/chivejunction/state/crash_evidence.py
+++ b/chivejunction/state/crash_evidence.py
@@ -56,7 +56,8 @@
     """Hashes of the parts of one prompt.
 
     Attributes:
-        shared_parts: Parts that other requests may share, in order.
+        shared_parts: Parts that other requests may share, in order; each is
+            named once, even if the prompt repeats it.
         own_part: The last part, which identifies the request.
     """
 
@@ -67,7 +68,8 @@
     def make(cls, prompt: tuple[forwarding.PromptPart, ...]) -> 'PromptHashes':
         """Returns the hashes of a prompt."""
         hashes = tuple(hash_part(part.id) for part in prompt)
-        return cls(hashes[:-1], hashes[-1] if hashes else 0)
+        shared_parts = tuple(dict.fromkeys(hashes[:-1]))
+        return cls(shared_parts, hashes[-1] if hashes else 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -112,6 +112,27 @@
     await stream.receive()
 
 
+class TestRepeatedParts:
+    @run_async
+    async def test_prompt_that_names_a_part_twice_is_served_and_repeated(self):
+        async with forward_rig.start() as rig:
+            send_events = forward_rig.make_event_stream(2)
+            served = []
+
+            async def respond(request, stream):
+                served.append(request.id)
+                if len(served) == 1:
+                    return False
+                return await send_events(request, stream)
+
+            for _ in range(2):
+                await rig.add_server(respond, 'pool')
+            response = await call(rig, 1, ['class', 'twice', 'twice'])
+            assert response.status == 200 and response.is_complete
+            assert len(served) == 2
+            assert not rig.gateway.prompt_guard._attempts
+
+
 class TestQuarantine:
     @run_async
     async def test_gateway_that_starts_later_reads_it_from_the_store(self):
