--- a/tests/test_bulletins.py
+++ b/tests/test_bulletins.py
@@ -55,7 +55,7 @@
         """Adds a gateway; all others know it."""
         name = f'gw-{number}'
         members = gateway_membership.GatewayMembership(
-            stores.MemoryStore(), name, (name, 1), 'bkk'
+            stores.MemoryStore(), name, make_address(name), 'bkk'
         )
         board = bulletins.BulletinBoard(name, members)
         self.heard[name] = []
@@ -81,7 +81,8 @@
         self.datagrams += 1
         self.largest = max(self.largest, len(data))
         if self._random.random() >= self.loss:
-            self.boards[address[0]][0].handle_datagram(data, (name, 1))
+            receiver = f'gw-{address[1] - 1}'
+            self.boards[receiver][0].handle_datagram(data, make_address(name))
 
 
 class FakeSender:
@@ -96,11 +97,16 @@
         self._fleet.deliver(self._name, data, address)
 
 
+def make_address(name):
+    """Returns the IP address and port of the gateway with a name."""
+    return '127.0.0.1', int(name.removeprefix('gw-')) + 1
+
+
 def add_member(members, name):
     """Adds a gateway to a membership list."""
     key = gateway_membership.PREFIX + name
     entry = transport_stores.Entry(
-        key, json.dumps([name, 1, 'bkk', 1]).encode(), 1, 0
+        key, json.dumps([*make_address(name), 'bkk', 1]).encode(), 1, 0
     )
     members.apply(transport_stores.Change(key, 1, entry))
 
