Refuse findings on prompt parts that are no 64-bit hash

A key of another writer below the harmful parts, such as one of 17 digits or with a minus sign, was taken as a finding; as it is released, its bulletin cannot be packed (OverflowError in the task that sends bulletins). A report of another gateway with a fraction as a part failed in the task that judges the reports (ValueError). Each ended the process, by the code; the tests show that the values were taken.

Keys have the form that the gateways write, reports and findings name 64-bit hashes; others are refused as malformed. The number of findings was bounded before; a test covers it now.

--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -17,6 +17,7 @@
 import dataclasses
 import json
 import math
+import re
 
 import anyio
 
@@ -33,6 +34,8 @@
 from chivejunction.transport import stores
 
 PREFIX = 'chivejunction/harmful/'
+# Part of a key after the prefix, see ``make_key``.
+KEY_NAME = re.compile('[0-9a-f]{16}')
 CRASH_KIND = 'crash'
 PART_KIND = 'part'
 # Values of bulletins on a part.
@@ -60,6 +63,17 @@
     return f'{PREFIX}{part:016x}'
 
 
+def _check_hash(value) -> int:
+    """Returns a value of a bulletin that is a 64-bit hash.
+
+    Raises:
+        ValueError: It is none.
+    """
+    if type(value) is not int or not 0 <= value < 2**64:
+        raise ValueError(f'{value!r} is no hash')
+    return value
+
+
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """A prompt part that is not sent to engines.
@@ -240,9 +254,9 @@
         server, request, has_begun, *parts = bulletin.value
         self._add_report(
             crash_evidence.CrashReport(
-                server,
-                request,
-                tuple(parts),
+                _check_hash(server),
+                _check_hash(request),
+                tuple(_check_hash(part) for part in parts),
                 bool(has_begun),
                 bulletin.issued_at,
             )
@@ -253,11 +267,12 @@
         self._is_active.set()
 
     def _read_part(self, bulletin: bulletins.Bulletin) -> None:
+        part = _check_hash(bulletin.key)
         if bulletin.value[0] == HARMFUL:
-            self._quarantine(bulletin.key, bulletin.expires_at)
+            self._quarantine(part, bulletin.expires_at)
         else:
-            self._evidence.record_success(bulletin.key, bulletin.issued_at)
-            self._release(bulletin.key)
+            self._evidence.record_success(part, bulletin.issued_at)
+            self._release(part)
 
     async def _wait_until_active(self) -> None:
         """Waits until there are crash reports or findings."""
@@ -329,12 +344,12 @@
         Raises:
             ProtocolError: The key is malformed.
         """
-        try:
-            part = int(change.key[len(PREFIX) :], 16)
-        except ValueError as exc:
+        name = change.key[len(PREFIX) :]
+        if not KEY_NAME.fullmatch(name):
             raise errors.ProtocolError(
-                f'malformed key of a prompt part: {change.key}'
-            ) from exc
+                f'malformed key of a prompt part: {change.key!r}'
+            )
+        part = int(name, 16)
         if change.entry is not None:
             self._quarantine(part, clock.make_deadline(QUARANTINE_SECONDS))
             self._quarantines[part].is_stored = True
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -4,11 +4,14 @@
 import pytest
 
 from chivejunction import clock
+from chivejunction import errors
 from chivejunction.coordination import bulletins
 from chivejunction.coordination import harmful_prompts
 from chivejunction.state import crash_evidence
 from chivejunction.transport import stores
 from tests import forward_rig
+from tests import stores as memory_stores
+from tests import test_hints
 from tests.forward_rig import run_async
 
 HARMFUL_PART = 'bad'
@@ -112,6 +115,89 @@
     await stream.receive()
 
 
+class TestOddFindings:
+    """Findings in the store and bulletins that another writer left."""
+
+    def make_guard(self):
+        members = test_hints.make_members('gw-1', 1)
+        board = bulletins.BulletinBoard('gw-1', members)
+        guard = harmful_prompts.HarmfulPromptGuard(
+            memory_stores.MemoryStore(), board, members
+        )
+        return guard, board
+
+    @pytest.mark.parametrize(
+        'name',
+        [
+            '',
+            'x',
+            '7',
+            '-000000000000007',
+            '+000000000000007',
+            '0x00000000000007',
+            '0_0_0_0_0_0_0_07',
+            '00000000000000FF',
+            '\u0660' * 16,
+            '0' * 17,
+            'f' * 17,
+            'f' * 5000,
+            '00000000000000f/',
+        ],
+    )
+    @pytest.mark.parametrize('is_present', [True, False])
+    def test_key_of_another_form_is_a_protocol_error(self, name, is_present):
+        guard, board = self.make_guard()
+        key = harmful_prompts.PREFIX + name
+        entry = stores.Entry(key, b'{}', 5, 0) if is_present else None
+        with pytest.raises(errors.ProtocolError):
+            guard.apply_change(stores.Change(key, 5, entry), False)
+
+    @pytest.mark.parametrize('value', [b'', b'\xff', b'[' * 2000, b'null'])
+    def test_finding_holds_with_any_value(self, value):
+        guard, board = self.make_guard()
+        key = f'{harmful_prompts.PREFIX}{2**64 - 1:016x}'
+        guard.apply_change(
+            stores.Change(key, 5, stores.Entry(key, value, 5, 0)), False
+        )
+        assert list(guard._quarantines) == [2**64 - 1]
+
+    def test_number_of_findings_is_limited(self):
+        guard, board = self.make_guard()
+        for part in range(3 * harmful_prompts.MAX_QUARANTINED_PARTS):
+            key = harmful_prompts.make_key(part)
+            entry = stores.Entry(key, b'{}', 5, 0)
+            guard.apply_change(stores.Change(key, 5, entry), False)
+        assert len(guard._quarantines) == harmful_prompts.MAX_QUARANTINED_PARTS
+
+    @pytest.mark.parametrize('part', [2**64, -1, 1.5, 7.0, True])
+    @pytest.mark.parametrize('position', [0, 1, 3])
+    def test_crash_report_without_hashes_is_malformed(self, part, position):
+        """The part would be judged, published and written to the store."""
+        guard, board = self.make_guard()
+        value = [1, 2, 1, 7]
+        value[position] = part
+        now = clock.now()
+        with pytest.raises(ValueError):
+            guard._read_crash(
+                bulletins.Bulletin(
+                    harmful_prompts.CRASH_KIND, 1, value, now, now + 9, now
+                )
+            )
+        assert not guard._evidence.has_reports
+
+    @pytest.mark.parametrize('part', [2**64, -1, True])
+    def test_finding_without_a_hash_is_malformed(self, part):
+        guard, board = self.make_guard()
+        value, now = (harmful_prompts.HARMFUL,), clock.now()
+        with pytest.raises(ValueError):
+            guard._read_part(
+                bulletins.Bulletin(
+                    harmful_prompts.PART_KIND, part, value, now, now + 9, now
+                )
+            )
+        assert not guard._quarantines
+
+
 class TestRepeatedParts:
     @run_async
     async def test_prompt_that_names_a_part_twice_is_served_and_repeated(self):
