Refuse settings that fail later, and read a torn file again

A settings file with an impossible date, an odd number or deep nesting raised ValueError or RecursionError of YAML, at a reload too, where it leaves the task of maintenance. Negative bounds, ports and addresses that no socket takes were accepted and failed later. Fields that nothing uses could refuse the file. A replacement of the same time and size went unnoticed, and a file that was read while it was written was not read again unless its time changed.

All errors of YAML are a SettingError; RecursionError counts among the errors of malformed documents now. The models check the ranges; unused fields are gone from them. A change is seen by times, size and inode, and a changed file that is not valid is read once more after a second; the settings before stay in force.

--- a/chivejunction/errors.py
+++ b/chivejunction/errors.py
@@ -3,11 +3,13 @@
 from chivejunction.protocol import verdicts
 
 # Raised by the conversions of a decoder that meets a malformed document. An
-# infinite number, for example, raises OverflowError, an ArithmeticError.
+# infinite number, for example, raises OverflowError, an ArithmeticError, and
+# deep nesting raises RecursionError.
 MALFORMED_DOCUMENT_ERRORS = (
     ArithmeticError,
     AttributeError,
     LookupError,
+    RecursionError,
     TypeError,
     ValueError,
 )
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -7,10 +7,14 @@
 import pydantic
 import yaml
 
+from chivejunction import clock
 from chivejunction import errors
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
 MAX_PORT = 65535
+# Time after which a file that is not valid is read once more: it may have been
+# read while it was written.
+RETRY_SECONDS = 1.0
 # Far above all figures of the platform. Products of numbers up to this one
 # are finite.
 MAX_NUMBER = 10**15
@@ -43,6 +47,48 @@
 PositiveCount = Annotated[Count, pydantic.Field(ge=1)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=MAX_NUMBER)]
 PositiveAmount = Annotated[float, pydantic.Field(gt=0, le=MAX_NUMBER)]
+Port = Annotated[int, pydantic.Field(gt=0, le=MAX_PORT)]
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Returns IP address and port of ``IP:PORT``.
+
+    Only IPv4 addresses are accepted; the platform looks up no names.
+
+    Raises:
+        SettingError: The text is not of this form.
+    """
+    address, _, port = text.rpartition(':')
+    # int() accepts other digits than ASCII, and refuses very long numbers.
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if is_number and 0 < int(port) <= MAX_PORT and is_ip_address(address):
+        return address, int(port)
+    raise errors.SettingError(
+        f'{text!r} is not an address; accepted is IP:PORT'
+    )
+
+
+def _check_ip_address(text: str) -> str:
+    if not is_ip_address(text):
+        raise ValueError('not an IPv4 address')
+    return text
+
+
+def _check_socket_address(text: str) -> str:
+    try:
+        split_address(text)
+    except errors.SettingError as exc:
+        raise ValueError(str(exc)) from exc
+    return text
 
 
 class SettingsModel(pydantic.BaseModel):
@@ -81,14 +127,10 @@
     Attributes:
         cpu_share: Share of a CPU core of reference speed.
         cores: Speed of the core relative to the reference speed.
-        memory_mb: Memory in MB.
-        max_fds: Number of file descriptors.
     """
 
-    cpu_share: float = pydantic.Field(1.0, gt=0)
-    cores: float = pydantic.Field(1.0, gt=0)
-    memory_mb: float = 256
-    max_fds: int = 1024
+    cpu_share: PositiveAmount = 1.0
+    cores: PositiveAmount = 1.0
 
 
 class Bounds(SettingsModel):
@@ -97,8 +139,6 @@
     Attributes:
         revoke_ms: Milliseconds after which requests with a revoked API key
             must no longer run.
-        config_deadline_ms: Milliseconds after which a configuration change
-            must be in force.
         grace_period_s: Seconds from SIGTERM to SIGKILL.
         retry_budget_ratio: Extra attempts allowed for each request, over all
             gateways.
@@ -107,20 +147,17 @@
             requests.
     """
 
-    revoke_ms: float = 5000
-    config_deadline_ms: float = 3000
-    grace_period_s: float = 8
-    retry_budget_ratio: float = 0.5
-    retry_window_s: float = 10
-    retry_slack: float = 10
+    revoke_ms: PositiveAmount = 5000
+    grace_period_s: Amount = 8
+    retry_budget_ratio: Amount = 0.5
+    retry_window_s: PositiveAmount = 10
+    retry_slack: Amount = 10
 
 
 class StoreSettings(SettingsModel):
-    """Address ``IP:PORT`` and limits of the platform's store."""
+    """Address ``IP:PORT`` of the platform's store."""
 
-    address: str
-    ttl_min_ms: float = 1000
-    value_bytes: int = 1048576
+    address: Annotated[str, pydantic.AfterValidator(_check_socket_address)]
 
 
 class Settings(SettingsModel):
@@ -130,41 +167,14 @@
     zone: str = pydantic.Field(min_length=1)
     region: str = pydantic.Field(min_length=1)
     zones: dict[str, str] = {}
-    ip: str
+    ip: Annotated[str, pydantic.AfterValidator(_check_ip_address)]
     listen: Listen
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     limits: Resources = Resources()
     bounds: Bounds = Bounds()
     platform: StoreSettings
 
 
-def is_ip_address(text: str) -> bool:
-    """Returns whether a text is an IPv4 address."""
-    try:
-        ipaddress.IPv4Address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def split_address(text: str) -> tuple[str, int]:
-    """Returns IP address and port of ``IP:PORT``.
-
-    Only IPv4 addresses are accepted; the platform looks up no names.
-
-    Raises:
-        SettingError: The text is not of this form.
-    """
-    address, _, port = text.rpartition(':')
-    # int() accepts other digits than ASCII, and refuses very long numbers.
-    is_number = port.isascii() and port.isdigit() and len(port) <= 5
-    if is_number and 0 < int(port) <= MAX_PORT and is_ip_address(address):
-        return address, int(port)
-    raise errors.SettingError(
-        f'{text!r} is not an address; accepted is IP:PORT'
-    )
-
-
 def read_settings(path: str | None = None) -> Settings:
     """Reads the settings file.
 
@@ -183,8 +193,13 @@
     try:
         with open(path, encoding='utf-8') as file:
             document = yaml.safe_load(file)
-    except (OSError, UnicodeError, yaml.YAMLError) as exc:
-        raise errors.SettingError(f'{path} cannot be read: {exc}') from exc
+    except (
+        OSError,
+        yaml.YAMLError,
+        # Of values such as an impossible date.
+        *errors.MALFORMED_DOCUMENT_ERRORS,
+    ) as exc:
+        raise errors.SettingError(f'{path} cannot be read: {exc!r}') from exc
     try:
         return Settings.model_validate(document)
     except pydantic.ValidationError as exc:
@@ -211,25 +226,44 @@
     def __init__(self, path: str | None = None):
         self._path = path or os.environ.get(PATH_VARIABLE, '')
         self._file_state = self._read_file_state()
+        # Monotonic time at which the file is read again; None for never.
+        self._retry_at: float | None = None
 
-    def _read_file_state(self) -> tuple[int, int]:
-        """Returns modification time and size; zeros without a file."""
+    def _read_file_state(self) -> tuple[int, ...]:
+        """Returns times, size and inode; empty without a file."""
         try:
             status = os.stat(self._path)
-        except OSError:
+        except (OSError, ValueError):
             # The file is being replaced or was removed; the settings that
             # were read before stay in force.
-            return (0, 0)
-        return (status.st_mtime_ns, status.st_size)
+            return ()
+        return (
+            status.st_mtime_ns,
+            status.st_ctime_ns,
+            status.st_size,
+            status.st_ino,
+        )
 
     def read_if_changed(self) -> Settings | None:
         """Returns the settings if the file has changed since the last call.
 
+        A changed file that is not valid is read once more after a while.
+
         Raises:
             SettingError: The changed file is not valid.
         """
         file_state = self._read_file_state()
-        if file_state in (self._file_state, (0, 0)):
+        is_changed = bool(file_state) and file_state != self._file_state
+        is_retry = self._retry_at is not None and clock.has_passed(
+            self._retry_at
+        )
+        if not is_changed and not is_retry:
             return None
-        self._file_state = file_state
-        return read_settings(self._path)
+        self._file_state = file_state or self._file_state
+        self._retry_at = None
+        try:
+            return read_settings(self._path)
+        except errors.SettingError:
+            if is_changed:
+                self._retry_at = clock.make_deadline(RETRY_SECONDS)
+            raise
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import copy
 import dataclasses
 import json
+import os
 
 import anyio
 import pytest
@@ -81,6 +82,95 @@
         with pytest.raises(errors.SettingError, match='accepted is IP:PORT'):
             program.make_options(node_settings)
 
+    @pytest.mark.parametrize(
+        'text',
+        [
+            '',
+            'x',
+            '[]',
+            '[' * 2000,
+            '{a: ' * 2000,
+            'a: 2001-99-99',
+            'a: 0x_',
+            'a: !!int ""',
+            '? [a]\n: b',
+            '? {a: b}\n: c',
+            '? !!set {a}\n: c',
+            'a: !!python/object:os.system x',
+            'a: &a [*a]',
+            '&a {a: *a}',
+            'a: 1' + ':59' * 200 + '.5',
+            '\t- a',
+            '\0',
+        ],
+    )
+    def test_file_that_yaml_cannot_read_is_an_error(self, tmp_path, text):
+        path = tmp_path / 'boot.yaml'
+        path.write_text(text)
+        with pytest.raises(errors.SettingError):
+            settings.read_settings(str(path))
+
+    @pytest.mark.parametrize(
+        'text',
+        [
+            '7: x',
+            'null: x',
+            '2001-01-01: x',
+            'new: 2001-01-01',
+            'new: !!set {a, b}',
+            'new: [[[[[]]]]]',
+            'new: .nan',
+            'limits: {memory_mb: x, max_fds: [1]}',
+            'bounds: {config_deadline_ms: x}',
+        ],
+    )
+    def test_fields_that_are_not_used_may_be_odd(self, tmp_path, text):
+        path = write_settings(tmp_path)
+        with open(path, 'a', encoding='utf-8') as file:
+            file.write(text + '\n')
+        assert settings.read_settings(path).node_name == 'edge-1'
+
+    @pytest.mark.parametrize('value', [float('nan'), float('inf'), -1, 'x'])
+    @pytest.mark.parametrize(
+        'field',
+        [
+            'revoke_ms',
+            'grace_period_s',
+            'retry_budget_ratio',
+            'retry_window_s',
+            'retry_slack',
+        ],
+    )
+    def test_bound_that_is_no_time_or_share_is_an_error(
+        self, tmp_path, field, value
+    ):
+        path = write_settings(tmp_path, bounds={field: value})
+        with pytest.raises(errors.SettingError, match=field):
+            settings.read_settings(path)
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'ip': 'host.example'},
+            {'ip': '::1'},
+            {'internal_ports': [0, 7]},
+            {'internal_ports': [7340, 65536]},
+            {'internal_ports': [7340]},
+            {'node_name': 'a\ud800'},
+            {'bounds': {'revoke_ms': 0}},
+            {'bounds': {'retry_window_s': 0}},
+            {'limits': {'cores': float('inf')}},
+            {'limits': {'cpu_share': 10**40}},
+            {'platform': {'address': 'store:7000'}},
+        ],
+    )
+    def test_value_that_fails_later_is_an_error(self, tmp_path, fields):
+        path = tmp_path / 'boot.yaml'
+        document = {**SETTINGS, **fields}
+        path.write_text(yaml.safe_dump(document, allow_unicode=False))
+        with pytest.raises(errors.SettingError):
+            program.make_options(settings.read_settings(str(path)))
+
     def test_missing_variable_or_file_is_an_error(self, monkeypatch):
         monkeypatch.delenv(settings.PATH_VARIABLE, raising=False)
         with pytest.raises(errors.SettingError, match='is not set'):
@@ -135,6 +225,57 @@
         (tmp_path / 'boot.yaml').unlink()
         assert file.read_if_changed() is None
 
+    def test_file_that_was_read_while_it_was_replaced_is_read_again(
+        self, tmp_path, monkeypatch
+    ):
+        """Times of files are coarse, so the second half may not show."""
+        path = write_settings(tmp_path)
+        file = settings.SettingsFile(path)
+        state = (1, 2, 3, 4)
+        monkeypatch.setattr(file, '_read_file_state', lambda: state)
+        write_settings(tmp_path, node_name='')
+        with pytest.raises(errors.SettingError):
+            file.read_if_changed()
+        write_settings(tmp_path, bounds={'revoke_ms': 7777})
+        monkeypatch.setattr(settings, 'RETRY_SECONDS', 0.0)
+        assert file.read_if_changed() is None
+        write_settings(tmp_path, node_name='')
+        state = (1, 2, 3, 5)
+        with pytest.raises(errors.SettingError):
+            file.read_if_changed()
+        write_settings(tmp_path, bounds={'revoke_ms': 7777})
+        assert file.read_if_changed().bounds.revoke_ms == 7777
+        assert file.read_if_changed() is None
+
+    def test_invalid_file_is_reported_a_limited_number_of_times(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr(settings, 'RETRY_SECONDS', 0.0)
+        path = write_settings(tmp_path)
+        file = settings.SettingsFile(path)
+        write_settings(tmp_path, node_name='')
+        reported = 0
+        for _ in range(20):
+            try:
+                assert file.read_if_changed() is None
+            except errors.SettingError:
+                reported += 1
+        assert 1 <= reported <= 2
+        write_settings(tmp_path, bounds={'revoke_ms': 7777})
+        assert file.read_if_changed().bounds.revoke_ms == 7777
+
+    def test_file_of_the_same_time_and_size_is_a_change(self, tmp_path):
+        path = write_settings(tmp_path, bounds={'revoke_ms': 5000})
+        file = settings.SettingsFile(path)
+        status = os.stat(path)
+        new = tmp_path / 'new'
+        new.mkdir()
+        replacement = write_settings(new, bounds={'revoke_ms': 7777})
+        os.utime(replacement, ns=(status.st_atime_ns, status.st_mtime_ns))
+        os.replace(replacement, path)
+        assert os.stat(path).st_size == status.st_size
+        assert file.read_if_changed().bounds.revoke_ms == 7777
+
     def test_reload_applies_new_bounds_and_keeps_them_on_errors(self):
         async def check():
             async with forward_rig.start() as rig:
