Refuse counts of callers that other gateways cannot be told

One request with a part of 2**64 tokens ended the gateway on a sticky route: the hint with its prefix cannot be packed (OverflowError in the task that sends hints; shown by a run of HintExchange with such a prefix). Counts of 400 digits failed in estimates. A confidence without bound of a server made the learned gains infinite or no number, by the code.

Counts of callers are from 0 to 10**12, others are answered 400 as before for texts that are no number. A confidence above 100 and endless numbers of servers are ignored.

--- a/chivejunction/platform/headers.py
+++ b/chivejunction/platform/headers.py
@@ -62,6 +62,10 @@
 MAX_URGENCY = 9
 # Longer numbers of servers are ignored.
 MAX_NUMBER_LENGTH = 20
+MAX_CONFIDENCE = 100
+# Largest count that a caller may name; sums of many still fit the 64 bits of
+# the messages between gateways.
+MAX_COUNT = 10**12
 
 
 def drop_connection_headers(
@@ -79,6 +83,18 @@
     return [(k, v) for k, v in headers if k not in dropped]
 
 
+def parse_count(text: str) -> int:
+    """Returns a count that a caller names.
+
+    Raises:
+        ValueError: The text is no integer from 0 to ``MAX_COUNT``.
+    """
+    count = int(text)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f'not from 0 to {MAX_COUNT}')
+    return count
+
+
 def parse_prompt_parts(text: str) -> tuple[forwarding.PromptPart, ...]:
     """Decodes the parts of a prompt.
 
@@ -86,12 +102,12 @@
         text: Comma-separated list of ``ID:TOKENS``.
 
     Raises:
-        ValueError: A token count is not an integer.
+        ValueError: A token count is not an integer or out of range.
     """
     parts = []
     for item in filter(None, text.split(',')):
         part_id, _, tokens = item.strip().partition(':')
-        parts.append(forwarding.PromptPart(part_id, int(tokens)))
+        parts.append(forwarding.PromptPart(part_id, parse_count(tokens)))
     return tuple(parts)
 
 
@@ -117,7 +133,8 @@
                 if not math.isfinite(timeout):
                     raise ValueError(f'{DEADLINE.decode()} is not finite')
             counts = [
-                int(n) for n in values.get(TOKEN_COUNTS, '0,0').split(',')
+                parse_count(n)
+                for n in values.get(TOKEN_COUNTS, '0,0').split(',')
             ]
             last_event = values.get(LAST_EVENT)
             return forwarding.ForwardRequest(
@@ -132,12 +149,12 @@
                 key=values.get(API_KEY, ''),
                 received_at=received_at,
                 deadline=received_at + max(0.0, timeout),
-                resume_after=int(last_event) if last_event else None,
+                resume_after=parse_count(last_event) if last_event else None,
                 model=values.get(MODEL, ''),
                 prompt=parse_prompt_parts(values.get(PROMPT_PARTS, '')),
                 input_tokens=counts[0],
                 max_output_tokens=counts[1] if len(counts) > 1 else 0,
-                expected_tokens=int(values.get(LENGTH_HINT) or 0),
+                expected_tokens=parse_count(values.get(LENGTH_HINT) or '0'),
                 session=values.get(SESSION, ''),
             )
         except ValueError as exc:
@@ -175,7 +192,9 @@
     ) -> forwarding.ResponseHead:
         """Decodes the status and headers of a backend server's response."""
         values = {k: v.decode('latin-1') for k, v in headers}
-        confidence = values.get(CONFIDENCE, '')
+        confidence = parse_number(values.get(CONFIDENCE, ''))
+        if confidence is not None and confidence > MAX_CONFIDENCE:
+            confidence = None
         return forwarding.ResponseHead(
             status=status,
             headers=drop_connection_headers(headers),
@@ -183,7 +202,7 @@
             is_signed=bool(values.get(SIGNATURE)),
             has_not_run=NOT_EXECUTED in values or status == 421,
             confidence=(
-                float(confidence) / 100 if is_number(confidence) else None
+                None if confidence is None else confidence / MAX_CONFIDENCE
             ),
             is_closing='close' in values.get(b'connection', '').lower(),
             idle_seconds=parse_keep_alive_timeout(
@@ -223,6 +242,6 @@
     """Returns the timeout in seconds of a Keep-Alive header, or None."""
     for parameter in text.split(','):
         name, _, value = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and is_number(value):
-            return float(value)
+        if name.lower() == 'timeout':
+            return parse_number(value)
     return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -819,3 +819,63 @@
     )
     def test_idle_time_of_keep_alive_header(self, text, seconds):
         assert headers.parse_keep_alive_timeout(text) == seconds
+
+    def decode(self, **fields):
+        """Decodes a request with headers, with underscores for hyphens."""
+        return headers.PlatformFormat().decode_request(
+            'POST',
+            '/a',
+            [
+                (name.lower().replace('_', '-').encode(), value.encode())
+                for name, value in fields.items()
+            ],
+            b'',
+            1000.0,
+        )
+
+    @pytest.mark.parametrize('count', [-1, 10**13, 2**64, 10**400])
+    @pytest.mark.parametrize(
+        ('name', 'form'),
+        [
+            ('Prompt_Prefix', '5c:800,91:{},e4:7'),
+            ('Token_Count', '{},7'),
+            ('Token_Count', '7,{}'),
+            ('Length_Hint', '{}'),
+            ('Last_Event_Id', '{}'),
+        ],
+    )
+    def test_count_out_of_range_is_refused(self, name, form, count):
+        """Counts go to other gateways, whose numbers have 64 bits."""
+        with pytest.raises(errors.RefusalError) as caught:
+            self.decode(**{name: form.format(count)})
+        assert caught.value.code == 'invalid_request'
+
+    def test_counts_of_a_request(self):
+        request = self.decode(
+            Prompt_Prefix='5c:800,91:0,e4:1000000',
+            Token_Count='1000800,80',
+            Length_Hint='',
+            Last_Event_Id='0',
+        )
+        assert [part.tokens for part in request.prompt] == [800, 0, 1000000]
+        assert (request.input_tokens, request.max_output_tokens) == (
+            1000800,
+            80,
+        )
+        assert request.expected_tokens == 0 and request.resume_after == 0
+
+    @pytest.mark.parametrize('text', ['9' * 400, '101', '1e2', '-1', ''])
+    def test_confidence_out_of_range_is_ignored(self, text):
+        head = headers.PlatformFormat().decode_response_head(
+            200, [(b'confidence', text.encode())]
+        )
+        assert head.confidence is None
+
+    def test_confidence_is_a_share(self):
+        head = headers.PlatformFormat().decode_response_head(
+            200, [(b'confidence', b'100')]
+        )
+        assert head.confidence == 1.0
+
+    def test_idle_time_without_end_is_ignored(self):
+        assert headers.parse_keep_alive_timeout('timeout=' + '9' * 400) is None
