Check each field of what a relay passes on

A relay's age was taken as it came: one that is negative or not a number makes an old configuration look new, so that a withdrawn key runs; numbers beyond 64 bits or revisions after that of the response hide later changes. A compressed response could expand without bound. An unexpected error of one source ended the poll, so that the other sources were not asked. A relay of a later version with one item more was refused by all its followers.

- Times are finite and not negative, revisions whole numbers up to that of the response, keys text.
A response with a malformed change is rejected as a whole, because another source has all of its changes; skipping one would lose it.
- Decompression ends at 32 MB, twice the bound of a change log.
- Further items at the end of a response or a change are ignored, and a change without a lease has none, so that later versions may add fields.
- A relay that cannot encode a change answers that its log lacks changes, and the follower asks the next source.
- Unexpected errors of a source are recorded, and the next one is asked.
- Polls with a wait of hundreds of digits or an invalid target get status 400.

New tests play switches between sources with real relays: one that lags, one that has restarted, one whose revision leaped, one that cannot encode a change.

--- a/chivejunction/coordination/relays.py
+++ b/chivejunction/coordination/relays.py
@@ -8,6 +8,8 @@
 """
 
 from collections.abc import Callable
+import math
+from typing import Any
 from urllib import parse
 import zlib
 
@@ -15,6 +17,7 @@
 import msgpack
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -59,6 +62,9 @@
 # First byte of a zlib stream. A MessagePack array of five items starts with
 # another byte.
 ZLIB_FIRST_BYTE = b'\x78'
+# A change log holds half of this at most.
+MAX_DECOMPRESSED_BYTES = 32_000_000
+MAX_REVISION = 2**63 - 1
 # Age reported by a gateway whose configuration was never confirmed.
 UNCONFIRMED_AGE_SECONDS = 1e6
 POLLS = metrics.make_counter(
@@ -96,11 +102,11 @@
             request: Request with ``after`` (a revision) and ``wait_ms``.
             reply: Sends the response.
         """
-        target = parse.urlsplit(request.target)
         try:
+            target = parse.urlsplit(request.target)
             query = dict(parse.parse_qsl(target.query))
             after, wait = int(query['after']), int(query['wait_ms']) / 1000
-        except (KeyError, ValueError) as exc:
+        except errors.MALFORMED_DOCUMENT_ERRORS as exc:
             logs.LOG.warning('malformed poll from a gateway: %r', exc)
             await reply.send_response(400, [], b'after and wait_ms are needed')
             return
@@ -115,22 +121,28 @@
             while self._mirror.change_log.revision <= after:
                 await self._mirror.changed.wait()
         waited_seconds = freshness.read_boot_clock() - started_at
-        changes = self._mirror.change_log.list_after(after)
-        body = msgpack.packb(
-            [
-                self._mirror.change_log.revision,
-                round(waited_seconds, 4),
-                round(min(self._freshness.age, UNCONFIRMED_AGE_SECONDS), 4),
-                self._mirror.is_recovering(),
-                None
-                if changes is None
-                else [_encode_change(c) for c in changes],
-            ]
-        )
+        body = self._encode_poll(after, waited_seconds)
         if len(body) > COMPRESSION_THRESHOLD_BYTES:
             body = zlib.compress(body, COMPRESSION_LEVEL)
         await reply.send_response(200, [], body)
 
+    def _encode_poll(self, after: int, waited_seconds: float) -> bytes:
+        changes = self._mirror.change_log.list_after(after)
+        head = [
+            self._mirror.change_log.revision,
+            round(waited_seconds, 4),
+            round(min(self._freshness.age, UNCONFIRMED_AGE_SECONDS), 4),
+            self._mirror.is_recovering(),
+        ]
+        if changes is not None:
+            try:
+                rows = [_encode_change(change) for change in changes]
+                return msgpack.packb([*head, rows])
+            except Exception as exc:
+                containment.record_error('relay server', exc)
+        # The follower asks another gateway or the store.
+        return msgpack.packb([*head, None])
+
 
 def _encode_change(change: stores.Change) -> list:
     if change.entry is None:
@@ -139,24 +151,55 @@
     return [change.key, change.revision, entry.value, entry.lease]
 
 
-def _decode_change(row: list) -> stores.Change:
-    key, revision = str(row[0]), int(row[1])
-    if len(row) == 2:
+def _decode_revision(value: Any, most: int = MAX_REVISION) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError('a revision is not a whole number')
+    if not 0 <= value <= most:
+        raise ValueError(f'a revision is not from 0 to {most}')
+    return value
+
+
+def _decode_seconds(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError('a time is not a number')
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError('a time is negative or not finite')
+    return float(value)
+
+
+def _decode_change(row: list, after: int) -> stores.Change:
+    # Later versions may append items.
+    key, revision, *items = row
+    if not isinstance(key, str):
+        raise TypeError('a key is no text')
+    revision = _decode_revision(revision, after)
+    if not items:
         return stores.Change(key, revision, None)
-    _, _, value, lease = row
+    value, lease, *_ = items
     if not isinstance(value, bytes):
         # bytes() of a number would allocate that many bytes.
-        raise TypeError(f'value of {key} is not bytes')
+        raise TypeError(f'value of {key!r} is not bytes')
     return stores.Change(
         key,
         revision,
-        stores.Entry(key, value, revision, int(lease)),
+        stores.Entry(key, value, revision, _decode_revision(lease or 0)),
     )
 
 
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(body, MAX_DECOMPRESSED_BYTES)
+    if not decompressor.eof:
+        raise ValueError('compressed data are cut off or too long')
+    return body
+
+
 def decode_poll(body: bytes) -> stores.PollResult | None:
     """Decodes the response of a relay.
 
+    A response with a change that cannot be read is rejected as a whole: its
+    other changes come from another source, and no change is left out.
+
     Args:
         body: Body of the response.
 
@@ -169,22 +212,29 @@
     """
     try:
         if body[:1] == ZLIB_FIRST_BYTE:
-            body = zlib.decompress(body)
-        after, waited_seconds, age, was_unavailable, rows = msgpack.unpackb(
-            body
-        )
+            body = _decompress(body)
+        items = msgpack.unpackb(body)
+        if not isinstance(items, list):
+            raise TypeError('no list')
+        # Later versions may append items.
+        after, waited_seconds, age, was_unavailable, rows, *_ = items
         if rows is None:
             return None
+        if not isinstance(rows, list):
+            raise TypeError('no list of changes')
+        after = _decode_revision(after)
         return stores.PollResult(
-            [_decode_change(row) for row in rows],
-            int(after),
-            waited_seconds=float(waited_seconds),
-            age=float(age),
+            [_decode_change(row, after) for row in rows],
+            after,
+            waited_seconds=_decode_seconds(waited_seconds),
+            age=_decode_seconds(age),
             was_unavailable=bool(was_unavailable),
             is_billable=False,
         )
     except (*errors.MALFORMED_DOCUMENT_ERRORS, zlib.error) as exc:
-        raise errors.ProtocolError(f'malformed relay response: {exc}') from exc
+        raise errors.ProtocolError(
+            f'malformed relay response: {exc!r}'
+        ) from exc
 
 
 class RelayedFeed(stores.ChangeFeed):
@@ -270,9 +320,15 @@
 
     async def _poll_store(self, prefix, after, seconds, response_timeout):
         POLLS.labels('store').inc()
-        poll = await self._store.poll_changes(
-            prefix, after, seconds, response_timeout
-        )
+        try:
+            poll = await self._store.poll_changes(
+                prefix, after, seconds, response_timeout
+            )
+        except errors.StoreError:
+            raise
+        except Exception as exc:
+            containment.record_error('store client', exc)
+            raise errors.StoreError(f'unexpected error: {exc!r}') from exc
         self._store_backoff_until = self._fallback_poll_at = 0.0
         return poll
 
@@ -319,10 +375,11 @@
                 )
             poll = decode_poll(body)
         except (errors.TransportError, errors.ProtocolError) as exc:
-            self._relay_backoff_until[name] = clock.make_deadline(
-                FAILURE_BACKOFF_SECONDS
-            )
-            logs.log_decision('relay passed over', relay=name, reason=str(exc))
+            self._pass_over(name, str(exc))
+            return None
+        except Exception as exc:
+            containment.record_error('relay client', exc, relay=name)
+            self._pass_over(name, repr(exc))
             return None
         if poll is None or poll.age > MAX_RELAY_AGE_SECONDS:
             logs.log_decision(
@@ -333,3 +390,14 @@
             return None
         POLLS.labels('relay').inc()
         return poll
+
+    def _pass_over(self, name: str, reason: str) -> None:
+        """Keeps a gateway that failed from being polled for a while."""
+        backoff_until = {
+            other: deadline
+            for other, deadline in self._relay_backoff_until.items()
+            if not clock.has_passed(deadline)
+        }
+        backoff_until[name] = clock.make_deadline(FAILURE_BACKOFF_SECONDS)
+        self._relay_backoff_until = backoff_until
+        logs.log_decision('relay passed over', relay=name, reason=reason)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -5,6 +5,7 @@
 import zlib
 
 import anyio
+import msgpack
 import pytest
 
 from bench import fleet
@@ -43,7 +44,8 @@
     async def read_all(self, prefix):
         if self.is_down:
             raise errors.StoreError('down')
-        return [], self.revision
+        entries = {change.key: change.entry for change in self.changes}
+        return [e for e in entries.values() if e is not None], self.revision
 
     async def poll_changes(self, prefix, after, seconds, response_timeout=1.0):
         self.poll_count += 1
@@ -57,6 +59,25 @@
         return transport_stores.PollResult([], self.revision, seconds)
 
 
+class StalledStore(FakeStore):
+    """Change feed that does not respond until it resumes."""
+
+    def __init__(self):
+        super().__init__()
+        self._source = None
+        self._resumed = anyio.Event()
+
+    def resume_with(self, store):
+        """Responds with the changes of another feed from now on."""
+        self._source = store
+        self._resumed.set()
+
+    async def poll_changes(self, *args):
+        self.poll_count += 1
+        await self._resumed.wait()
+        return await self._source.poll_changes(*args)
+
+
 class Gateway:
     """The parts of a gateway that follow the store.
 
@@ -325,6 +346,129 @@
             group.cancel_scope.cancel()
 
 
+class TestSwitchesBetweenSources:
+    """No source may make a gateway drop a change or take an older one."""
+
+    async def load(self, group, gateways):
+        start(group, gateways)
+        for gateway in gateways:
+            await gateway.wait_until(lambda g: g.mirror.has_loaded.is_set())
+
+    @run_async
+    async def test_relay_that_lags_gives_nothing_older(self):
+        store, stalled_store = FakeStore(), StalledStore()
+        gateways = make_gateways(3, store)
+        follower = gateways[-1]
+        async with anyio.create_task_group() as group:
+            await self.load(group, gateways)
+            follower.feed._store = FakeStore()
+            follower.feed._store.is_down = True
+            first, second = (
+                next(g for g in gateways if g.name == name)
+                for name in follower.feed._list_available_relays()
+            )
+            second.feed._store = stalled_store
+            await second.wait_until(lambda g: stalled_store.poll_count)
+            for number in range(3):
+                store.put('a', b'%d' % number)
+            store.delete('b')
+            await follower.wait_until(lambda g: g.applied == {'a': b'2'})
+            revision = follower.mirror.change_log.revision
+            # Only the relay that lags is left.
+            first.is_leaving = True
+            await anyio.sleep(0.8)
+            assert second.mirror.change_log.revision < revision
+            assert follower.applied == {'a': b'2'}
+            assert follower.mirror.change_log.revision == revision
+            assert not follower.mirror.is_recovering()
+            stalled_store.resume_with(store)
+            store.put('c', b'3')
+            await follower.wait_until(
+                lambda g: g.applied == {'a': b'2', 'c': b'3'}
+            )
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_restarted_relay_does_not_hide_changes(self):
+        """Its log begins at the listing that it has read."""
+        store = FakeStore()
+        first, second, follower = make_gateways(3, store)
+        async with anyio.create_task_group() as group:
+            await self.load(group, [first, second, follower])
+            for relay in (first, second):
+                relay.is_leaving = True
+            follower.feed._store = FakeStore()
+            follower.feed._store.is_down = True
+            await anyio.sleep(0.8)
+            store.put('a', b'1')
+            store.put('b', b'2')
+            for relay in (first, second):
+                await relay.wait_until(
+                    lambda g: g.applied.keys() == {'a', 'b'}
+                )
+                relay.mirror._is_loaded = False
+                await relay.wait_until(
+                    lambda g: g.mirror.change_log.list_after(1) is None
+                )
+                relay.is_leaving = False
+            await anyio.sleep(1.0)
+            # Without the store, the follower knows that changes are missing.
+            assert follower.applied == {}
+            assert follower.config_freshness.age > 1.0
+            follower.feed._store = store
+            await follower.wait_until(lambda g: g.applied.keys() == {'a', 'b'})
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_relay_whose_revision_leaped_does_not_stop_its_followers(
+        self,
+    ):
+        store = FakeStore()
+        first, second, follower = make_gateways(3, store)
+        async with anyio.create_task_group() as group:
+            await self.load(group, [first, second, follower])
+            for relay in (first, second):
+                relay.mirror.change_log.extend([], 10**15)
+                relay.mirror._notify_followers()
+            await follower.wait_until(
+                lambda g: g.mirror.change_log.revision == 10**15
+            )
+            await anyio.sleep(0.1)
+            store.put('a', b'1')
+            for gateway in (first, second, follower):
+                await gateway.wait_until(lambda g: g.applied == {'a': b'1'})
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_change_that_cannot_be_encoded_comes_from_the_store(self):
+        store = FakeStore()
+        first, second, follower = make_gateways(3, store)
+        async with anyio.create_task_group() as group:
+            await self.load(group, [first, second, follower])
+            store.put('half \ud800')
+            store.put('a', b'1')
+            await follower.wait_until(lambda g: 'a' in g.applied, 3.0)
+            store.put('b', b'2')
+            await follower.wait_until(lambda g: 'b' in g.applied, 6.0)
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_unexpected_error_of_a_source_leads_to_the_next(self):
+        store = FakeStore()
+        gateways = make_gateways(3, store)
+        follower = gateways[-1]
+        async with anyio.create_task_group() as group:
+            await self.load(group, gateways)
+            follower.feed._client = LeavingClient(lambda: 1 / 0)
+            store.put('a', b'1')
+            await follower.wait_until(lambda g: 'a' in g.applied)
+            relay = gateways[0]
+            relay.feed._store = None
+            store.put('b', b'2')
+            await relay.wait_until(lambda g: 'b' in g.applied)
+            group.cancel_scope.cancel()
+
+
 class LeavingClient:
     """HTTP client whose calls fail while a callback changes the members."""
 
@@ -412,6 +556,79 @@
         with pytest.raises(errors.ProtocolError):
             relays.decode_poll(body)
 
+    @pytest.mark.parametrize(
+        'number',
+        [math.nan, math.inf, -math.inf, -0.1, -(2**63), True, None, '1', b'1'],
+    )
+    def test_time_that_is_none_is_rejected(self, number):
+        """A negative age would make an old configuration look new."""
+        for items in ([3, 0.1, number, False, []], [3, number, 0.1, 0, []]):
+            with pytest.raises(errors.ProtocolError):
+                relays.decode_poll(msgpack.packb(items))
+
+    @pytest.mark.parametrize(
+        'number', [2**63, 2**64 - 1, -1, True, None, 1.5, '3']
+    )
+    def test_revision_that_is_none_is_rejected(self, number):
+        for items in (
+            [number, 0.1, 0.1, False, []],
+            [9, 0.1, 0.1, False, [['a', number]]],
+        ):
+            with pytest.raises(errors.ProtocolError):
+                relays.decode_poll(msgpack.packb(items))
+
+    @pytest.mark.parametrize(
+        'row',
+        [
+            ['a', 10],
+            [7, 3],
+            [None, 3, b'v', 0],
+            ['a', 3, 'v', 0],
+            ['a', 3, None, 0],
+            ['a', 3, b'v'],
+            ['a', 3, b'v', -1],
+            {'a': 3, 'b': 4},
+            'ab',
+        ],
+    )
+    def test_response_with_a_malformed_change_is_rejected(self, row):
+        body = msgpack.packb([9, 0.1, 0.1, False, [['b', 4], row]])
+        with pytest.raises(errors.ProtocolError):
+            relays.decode_poll(body)
+
+    def test_items_of_later_versions_are_ignored(self):
+        rows = [['a', 3, b'v', 5, 'new'], ['b', 4]]
+        poll = relays.decode_poll(
+            msgpack.packb([9, 0.1, 0.2, False, rows, 'new', 7])
+        )
+        assert [c.key for c in poll.changes] == ['a', 'b']
+        assert poll.changes[0].entry.lease == 5 and poll.age == 0.2
+
+    def test_odd_values_are_kept(self):
+        for value in (b'', b'\xff\x00', b'\x78\x01', b'x' * 900_000):
+            row = relays._encode_change(
+                transport_stores.Change(
+                    'a', 3, transport_stores.Entry('a', value, 3, 0)
+                )
+            )
+            body = msgpack.packb([9, 0.1, 0.2, False, [row]])
+            for encoded in (body, zlib.compress(body)):
+                poll = relays.decode_poll(encoded)
+                assert poll.changes[0].entry.value == value
+        row = ['a', 3, b'v', None]
+        poll = relays.decode_poll(msgpack.packb([9, 0, 0, False, [row]]))
+        assert poll.changes[0].entry.lease == 0
+
+    def test_compressed_response_is_bounded(self):
+        size = relays.MAX_DECOMPRESSED_BYTES + 1_000_000
+        row = ['a', 3, bytes(size), 0]
+        body = zlib.compress(msgpack.packb([9, 0.1, 0.1, False, [row]]))
+        with pytest.raises(errors.ProtocolError, match='too long'):
+            relays.decode_poll(body)
+        body = zlib.compress(msgpack.packb([9, 0.1, 0.1, False, []]))
+        with pytest.raises(errors.ProtocolError, match='cut off'):
+            relays.decode_poll(body[:-1])
+
     @run_async
     async def test_malformed_poll_gets_an_error_status(self):
         gateway = make_gateways(1)[0]
@@ -421,6 +638,8 @@
             for target, expected in (
                 ('/changes', 400),
                 ('/changes?after=x&wait_ms=1', 400),
+                ('/changes?after=1&wait_ms=' + '9' * 400, 400),
+                ('//[::1/changes?after=1&wait_ms=1', 400),
                 ('/other?after=1&wait_ms=1', 404),
             ):
                 status, _, _ = await gateway.client.call(
