Keep exchanging hints and bulletins after errors

Gateways ended by one datagram, one value or one address that their code did not foresee: an error in a listener, a number beyond 64 bits in a limit or a prompt prefix, a port over 65535, a backlog that is infinite. An infinite backlog from another gateway made a server unusable.

- An error ends the handling of one datagram or bulletin, or the sending of one hint; it is recorded.
A bulletin that cannot be encoded is dropped, a malformed one does not take the others of its datagram with it.
- Backlogs are finite, not negative and at most an hour, also of the own.
- A socket that an error has closed, or a port in use, ends run() with an exception; run() opens another socket when it is called again.
- Sessions that wait to be sent are bounded, for a port that stays in use.

--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -22,6 +22,7 @@
 import msgpack
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import metrics
 from chivejunction.coordination import gateway_membership
@@ -49,6 +50,7 @@
 MAX_HEARD_PEERS = 512
 # First byte of a MessagePack array of two items. Load hints have four.
 FIRST_BYTE = b'\x92'
+PART = 'bulletins'
 RECEIVED = metrics.make_counter(
     'bulletins_received', 'Bulletins that were new to this gateway.', 'kind'
 )
@@ -178,13 +180,13 @@
             sender: Address and port of the sender.
 
         Raises:
-            ProtocolError: The datagram is malformed.
+            ProtocolError: The datagram is malformed, or a bulletin is; the
+                others have been applied then.
         """
         try:
             name, rows = msgpack.unpackb(data)
-            received = [_decode(row) for row in rows]
-            if not isinstance(name, str):
-                raise TypeError('the name of the sender is no text')
+            if not isinstance(name, str) or not isinstance(rows, list):
+                raise TypeError('name or rows have another type')
         except errors.MALFORMED_DOCUMENT_ERRORS as exc:
             raise errors.ProtocolError(f'malformed bulletins: {exc}') from exc
         if name == self._name:
@@ -193,8 +195,18 @@
         self._heard_peers.move_to_end(sender)
         if len(self._heard_peers) > MAX_HEARD_PEERS:
             self._heard_peers.popitem(last=False)
-        for bulletin in received:
-            self._apply(bulletin)
+        error = None
+        for row in rows:
+            try:
+                self._apply(_decode(row))
+            except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+                error = error or exc
+            except Exception as exc:
+                containment.record_error(PART, exc)
+        if error is not None:
+            raise errors.ProtocolError(
+                f'malformed bulletin: {error!r}'
+            ) from error
 
     def _apply(self, bulletin: Bulletin) -> None:
         known = self._bulletins.get(bulletin.kind)
@@ -206,12 +218,7 @@
             and bulletin.issued_at <= current.issued_at + AGE_TOLERANCE_SECONDS
         ):
             return
-        try:
-            self._listeners[bulletin.kind](bulletin)
-        except errors.MALFORMED_DOCUMENT_ERRORS as exc:
-            raise errors.ProtocolError(
-                f'malformed bulletin of kind {bulletin.kind}: {exc!r}'
-            ) from exc
+        self._listeners[bulletin.kind](bulletin)
         self._store(bulletin)
         RECEIVED.labels(bulletin.kind).inc()
         self._changed.set()
@@ -224,7 +231,8 @@
             with anyio.move_on_after(math.inf if is_empty else ROUND_SECONDS):
                 await self._changed.wait()
             self._changed = anyio.Event()
-            await self._send_round(sender)
+            with containment.contain(PART):
+                await self._send_round(sender)
             await anyio.sleep(ROUND_SECONDS / 2)
 
     async def _send_round(self, sender) -> None:
@@ -254,15 +262,21 @@
     ) -> None:
         packed = self._pack(bulletins)[:max_datagrams]
         for address in self._sample_peers(fanout):
-            for data in packed:
-                await sender.send(data, address)
+            with containment.contain(PART, address=str(address)):
+                for data in packed:
+                    await sender.send(data, address)
 
     def _pack(self, bulletins: list[Bulletin]) -> list[bytes]:
         """Returns datagrams with the bulletins, in their order."""
         header = FIRST_BYTE + msgpack.packb(self._name)
         packed, rows, size = [], [], 0
         for bulletin in bulletins:
-            row = _encode(bulletin)
+            try:
+                row = _encode(bulletin)
+            except Exception as exc:
+                containment.record_error(PART, exc, kind=bulletin.kind)
+                self._bulletins[bulletin.kind].pop(bulletin.key, None)
+                continue
             # An array header has at most 3 bytes.
             if rows and len(header) + 3 + size + len(row) > MAX_DATAGRAM_BYTES:
                 packed.append(self._join(header, rows))
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -17,12 +17,14 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import socket
 
 import anyio
 import msgpack
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -48,12 +50,48 @@
 MAX_PEERS_PER_REGION = 16
 MAX_PREFIXES_PER_HINT = 12
 MAX_SESSIONS_PER_HINT = 100
+# Sessions that wait for a socket; the oldest ones are dropped beyond it.
+MAX_PENDING_SESSIONS = 10_000
+# A longer backlog does not make a server less suitable.
+MAX_BACKLOG_SECONDS = 3600.0
+MAX_ATTEMPTS_PER_SERVER = 1_000_000
+# A prompt part with more tokens is in no cache.
+MAX_PART_TOKENS = 2**31
+# Pause after an unexpected error.
+ERROR_DELAY_SECONDS = 0.5
+PART = 'hints'
 RECEIVED = metrics.make_counter('hints_received', 'Hints from gateways.')
 SENT_BYTES = metrics.make_counter(
     'hints_sent_bytes', 'Bytes of hints to other gateways, without headers.'
 )
 
 
+def _decode_backlog(row: list) -> tuple[int, float, int]:
+    """Decodes id hash, backlog in seconds and attempts of a server."""
+    id_hash, milliseconds, count = row
+    seconds, count = float(milliseconds) / 1000, int(count)
+    # The comparisons are also false for a number that is none.
+    if not (0 <= seconds < math.inf and count >= 0):
+        raise ValueError('a backlog is negative or not finite')
+    return (
+        int(id_hash),
+        min(seconds, MAX_BACKLOG_SECONDS),
+        min(count, MAX_ATTEMPTS_PER_SERVER),
+    )
+
+
+def _decode_prefix(row: list) -> tuple[int, int, int]:
+    id_hash, key, tokens = (int(item) for item in row)
+    if not 0 <= tokens <= MAX_PART_TOKENS:
+        raise ValueError(f'a prompt part of {tokens} tokens')
+    return id_hash, key, tokens
+
+
+def _limit(number: float, maximum: float) -> float:
+    """Returns a number from 0 to a maximum, also for one that is none."""
+    return max(0.0, min(maximum, number)) if number == number else 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class RegionState:
     """Send state for the gateways of one region, which get the same hints.
@@ -120,7 +158,8 @@
         self._get_cache_tokens = get_cache_tokens
         self._receive_session = receive_session
         self._board = board
-        self._pending_sessions: set[int] = set()
+        # Used as a set that keeps its order.
+        self._pending_sessions: dict[int, None] = {}
         self._region_states: dict[str, RegionState] = {}
         self._changed = anyio.Event()
 
@@ -144,16 +183,19 @@
         for region_state in self._list_region_states():
             previous_length = 0
             for key, length in prefixes:
-                region_state.pending_prefixes.append(
-                    (instance, key, length - previous_length)
-                )
+                tokens = length - previous_length
+                if not 0 <= tokens <= MAX_PART_TOKENS:
+                    break
+                region_state.pending_prefixes.append((instance, key, tokens))
                 previous_length = length
             del region_state.pending_prefixes[:-MAX_PREFIXES_PER_HINT]
         self._changed.set()
 
     def add_session(self, session_hash: int) -> None:
         """Queues a session that stays on the old version for sending."""
-        self._pending_sessions.add(session_hash)
+        self._pending_sessions[session_hash] = None
+        if len(self._pending_sessions) > MAX_PENDING_SESSIONS:
+            del self._pending_sessions[next(iter(self._pending_sessions))]
         self._changed.set()
 
     def schedule_send(self) -> None:
@@ -161,7 +203,13 @@
         self._changed.set()
 
     async def run(self) -> None:
-        """Sends and receives hints until cancelled."""
+        """Sends and receives hints until cancelled.
+
+        Raises:
+            OSError: The port is in use.
+            ExceptionGroup: The socket was closed by an error. A new run opens
+                another one.
+        """
         address, port = self._address
         async with (
             await anyio.create_udp_socket(
@@ -184,6 +232,8 @@
                     self._handle_datagram(data)
             except errors.ProtocolError as exc:
                 logs.LOG.warning('hint ignored: %s', exc)
+            except Exception as exc:
+                containment.record_error(PART, exc)
 
     def _handle_datagram(self, data: bytes) -> None:
         """Applies the hint of another gateway.
@@ -195,16 +245,16 @@
             ProtocolError: The hint is malformed.
         """
         try:
-            gateway, backlog_items, prefix_items, session_items = (
+            # Later versions may append items.
+            gateway, backlog_items, prefix_items, session_items, *_ = (
                 msgpack.unpackb(data)
             )
+            if not isinstance(gateway, str):
+                raise TypeError('the name of the sender is no text')
             backlog_rows = [
-                (int(h), float(ms) / 1000, int(count))
-                for h, ms, count in backlog_items or ()
-            ]
-            prefix_rows = [
-                (int(h), int(k), int(n)) for h, k, n in prefix_items
+                _decode_backlog(row) for row in backlog_items or ()
             ]
+            prefix_rows = [_decode_prefix(row) for row in prefix_items]
             session_hashes = [int(h) for h in session_items]
         except errors.MALFORMED_DOCUMENT_ERRORS as exc:
             raise errors.ProtocolError(f'malformed hint: {exc}') from exc
@@ -221,8 +271,8 @@
             if backend is not None:
                 server_seconds[backend.instance] = seconds
                 attempt_counts[backend.instance] = count
-        self._server_backlogs.set_peer_backlogs(str(gateway), server_seconds)
-        self._running_attempts.set_peer_backlogs(str(gateway), attempt_counts)
+        self._server_backlogs.set_peer_backlogs(gateway, server_seconds)
+        self._running_attempts.set_peer_backlogs(gateway, attempt_counts)
         prefixes_by_server: dict[str, list[tuple[int, int]]] = {}
         lengths: dict[str, int] = {}
         for id_hash, key, tokens in prefix_rows:
@@ -246,15 +296,23 @@
             with anyio.move_on_after(REMOTE_MIN_INTERVAL_SECONDS):
                 await self._changed.wait()
             self._changed = anyio.Event()
-            local_backlogs = self._server_backlogs.sum_local()
-            has_sent = bool(self._pending_sessions)
-            await self._send_sessions(sender)
-            for region_state in self._list_region_states():
-                if self._should_send(region_state, local_backlogs):
-                    await self._send(sender, region_state, local_backlogs)
-                    has_sent = True
-            if has_sent:
-                await anyio.sleep(MIN_INTERVAL_SECONDS)
+            delay = ERROR_DELAY_SECONDS
+            with containment.contain(PART):
+                has_sent = await self._send_due(sender)
+                delay = MIN_INTERVAL_SECONDS if has_sent else 0.0
+            if delay:
+                await anyio.sleep(delay)
+
+    async def _send_due(self, sender) -> bool:
+        """Sends the hints that are due; returns whether there were any."""
+        local_backlogs = self._server_backlogs.sum_local()
+        has_sent = bool(self._pending_sessions)
+        await self._send_sessions(sender)
+        for region_state in self._list_region_states():
+            if self._should_send(region_state, local_backlogs):
+                await self._send(sender, region_state, local_backlogs)
+                has_sent = True
+        return has_sent
 
     def _should_send(
         self, region_state: RegionState, local_backlogs: dict[str, float]
@@ -303,8 +361,11 @@
         backlog_rows = [
             (
                 hash_id(i),
-                int(1000 * local_backlogs.get(i, 0.0)),
-                int(attempt_counts.get(i, 0)),
+                int(
+                    1000
+                    * _limit(local_backlogs.get(i, 0.0), MAX_BACKLOG_SECONDS)
+                ),
+                int(_limit(attempt_counts.get(i, 0), MAX_ATTEMPTS_PER_SERVER)),
             )
             for i in local_backlogs.keys() | attempt_counts.keys()
         ]
@@ -325,7 +386,7 @@
 
     async def _send_sessions(self, sender) -> None:
         """Sends the pending sessions to all gateways."""
-        sessions, self._pending_sessions = list(self._pending_sessions), set()
+        sessions, self._pending_sessions = list(self._pending_sessions), {}
         for start in range(0, len(sessions), MAX_SESSIONS_PER_HINT):
             batch = sessions[start : start + MAX_SESSIONS_PER_HINT]
             data = msgpack.packb([self._name, None, [], batch])
@@ -341,5 +402,6 @@
         addresses: list[tuple[str, int]],
     ) -> None:
         for address in addresses:
-            SENT_BYTES.inc(len(data))
-            await sender.send(data, address)
+            with containment.contain(PART, address=str(address)):
+                SENT_BYTES.inc(len(data))
+                await sender.send(data, address)
--- a/tests/test_bulletins.py
+++ b/tests/test_bulletins.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import anyio
 import msgpack
 import pytest
 
@@ -12,6 +13,7 @@
 from chivejunction.coordination import gateway_membership
 from chivejunction.transport import stores as transport_stores
 from tests import stores
+from tests.forward_rig import run_async
 
 
 class VirtualTime:
@@ -222,3 +224,61 @@
         with pytest.raises(errors.ProtocolError):
             board.handle_datagram(data, ('x', 1))
         assert board.get('crash', 1) is None
+
+
+class TestUnexpectedErrors:
+    """One bulletin must not keep the others from being passed on."""
+
+    def test_malformed_bulletin_does_not_stop_the_others(self):
+        fleet = Fleet(1)
+        rows = [['crash', 1, ['x'], 5, 10], 7, ['crash', 2, [1], 5, 1000]]
+        with pytest.raises(errors.ProtocolError):
+            fleet.board(0).handle_datagram(
+                msgpack.packb(['gw-5', rows]), ('x', 1)
+            )
+        assert [b.key for b in fleet.heard['gw-0']] == [2]
+
+    def test_failure_of_a_listener_does_not_stop_the_others(self):
+        fleet = Fleet(1)
+        heard = []
+
+        def listen(bulletin):
+            if bulletin.key == 1:
+                raise RuntimeError('not foreseen')
+            heard.append(bulletin.key)
+
+        fleet.board(0).listen('crash', listen)
+        rows = [['crash', key, [1], 5, 1000] for key in (1, 2)]
+        data = msgpack.packb(['gw-5', rows])
+        fleet.board(0).handle_datagram(data, ('x', 1))
+        assert heard == [2]
+        assert fleet.board(0).get('crash', 1) is None
+
+    def test_bulletin_that_cannot_be_encoded_is_dropped(self, virtual_time):
+        fleet = Fleet(2)
+        fleet.board(0).publish('crash', 1, (10**30,), 600)
+        fleet.board(0).publish('crash', 2, (1,), 600)
+        fleet.play_round()
+        assert [b.key for b in fleet.heard['gw-1']] == [2]
+        assert fleet.board(0).get('crash', 1) is None
+
+    @run_async
+    async def test_error_of_a_round_does_not_end_the_task(self):
+        fleet = Fleet(2)
+        board = fleet.board(0)
+        board.publish('crash', 1, (1,), 600)
+        sent = []
+
+        class Sender:
+            async def send(self, data, address):
+                sent.append(address)
+                if len(sent) == 1:
+                    raise RuntimeError('not foreseen')
+
+        with anyio.move_on_after(1.5):
+            await board.run(Sender())
+        assert len(sent) > 1
+        count = len(sent)
+        with anyio.move_on_after(1.5):
+            await board.run(Sender())
+        assert len(sent) > count
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -2,7 +2,9 @@
 
 import json
 import logging
+import math
 import os
+import socket
 
 import anyio
 import msgpack
@@ -157,12 +159,32 @@
             msgpack.packb(['a', [], [], [None]]),
             msgpack.packb(['a', [[1, 5]], [], []]),
             msgpack.packb(['a', [], [[1, None, 2]], []]),
+            msgpack.packb([7, [], [], []]),
+            msgpack.packb(['a', [[1, math.nan, 1]], [], []]),
+            msgpack.packb(['a', [[1, math.inf, 1]], [], []]),
+            msgpack.packb(['a', [[1, -1, 1]], [], []]),
+            msgpack.packb(['a', [[1, 5, -1]], [], []]),
+            msgpack.packb(['a', [], [[1, 2, -1]], []]),
+            msgpack.packb(['a', [], [[1, 2, 2**60]], []]),
+            b'\x91' * 5000,
         ],
     )
     def test_malformed_hint_is_rejected(self, data):
         with pytest.raises(errors.ProtocolError):
             Peer('gw-1', 1).hint_exchange._handle_datagram(data)
 
+    def test_huge_backlog_is_limited(self):
+        peer = Peer('gw-1', 1)
+        id_hash = backends.hash_instance_id('i-1')
+        data = msgpack.packb(['gw-2', [[id_hash, 1e300, 2**63]], [], [], 'x'])
+        peer.hint_exchange._handle_datagram(data)
+        assert peer.server_backlogs.estimate() == {
+            'i-1': hints.MAX_BACKLOG_SECONDS
+        }
+        assert peer.running_attempts.estimate() == {
+            'i-1': hints.MAX_ATTEMPTS_PER_SERVER
+        }
+
     def test_hint_about_unknown_server_is_ignored(self):
         peer = Peer('gw-1', 1)
         unknown = backends.hash_instance_id('i-9')
@@ -208,6 +230,150 @@
         assert peer.send_if_due('cnx', {'i-1': 0.1})
 
 
+class TestUnexpectedErrors:
+    """One datagram, server or address must not end the exchange."""
+
+    def make_pair(self):
+        one, two = (
+            Peer(f'gw-{number}', fleet.find_port()) for number in (1, 2)
+        )
+        for peer in (one, two):
+            for other in (one, two):
+                exchange = other.hint_exchange
+                add_member(peer.members, exchange._name, exchange._address[1])
+        return one, two
+
+    async def wait_until(self, condition):
+        with anyio.fail_after(5):
+            while not condition():
+                await anyio.sleep(0.01)
+
+    @run_async
+    async def test_datagram_that_causes_an_error_is_ignored(self):
+        one, two = self.make_pair()
+
+        def fail_once(session_hash):
+            two.hint_exchange._receive_session = two.sessions.append
+            raise RuntimeError('not foreseen')
+
+        two.hint_exchange._receive_session = fail_once
+        async with anyio.create_task_group() as group:
+            group.start_soon(one.hint_exchange.run)
+            group.start_soon(two.hint_exchange.run)
+            await anyio.sleep(0.1)
+            one.hint_exchange.add_session(7)
+            await self.wait_until(
+                lambda: two.hint_exchange._receive_session != fail_once
+            )
+            one.hint_exchange.add_session(8)
+            await self.wait_until(lambda: two.sessions == [8])
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_values_that_cannot_be_encoded_are_limited(self):
+        one, two = self.make_pair()
+        async with anyio.create_task_group() as group:
+            group.start_soon(one.hint_exchange.run)
+            group.start_soon(two.hint_exchange.run)
+            await anyio.sleep(0.1)
+            one.server_backlogs.start('i-1', float('inf'))
+            one.server_backlogs.start('i-2', float('nan'))
+            one.hint_exchange.add_prefixes('i-1', [(7, 10**30)])
+            await self.wait_until(
+                lambda: two.server_backlogs.estimate().get('i-1')
+            )
+            assert two.server_backlogs.estimate() == {
+                'i-1': hints.MAX_BACKLOG_SECONDS,
+                'i-2': 0.0,
+            }
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_address_that_cannot_be_reached_does_not_stop_the_others(
+        self,
+    ):
+        one, two = self.make_pair()
+
+        class Sender:
+            addresses = []
+
+            async def send(self, data, address):
+                self.addresses.append(address)
+                if len(self.addresses) == 1:
+                    raise OverflowError('port must be 0-65535')
+
+        add_member(one.members, 'gw-0', 1)
+        one.hint_exchange.add_session(7)
+        await one.hint_exchange._send_due(Sender())
+        assert len(Sender.addresses) == 2
+
+    @run_async
+    async def test_error_while_sending_does_not_end_the_exchange(self):
+        one, two = self.make_pair()
+        region_state = one.hint_exchange._list_region_states()[0]
+        region_state.pending_prefixes = [('i-1', object(), 1)]
+        async with anyio.create_task_group() as group:
+            group.start_soon(one.hint_exchange.run)
+            group.start_soon(two.hint_exchange.run)
+            await anyio.sleep(0.3)
+            one.hint_exchange.add_session(8)
+            await self.wait_until(lambda: two.sessions == [8])
+            group.cancel_scope.cancel()
+
+    @run_async
+    async def test_closed_socket_ends_the_run_and_the_next_one_works(self):
+        """A loop that ends silently would not be started again."""
+        one, two = self.make_pair()
+        sockets = []
+        create = anyio.create_udp_socket
+
+        async def create_udp_socket(*args, **kwargs):
+            sockets.append(await create(*args, **kwargs))
+            return sockets[-1]
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(anyio, 'create_udp_socket', create_udp_socket)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.close_soon, sockets)
+                with anyio.fail_after(3), pytest.raises(ExceptionGroup):
+                    await one.hint_exchange.run()
+        async with anyio.create_task_group() as group:
+            group.start_soon(one.hint_exchange.run)
+            group.start_soon(two.hint_exchange.run)
+            await anyio.sleep(0.1)
+            one.hint_exchange.add_session(8)
+            await self.wait_until(lambda: two.sessions == [8])
+            group.cancel_scope.cancel()
+
+    async def close_soon(self, sockets):
+        """Closes the transport of a socket as a fatal error would."""
+        await anyio.sleep(0.2)
+        sockets[0]._transport.abort()
+
+    @run_async
+    async def test_port_in_use_fails_and_the_next_run_works(self):
+        one, two = self.make_pair()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as predecessor:
+            predecessor.bind(one.hint_exchange._address)
+            with anyio.fail_after(3), pytest.raises(OSError):
+                await one.hint_exchange.run()
+        async with anyio.create_task_group() as group:
+            group.start_soon(one.hint_exchange.run)
+            group.start_soon(two.hint_exchange.run)
+            await anyio.sleep(0.1)
+            one.hint_exchange.add_session(8)
+            await self.wait_until(lambda: two.sessions == [8])
+            group.cancel_scope.cancel()
+
+    def test_pending_sessions_are_bounded(self):
+        one, _ = self.make_pair()
+        for number in range(hints.MAX_PENDING_SESSIONS + 5):
+            one.hint_exchange.add_session(number)
+        pending = one.hint_exchange._pending_sessions
+        assert len(pending) == hints.MAX_PENDING_SESSIONS
+        assert hints.MAX_PENDING_SESSIONS + 4 in pending
+
+
 class TestGatewayMembership:
     def test_address_of_a_gateway_that_left_is_unknown(self):
         gateways = make_members('gw-1', 1)
