Read what has arrived before an idle connection closes

Cause: the cancelled wait of an idle connection closed it unread. Evidence: a request sent in the same turn of the event loop, closed in 3 of 3 runs. Fix: after the wait was cancelled the connection reads what has arrived, for at most 50 ms, and serves it.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -25,6 +25,9 @@
 READ_BYTES = 65536
 # Time from the accept of a connection to the first request, while stopping.
 FIRST_REQUEST_TIMEOUT_SECONDS = 1.0
+# Time limit for reading what has arrived as an idle connection closes: several
+# turns of the event loop.
+LAST_READ_SECONDS = 0.05
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
@@ -330,6 +333,16 @@
             sockets.reset_on_close(self._stream)
         return reply.is_finished and not self._is_disconnected
 
+    async def _receive_arrived(self) -> bool:
+        """Receives what arrived just before the wait for it was cancelled.
+
+        Returns:
+            Whether there was anything.
+        """
+        with anyio.move_on_after(LAST_READ_SECONDS) as scope:
+            await self._receive()
+        return not scope.cancelled_caught
+
     async def _receive(self) -> None:
         if self._pipelined_data:
             data, self._pipelined_data = self._pipelined_data, b''
@@ -378,7 +391,7 @@
                 self._idle_scope = scope
                 await self._receive()
             self._idle_scope = None
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and not await self._receive_arrived():
                 return None
             self.is_reading = True
             event = self._conn.next_event()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -415,3 +415,33 @@
             assert stop.seconds < 2.0
 
         play()
+
+
+class TestIdleConnections:
+    """Guards against requests that arrive as an idle connection closes."""
+
+    @run_async
+    async def test_request_sent_before_the_close_is_answered(self):
+        async with forward_rig.start() as rig:
+            await rig.add_server(forward_rig.respond_ok)
+            async with await rig.connect() as stream:
+                await rig.exchange(stream, '/once/a')
+                await anyio.sleep(0.05)
+                await stream.send(rig.write_request('/once/b'))
+                # The gateway's task has not run since.
+                rig.gateway.caller_listener.close_idle()
+                response = await forward_rig.read_response(stream)
+                assert response.status == 200
+                assert response.headers['connection'] == 'close'
+
+    @run_async
+    async def test_connection_without_a_request_is_closed(self):
+        async with forward_rig.start() as rig:
+            await rig.add_server(forward_rig.respond_ok)
+            async with await rig.connect() as stream:
+                await rig.exchange(stream, '/once/a')
+                await anyio.sleep(0.05)
+                rig.gateway.caller_listener.close_idle()
+                with anyio.fail_after(0.5):
+                    response = await forward_rig.read_response(stream)
+                assert response.status == 0
