Do not pause servers for a lack of descriptors

Callers saw: nothing yet; with all descriptors of a gateway in use each connect counted as the server's failure, so that sound servers were passed over once there were descriptors again. Cause: EMFILE is an OSError as any other of a connect. Evidence: the test, under a real limit. Fix: the pool raises an error of its own for EMFILE and ENFILE; the request is refused as not run, the server's record is left alone. Failed first: TestDescriptorLimit (failures 1 instead of 0). Now it passes.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -235,6 +235,10 @@
                 max_idle_seconds,
                 context.deadline,
             )
+        except backend_connections.NoDescriptorError as exc:
+            raise request_context.AttemptFailed(
+                'no descriptor', request_context.NOT_RUN
+            ) from exc
         except errors.TransportError as exc:
             backend.record_connection_failure()
             raise request_context.AttemptFailed(
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import errno
 
 import anyio
 from anyio import abc
@@ -34,6 +35,19 @@
 )
 
 
+class NoDescriptorError(errors.TransportError):
+    """This process cannot open a connection, whatever the server."""
+
+
+def is_descriptor_missing(error: BaseException | None) -> bool:
+    """Returns whether an error, or its cause, is a lack of descriptors."""
+    while error is not None:
+        if getattr(error, 'errno', None) in (errno.EMFILE, errno.ENFILE):
+            return True
+        error = error.__cause__
+    return False
+
+
 async def is_refused(address: str, port: int) -> bool:
     """Returns whether a host refuses connections to a port.
 
@@ -260,6 +274,7 @@
             deadline: Monotonic time by which the connection must be open.
 
         Raises:
+            NoDescriptorError: This process has no descriptor left.
             TransportError: No connection could be opened; nothing was
                 sent.
         """
@@ -282,7 +297,12 @@
         except Exception as exc:
             # An address that cannot exist raises others than OSError.
             self._count_closed(instance)
-            raise errors.TransportError(
+            kind = (
+                NoDescriptorError
+                if is_descriptor_missing(exc)
+                else errors.TransportError
+            )
+            raise kind(
                 f'connect to {address}:{port}: {exc!r}', connected=False
             ) from exc
         except BaseException:
--- a/tests/test_attempt_errors.py
+++ b/tests/test_attempt_errors.py
@@ -1,6 +1,9 @@
 """Tests of unexpected errors in one request, which must not cut or lie."""
 
 import asyncio
+import contextlib
+import os
+import resource
 
 import pytest
 
@@ -213,3 +216,35 @@
                 assert received.startswith(b'HTTP/1.1 ')
 
         play()
+
+
+class TestDescriptorLimit:
+    """Guards against servers that pause for a fault of this process."""
+
+    @run_async
+    async def test_lack_of_descriptors_is_no_fault_of_the_server(self):
+        async with forward_rig.start() as rig:
+            await rig.add_server(forward_rig.respond_ok)
+            (backend,) = rig.gateway.backends.list_backends('desk')
+            async with await rig.connect() as stream:
+                # The callers' connection is accepted before.
+                await rig.exchange(stream, '/nothing')
+                limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+                descriptors = []
+                last = os.open('/dev/null', os.O_RDONLY)
+                resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (last + 1, limits[1])
+                )
+                try:
+                    with contextlib.suppress(OSError):
+                        while True:
+                            descriptors.append(os.dup(last))
+                    response = await rig.exchange(stream, '/once/a')
+                finally:
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                    for descriptor in (*descriptors, last):
+                        os.close(descriptor)
+                assert response.status == 503
+                assert backend.failures == 0
+                response = await rig.exchange(stream, '/once/b')
+                assert response.status == 200
