--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -417,6 +417,29 @@
         play()
 
 
+class TestSlowCallers:
+    """Guards against callers whose request does not end, in a stop."""
+
+    @pytest.mark.parametrize('share', [0.5, 0.95])
+    def test_partial_request_does_not_delay_the_end(self, share):
+        @run_async
+        async def play():
+            async with anyio.create_task_group() as group:
+                rig = forward_rig.Rig(group)
+                set_grace_period(rig, 2.0)
+                await rig.add_server(forward_rig.respond_ok)
+                await rig.serve()
+                async with await rig.connect() as stream:
+                    data = rig.write_request('/once/a', b'x' * 50)
+                    await stream.send(data[: int(share * len(data))])
+                    await anyio.sleep(0.1)
+                    stop = Stop(rig, group)
+                    await stop.run()
+            assert stop.seconds < 2.0
+
+        play()
+
+
 class TestIdleConnections:
     """Guards against requests that arrive as an idle connection closes."""
 
