Contain errors of closing a connection to a server

Cause: only disconnects were expected of a close. Evidence: the tests. Fix: the pool records such an error and goes on. Failed first: TestFailingCloses (3 of 3). Now they pass.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -184,10 +184,7 @@
             with containment.contain('attempt'):
                 self._chooser.wake_waiting(backend.service)
             if connection is not None and not is_released:
-                with (
-                    containment.contain('attempt'),
-                    anyio.CancelScope(shield=True),
-                ):
+                with anyio.CancelScope(shield=True):
                     await self._pool.discard(backend.instance, connection)
             with containment.contain('attempt'):
                 self._record_attempt(context, choice, outcome, started_at)
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -13,6 +13,7 @@
 import h11
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import metrics
 from chivejunction.protocol import forwarding
@@ -338,7 +339,8 @@
     ) -> None:
         """Closes a connection that must not be reused."""
         self._count_closed(instance)
-        await connection.close()
+        with containment.contain('backend connection', instance=instance):
+            await connection.close()
 
     async def close_expired(self) -> None:
         """Closes idle connections whose idle deadline has passed."""
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -125,3 +125,36 @@
             assert pool.count_open('i-1') == 1
             await second.close()
             group.cancel_scope.cancel()
+
+
+class BrokenConnection(SlowConnection):
+    """Connection whose close fails unexpectedly."""
+
+    async def close(self):
+        raise KeyError('x')
+
+
+class TestFailingCloses:
+    """Guards against connections that stay open beside one that fails."""
+
+    @pytest.mark.parametrize('way', ['expired', 'instance', 'acquire'])
+    def test_other_connections_are_closed(self, way):
+        @run_async
+        async def play():
+            pool = backend_connections.ConnectionPool()
+            sound = [SlowConnection(0.0) for _ in range(2)]
+            pool._idle['i-1'] = [sound[0], BrokenConnection(0.0), sound[1]]
+            pool._open['i-1'] = 3
+            if way == 'expired':
+                await pool.close_expired()
+            elif way == 'instance':
+                await pool.close_instance('i-1')
+            else:
+                with pytest.raises(errors.TransportError):
+                    await pool.acquire(
+                        'i-1', '127.0.0.1', 1, 9, clock.make_deadline(1)
+                    )
+            assert all(connection.is_closed for connection in sound)
+            assert pool.count_open('i-1') == 0
+
+        play()
