--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -141,7 +141,14 @@
                 self._record_result(context)
 
     def _require_admission(self, request: forwarding.ForwardRequest) -> None:
-        """Raises RefusalError if this gateway stops too soon for a request."""
+        """Checks a request that no configuration concerns.
+
+        Raises:
+            RefusalError: It asks for a tunnel, or this gateway stops too
+                soon.
+        """
+        if request.method == 'CONNECT':
+            raise errors.RefusalError('method_not_allowed', 'no tunnels')
         if request.received_at > self._admit_until:
             raise errors.RefusalError('leaving', 'this gateway stops')
 
--- a/tests/test_attempt_errors.py
+++ b/tests/test_attempt_errors.py
@@ -218,6 +218,21 @@
         play()
 
 
+class TestConnectRequests:
+    """Guards against a tunnel, of which a response would be the start."""
+
+    @run_async
+    async def test_connect_is_refused_and_not_passed_on(self):
+        async with forward_rig.start() as rig:
+            server = await rig.add_server(forward_rig.respond_ok)
+            async with await rig.connect() as stream:
+                data = rig.write_request('/once/a')
+                await stream.send(data.replace(b'GET', b'CONNECT', 1))
+                received = await stream.receive()
+            assert received.startswith(b'HTTP/1.1 405 ')
+            assert not server.received_requests
+
+
 class TestDescriptorLimit:
     """Guards against servers that pause for a fault of this process."""
 
