--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -184,10 +184,7 @@
             with containment.contain('attempt'):
                 self._chooser.wake_waiting(backend.service)
             if connection is not None and not is_released:
-                with (
-                    containment.contain('attempt'),
-                    anyio.CancelScope(shield=True),
-                ):
+                with anyio.CancelScope(shield=True):
                     await self._pool.discard(backend.instance, connection)
             with containment.contain('attempt'):
                 self._record_attempt(context, choice, outcome, started_at)
@@ -235,6 +232,10 @@
                 max_idle_seconds,
                 context.deadline,
             )
+        except backend_connections.NoDescriptorError as exc:
+            raise request_context.AttemptFailed(
+                'no descriptor', request_context.NOT_RUN
+            ) from exc
         except errors.TransportError as exc:
             backend.record_connection_failure()
             raise request_context.AttemptFailed(
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -35,9 +35,9 @@
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
-# Wait for the data that the kernel holds; data goes before a timer that is due
-# in the same turn of the event loop.
-LAST_RECEIVE_SECONDS = 0.01
+# Time limit for reading what has arrived as an idle connection closes: several
+# turns of the event loop.
+LAST_RECEIVE_SECONDS = 0.05
 # Name of connections in logs and metrics of unexpected errors.
 CONNECTION_PART = 'caller connection'
 # Share of the descriptors of this process that callers of an address may use.
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -415,3 +415,56 @@
             assert stop.seconds < 2.0
 
         play()
+
+
+class TestSlowCallers:
+    """Guards against callers whose request does not end, in a stop."""
+
+    @pytest.mark.parametrize('share', [0.5, 0.95])
+    def test_partial_request_does_not_delay_the_end(self, share):
+        @run_async
+        async def play():
+            async with anyio.create_task_group() as group:
+                rig = forward_rig.Rig(group)
+                set_grace_period(rig, 2.0)
+                await rig.add_server(forward_rig.respond_ok)
+                await rig.serve()
+                async with await rig.connect() as stream:
+                    data = rig.write_request('/once/a', b'x' * 50)
+                    await stream.send(data[: int(share * len(data))])
+                    await anyio.sleep(0.1)
+                    stop = Stop(rig, group)
+                    await stop.run()
+            assert stop.seconds < 2.0
+
+        play()
+
+
+class TestIdleConnections:
+    """Guards against requests that arrive as an idle connection closes."""
+
+    @run_async
+    async def test_request_sent_before_the_close_is_answered(self):
+        async with forward_rig.start() as rig:
+            await rig.add_server(forward_rig.respond_ok)
+            async with await rig.connect() as stream:
+                await rig.exchange(stream, '/once/a')
+                await anyio.sleep(0.05)
+                await stream.send(rig.write_request('/once/b'))
+                # The gateway's task has not run since.
+                rig.gateway.caller_listener.close_idle()
+                response = await forward_rig.read_response(stream)
+                assert response.status == 200
+                assert response.headers['connection'] == 'close'
+
+    @run_async
+    async def test_connection_without_a_request_is_closed(self):
+        async with forward_rig.start() as rig:
+            await rig.add_server(forward_rig.respond_ok)
+            async with await rig.connect() as stream:
+                await rig.exchange(stream, '/once/a')
+                await anyio.sleep(0.05)
+                rig.gateway.caller_listener.close_idle()
+                with anyio.fail_after(0.5):
+                    response = await forward_rig.read_response(stream)
+                assert response.status == 0
