Let the mirror contain and apply again what a store entry fails with

The reader of entries and the mirror of the store both contained unexpected errors, so that the mirror never saw one and never applied the entry again. Now the reader passes them on, after it has removed the server of an entry that failed. While a change of the configuration isn't applied, the copy does not count as current, so no request with a key runs by an older one.

One predicate tells a failure from the cancellation of a task; four copies of it are gone.

--- a/chivejunction/containment.py
+++ b/chivejunction/containment.py
@@ -5,6 +5,7 @@
 logged, counted and shown by the readiness endpoint.
 """
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -56,6 +57,21 @@
     )
 
 
+def is_unexpected(error: BaseException) -> bool:
+    """Returns whether an error is a failure of the current task.
+
+    Its cancellation and errors that end the process are none.
+    """
+    if isinstance(error, asyncio.CancelledError):
+        # A cancelled future raises this too, without a cancellation of the
+        # task that waits for it.
+        return not (
+            anyio.current_effective_deadline() == -math.inf
+            or asyncio.current_task().cancelling()
+        )
+    return isinstance(error, Exception)
+
+
 @contextlib.contextmanager
 def contain(part: str, **fields) -> Iterator[None]:
     """Ends its body at an unexpected error, which is recorded.
@@ -66,7 +82,9 @@
     """
     try:
         yield
-    except Exception as exc:
+    except BaseException as exc:
+        if not is_unexpected(exc):
+            raise
         record_error(part, exc, **fields)
 
 
@@ -138,14 +156,10 @@
             try:
                 await run(*args)
                 raise TaskEnded(f'task {name} has ended')
-            except anyio.get_cancelled_exc_class() as exc:
-                # A cancelled future raises this too, without a cancellation
-                # of the task.
-                if anyio.current_effective_deadline() == -math.inf:
+            except BaseException as exc:
+                if not is_unexpected(exc):
                     raise
                 error = exc
-            except Exception as exc:
-                error = exc
             self._failing.add(name)
             FAILURES.labels(name).inc()
             record_error(name, error)
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -1,7 +1,5 @@
 """Attempts at backend servers over the gateway's own connections."""
 
-import math
-
 import anyio
 
 from chivejunction import clock
@@ -625,13 +623,9 @@
         error: The error.
         context: The request that it occurred in.
     """
-    if isinstance(error, anyio.get_cancelled_exc_class()):
-        # A cancelled future raises this too, without a cancellation of the
-        # task.
-        return anyio.current_effective_deadline() == -math.inf
     if isinstance(error, sockets.DISCONNECT_ERRORS):
         return context.reply.has_started
-    return not isinstance(error, Exception)
+    return not containment.is_unexpected(error)
 
 
 def is_prefill_measurable(choice: backend_selection.Choice) -> bool:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import json
-import math
 import signal
 import socket
 
@@ -341,6 +340,7 @@
         apply_change: Callable,
         read_options: Callable[[], GatewayOptions | None],
         caller_socket: socket.socket | None = None,
+        required_keys: frozenset[str] = frozenset(),
     ) -> None:
         """Serves until SIGTERM.
 
@@ -350,11 +350,17 @@
             read_options: Returns the options if they have changed, else None.
                 Changed bounds are applied, changed addresses need a restart.
             caller_socket: Listening socket for callers; None to create it.
+            required_keys: Keys of the store whose changes must have been
+                applied, see ``mirrors.StoreMirror``.
         """
         self._read_options = read_options
         self._register_gauges()
         mirror = mirrors.StoreMirror(
-            self._feed, '', apply_change, self.config_freshness
+            self._feed,
+            '',
+            apply_change,
+            self.config_freshness,
+            required_keys,
         )
         self._caller_socket = caller_socket
         async with anyio.create_task_group() as group:
@@ -541,17 +547,11 @@
 
     async def _leave(self) -> None:
         """Leaves the membership list, unless that takes too long."""
-        try:
-            with anyio.move_on_after(LEAVE_TIMEOUT_SECONDS):
-                await self.members.leave()
-        except anyio.get_cancelled_exc_class() as exc:
-            # A cancelled future raises this too, without a cancellation of
-            # the task.
-            if anyio.current_effective_deadline() == -math.inf:
-                raise
-            containment.record_error('stop', exc)
-        except Exception as exc:
-            containment.record_error('stop', exc)
+        with (
+            containment.contain('stop'),
+            anyio.move_on_after(LEAVE_TIMEOUT_SECONDS),
+        ):
+            await self.members.leave()
 
     async def _wait_for_requests(self) -> None:
         """Waits until no request is in progress or being sent."""
--- a/chivejunction/platform/entries.py
+++ b/chivejunction/platform/entries.py
@@ -1,6 +1,5 @@
 """Applies changes of the platform's store to the gateway."""
 
-from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction.coordination import forward_gateway
@@ -13,8 +12,6 @@
 from chivejunction.transport import stores
 
 ENTRY_READERS: Registry = Registry('store prefix')
-# Name of this part in logs and metrics of unexpected errors.
-PART = 'store entries'
 
 
 class EntryReader:
@@ -34,10 +31,10 @@
         self.regions = regions
 
     def apply(self, change: stores.Change, may_have_expired: bool) -> None:
-        """Applies a change; an entry that cannot be applied is skipped.
+        """Applies a change; an invalid entry is logged and skipped.
 
-        No entry may keep the others from being applied, so unexpected errors
-        end here too. The readers leave the gateway as it was before, except
+        An unexpected error is left to the caller, which applies the change
+        again later. The readers leave the gateway as it was before, except
         that the server of an entry that cannot be applied is removed.
 
         Args:
@@ -52,8 +49,6 @@
                 ENTRY_READERS.get(prefix)(self, change, may_have_expired)
         except errors.ProtocolError as exc:
             logs.LOG.warning('invalid store entry skipped: %s', exc)
-        except Exception as exc:
-            containment.record_error(PART, exc, key=repr(change.key))
 
 
 def _find_prefix(key: str) -> str | None:
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -85,7 +85,12 @@
         return None if changed is None else make_options(changed)
 
     logs.LOG.info('started', extra={'fields': {'event': 'start'}})
-    await gateway.run(reader.apply, read_options, listener)
+    await gateway.run(
+        reader.apply,
+        read_options,
+        listener,
+        frozenset([configuration.CONFIG_KEY]),
+    )
 
 
 def report_invalid_settings(error: errors.SettingError) -> None:
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import errno
-import math
 import resource
 import socket
 import sys
@@ -64,14 +63,6 @@
 _open_connections: set['CallerConnection'] = set()
 
 
-def is_cancelled() -> bool:
-    """Returns whether the current task is being cancelled.
-
-    Otherwise a cancellation error is that of a future it waited for.
-    """
-    return anyio.current_effective_deadline() == -math.inf
-
-
 @dataclasses.dataclass(slots=True)
 class RawRequest:
     """Request as read from a connection.
@@ -287,10 +278,6 @@
         try:
             with containment.contain(CONNECTION_PART):
                 await connection.serve()
-        except anyio.get_cancelled_exc_class() as exc:
-            if is_cancelled():
-                raise
-            containment.record_error(CONNECTION_PART, exc)
         finally:
             self.connections.discard(connection)
             _open_connections.discard(connection)
@@ -472,11 +459,9 @@
             await self._listener.handle(raw, reply)
             if not self.has_written and not self._is_disconnected:
                 raise RuntimeError('the handler sent no response')
-        except anyio.get_cancelled_exc_class() as exc:
-            if is_cancelled():
+        except BaseException as exc:
+            if not containment.is_unexpected(exc):
                 raise
-            containment.record_error('request', exc)
-        except Exception as exc:
             has_caller_left = self.has_written or self._is_disconnected
             if not has_caller_left or not sockets.is_disconnect(exc):
                 containment.record_error('request', exc)
