Date no confirmation of the configuration after now

A confirmation with a time in the future, as an answer of another gateway with a negative age makes it, kept the configuration current for that much longer, so that a withdrawn key would be accepted beyond its bound. No such answer was seen; this guards the one place where the age is kept.

tests/test_freshness.py: 3 cases of test_confirmation_from_the_future_holds_from_now failed before, the other two tests held.

--- a/chivejunction/state/freshness.py
+++ b/chivejunction/state/freshness.py
@@ -32,9 +32,12 @@
 
         Args:
             at: Time as returned by ``read_boot_clock``. It has no effect if
-                it is before the latest confirmation.
+                it is before the latest confirmation; a later time than now
+                counts as now.
         """
-        self._confirmed_at = max(self._confirmed_at, at)
+        self._confirmed_at = max(
+            self._confirmed_at, min(at, read_boot_clock())
+        )
 
     def is_current(self) -> bool:
         """Returns whether the latest confirmation has not expired."""
