Refuse odd results of a version from other gateways

Negative numbers of results, or more failures than results, were taken and counted in each evaluation of the move until they expired; a sum of 0 results divides by zero in the path of requests.

tests/test_version_moves.py: 8 of 10 cases of test_odd_results_of_peers_are_malformed failed before.

--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -113,6 +113,8 @@
 # a write reaches all gateways within about a second.
 STAGE_WRITE_DELAY_SECONDS = 0.6
 REVERT_WRITE_JITTER_SECONDS = 0.05
+# A gateway that claims more results is not believed.
+MAX_PEER_RESULTS = 2**32
 # A record with a larger elapsed share of the ordered time is invalid.
 MAX_ELAPSED_SHARE = 1e9
 
@@ -637,8 +639,18 @@
             peer: Identifies the gateway.
             row: Key of the move, failures, results, slow and other intervals.
             expires_at: Monotonic time until which they count.
+
+        Raises:
+            ValueError: The results are no numbers of results.
         """
-        key, failures, total, slow, other = (int(item) for item in row)
+        key, failures, total, slow, other = row
+        counts = (failures, total, slow, other)
+        if (
+            any(type(count) is not int for count in counts)
+            or not 0 <= failures <= total
+            or not all(0 <= count <= MAX_PEER_RESULTS for count in counts)
+        ):
+            raise ValueError(f'{counts} are no numbers of results')
         for move in self._moves.values():
             if move.results_key == key:
                 move.peer_results[peer] = PeerResults(
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -471,6 +471,29 @@
             gateway.record('pool', 'v2', True)
         assert all(is_halted(gateway) for gateway in gateways)
 
+    @pytest.mark.parametrize(
+        'row',
+        [
+            (3, -9, 0, 0),
+            (-3, 9, 0, 0),
+            (10, 9, 0, 0),
+            (0, 9, -1, 0),
+            (0, 9, 0, -1),
+            (2**64, 2**64, 0, 0),
+            (1.5, 9, 0, 0),
+            (True, 9, 0, 0),
+            (3, 9, 0),
+            (3, 9, 0, 0, 0),
+        ],
+    )
+    def test_odd_results_of_peers_are_malformed(self, now, row):
+        """They would count in each evaluation until they expire."""
+        moves = make_moves()
+        key = moves._moves['pool'].results_key
+        with pytest.raises(ValueError):
+            moves.apply_peer_results(1, (key, *row), now.value + 9)
+        assert not moves._moves['pool'].peer_results
+
     def test_results_of_peers_expire(self, now):
         gateways = make_pool(3)
         gateways[0].record('pool', 'v2', False)
