--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -2,14 +2,23 @@
 
 import asyncio
 import dataclasses
+import os
+import signal
 import socket
+import subprocess
+import sys
+import time
 
 import anyio
 import pytest
+import yaml
 
+from bench import fleet
 from chivejunction import clock
 from chivejunction.coordination import forward_gateway
+from chivejunction.platform import settings
 from chivejunction.transport import caller_connections
+from fakes import platform_documents
 from tests import forward_rig
 from tests.forward_rig import run_async
 
@@ -468,3 +477,67 @@
                 with anyio.fail_after(0.5):
                     response = await forward_rig.read_response(stream)
                 assert response.status == 0
+
+
+class TestSignals:
+    """Guards against further signals that cut or prolong a stop."""
+
+    @pytest.mark.parametrize(
+        'further',
+        [
+            [],
+            [signal.SIGTERM, signal.SIGTERM],
+            [signal.SIGHUP],
+            [signal.SIGINT, signal.SIGHUP],
+        ],
+    )
+    def test_process_ends_once_and_in_time(self, tmp_path, further):
+        """No store is reached, so there is no configuration yet."""
+        front = fleet.find_port()
+        address = '127.{}.{}.9'.format(*divmod(front, 256))
+        values = platform_documents.make_settings(
+            'gw-1',
+            ('bkk-a',),
+            'bkk-a',
+            address,
+            (front, fleet.find_port(), fleet.find_port()),
+            f'127.0.0.1:{fleet.find_port()}',
+            grace_period_s=4,
+        )
+        path = tmp_path / 'boot.yaml'
+        path.write_text(yaml.safe_dump(values))
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'chivejunction.platform'],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, settings.PATH_VARIABLE: str(path)},
+        )
+        try:
+            self.wait_for_refusal(address, front)
+            deadline = clock.make_deadline(4)
+            process.send_signal(signal.SIGTERM)
+            for number in further:
+                time.sleep(0.1)
+                process.send_signal(number)
+            # Callers are served on.
+            self.wait_for_refusal(address, front)
+            assert process.wait(clock.remaining(deadline)) == 0
+        finally:
+            process.kill()
+            process.wait()
+
+    @staticmethod
+    def wait_for_refusal(address, port):
+        """Waits for a response, which is 503 without a configuration."""
+        deadline = clock.make_deadline(10)
+        while True:
+            try:
+                with socket.create_connection((address, port), 1) as caller:
+                    caller.settimeout(2)
+                    caller.sendall(forward_rig.Rig.write_request('/once/a'))
+                    assert caller.recv(12) == b'HTTP/1.1 503'
+                    return
+            except OSError:
+                if clock.has_passed(deadline):
+                    raise
+                time.sleep(0.05)
