--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -294,7 +294,8 @@
 
     def _sample_peers(self, count: int) -> list[tuple[str, int]]:
         names = self._members.sample_others(count)
-        addresses = {self._members.get_address(name) for name in names}
+        addresses = {self._members.find_address(name) for name in names}
+        addresses.discard(None)
         if len(addresses) < count:
             since = clock.now() - HEARD_PEER_TTL_SECONDS
             heard = [a for a, at in self._heard_peers.items() if at > since]
--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -235,11 +235,6 @@
         names = self._list_region(self._region)
         return len(names) - len(self._rank_relays())
 
-    def get_address(self, name: str) -> tuple[str, int]:
-        """Returns the IP address and port for hints and polls of a gateway."""
-        member = self._members[name]
-        return member.address, member.port
-
     def find_address(self, name: str) -> tuple[str, int] | None:
         """Returns the IP address and port of a gateway, None if unknown.
 
@@ -265,7 +260,10 @@
         others = [n for n in self._list_region(region) if n != self.name]
         if limit is not None and len(others) > limit:
             others = rendezvous.rank_hosts(self.name, others)[:limit]
-        return [self.get_address(name) for name in others]
+        return [
+            (self._members[name].address, self._members[name].port)
+            for name in others
+        ]
 
     async def run(self) -> None:
         """Keeps this gateway registered until cancelled."""
