Start without a known limit of descriptors

A system that refuses getrlimit would have ended the start since the limit on accepted sockets. test_number_of_sockets failed first for this case (one of four), passes now.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -150,7 +150,10 @@
 
 def find_max_sockets() -> int:
     """Returns the number of sockets that callers of an address may use."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    try:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError:
+        return sys.maxsize
     if limit == resource.RLIM_INFINITY:
         return sys.maxsize
     return max(1, int(CALLER_SHARE * limit))
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -4,8 +4,10 @@
 import contextlib
 import errno
 import os
+import resource
 import socket
 import struct
+import sys
 import time
 
 import anyio
@@ -265,6 +267,24 @@
             assert await readiness.call() == 200
             assert (await forward_rig.read_response(idle)).status == 0
 
+    @pytest.mark.parametrize(
+        ('limits', 'sockets'),
+        [
+            ((1000, 4000), 750),
+            ((1, 1), 1),
+            ((resource.RLIM_INFINITY, resource.RLIM_INFINITY), sys.maxsize),
+            (OSError(errno.ENOSYS, 'no such call'), sys.maxsize),
+        ],
+    )
+    def test_number_of_sockets(self, limits, sockets, monkeypatch):
+        def getrlimit(kind):
+            if isinstance(limits, OSError):
+                raise limits
+            return limits
+
+        monkeypatch.setattr(resource, 'getrlimit', getrlimit)
+        assert caller_connections.Listener(echo).max_sockets == sockets
+
     @run_async
     async def test_some_descriptors_are_left_to_outgoing_connections(self):
         async with start() as rig, contextlib.AsyncExitStack() as stack:
