Test the decoders with odd JSON in each field

Each document of the platform, of another writer or of a gateway gets one value replaced by deep, huge or odd JSON; only ProtocolError or SettingError may leave, what is taken must be usable afterwards, and any entry through EntryReader must leave no unexpected error.

--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -4,7 +4,9 @@
 exception would end the task that reads them, or the whole gateway.
 """
 
+import copy
 import json
+import math
 
 import anyio
 from hypothesis import example
@@ -13,6 +15,8 @@
 import msgpack
 import pytest
 
+from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction.coordination import bulletins
 from chivejunction.coordination import harmful_prompts
@@ -20,7 +24,9 @@
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import version_moves
 from chivejunction.platform import configuration
+from chivejunction.platform import entries
 from chivejunction.platform import headers
+from chivejunction.platform import program
 from chivejunction.platform import servers
 from chivejunction.platform import settings
 from chivejunction.platform import store as platform_store
@@ -28,9 +34,14 @@
 from chivejunction.protocol import sse
 from chivejunction.protocol import usage
 from chivejunction.state import backends
+from chivejunction.state import route_tables
 from chivejunction.transport import stores as transport_stores
+from tests import forward_rig
 from tests import stores
 from tests import test_hints
+from tests import test_platform
+
+REGIONS = {'bkk-a': 'bkk'}
 
 # Texts that resemble numbers, where conversions fail in unexpected ways.
 NUMBER_TEXTS = st.sampled_from(
@@ -66,6 +77,66 @@
     )
 
 
+# JSON of values that decoders meet in documents of other writers.
+ODD_JSON = st.sampled_from(
+    [
+        '[' * 2000,
+        '[' * 2000 + ']' * 2000,
+        '{"a":' * 2000 + '1' + '}' * 2000,
+        '9' * 400,
+        '-' + '9' * 400,
+        '9' * 5000,
+        '1e999',
+        '-1e999',
+        '1e-999',
+        'NaN',
+        'Infinity',
+        '-0.0',
+        '1.0',
+        '65536',
+        str(2**64),
+        '"\\ud800"',
+        '"\\udfff\\ud800"',
+        '"\\u0000"',
+        '"\\r\\nA: b"',
+        '{"\\ud800": 1}',
+        '[null]',
+        '',
+    ]
+) | JSON_VALUES.map(json.dumps)
+
+
+def list_paths(value, path=()):
+    """Returns the path of each value in a document, except the document."""
+    items = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    paths = [path] if path else []
+    for key, item in items:
+        paths += list_paths(item, (*path, key))
+    return paths
+
+
+def replace_json(document, path, text):
+    """Returns the JSON of a document with the JSON of one value replaced."""
+    marker = 'the-replaced-value'
+    changed = copy.deepcopy(document)
+    target = changed
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = marker
+    return json.dumps(changed).replace(json.dumps(marker), text).encode()
+
+
+def mutate_json(document):
+    """Returns a strategy of the JSON of a document with an odd value."""
+    return st.tuples(st.sampled_from(list_paths(document)), ODD_JSON).map(
+        lambda pair: replace_json(document, *pair)
+    )
+
+
 class ScriptedClient:
     """HTTP client whose responses a test sets."""
 
@@ -168,6 +239,158 @@
         )
         moves.make_version_filter('pool', 's')
 
+    @given(mutate_json(test_platform.ENTRY))
+    def test_server_entry_with_any_field(self, value):
+        try:
+            backend = servers.decode_server_entry(
+                'servers/i-1', value, REGIONS
+            )
+        except errors.ProtocolError:
+            return
+        table = backends.BackendTable()
+        assert table.update(backend) is backend
+        assert backend.running / backend.slots == 0
+        assert not math.isnan(clock.remaining(backend.cold_until))
+        settings.split_address(f'{backend.address}:{backend.port}')
+
+    CONFIG = {
+        'version': 7,
+        'routes': [
+            forward_rig.make_route(
+                's',
+                '/s/',
+                'streaming',
+                traffic_split=[{'service': 'pool', 'weight': 90}],
+                gap_target_ms=400,
+                priority=1,
+                model_tiers=['small'],
+                allowed_regions=['bkk'],
+            )
+        ],
+        'services': [
+            {
+                'name': 'pool',
+                'max_conns': 360,
+                'cold_per_s': 8.8,
+                'engine': {
+                    'slots': 64,
+                    'kv_tokens': 400_647,
+                    'kv_bytes': 163_840,
+                    'link_mbps': 1_100_000.0,
+                    'stride': 6,
+                    'models': [{'name': 'small', 'cost': 0.008}],
+                },
+            }
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 4194304,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+        'tenants': [{'name': 'temple', 'api_keys': ['k'], 'priority': 1}],
+    }
+
+    @given(mutate_json(CONFIG))
+    def test_configuration_with_any_field(self, value):
+        try:
+            table = configuration.decode_route_table(value)
+        except errors.ProtocolError:
+            return
+        assert isinstance(table.version, int)
+        for route in (r for rows in table.routes.values() for r in rows):
+            assert route_tables.choose_service(route, 'r-1')
+            assert 0 < route.timeout < math.inf
+            assert 0 <= route.objective < math.inf
+            assert route.max_attempts >= 1
+        for service in table.services.values():
+            assert service.max_connections * 0.9 >= 0
+            assert 0 <= service.copy_bytes_per_second < math.inf
+            msgpack.packb([service.slots, service.cache_tokens])
+        for key, organisation in table.organisations.items():
+            assert key and organisation.name.encode()
+        assert 0 < table.limits.header_seconds < math.inf
+
+    @given(
+        mutate_json({'service': 'pool', 'target': 'v2', 'duration_s': 12.5})
+    )
+    def test_rollout_order_with_any_field(self, value):
+        try:
+            order = configuration.decode_rollout_order(value, 5)
+        except errors.ProtocolError:
+            return
+        moves = version_moves.VersionMoves(
+            stores.MemoryStore(), configuration.encode_move_status
+        )
+        moves.set_order(order)
+        moves.make_version_filter('pool', 's')
+        assert 0 < order.seconds < math.inf
+
+    @given(mutate_json(['127.0.0.1', 7340, 'bkk', 0.8]))
+    def test_member_with_any_field(self, value):
+        members = test_hints.make_members('gw-1', 1)
+        try:
+            members.apply(
+                self.make_change('chivejunction/members/gw-2', value)
+            )
+        except errors.ProtocolError:
+            assert members.find_address('gw-2') is None
+            return
+        address, port = members.find_address('gw-2')
+        settings.split_address(f'{address}:{port}')
+        members.list_relays()
+        for region in members.list_regions():
+            region.encode()
+
+    @given(
+        mutate_json(
+            {'order': 5, 'stage': 1, 'state': 'running', 'elapsed': 0.1}
+        )
+    )
+    def test_move_record_with_odd_json(self, value):
+        moves = version_moves.VersionMoves(
+            stores.MemoryStore(), configuration.encode_move_status
+        )
+        moves.set_order(version_moves.Order('pool', 'v2', 20.0, 5))
+        key = version_moves.PREFIX + 'pool'
+        moves.apply_record(transport_stores.Entry(key, value, 9, 0))
+        moves.make_version_filter('pool', 's')
+        move = moves._moves['pool']
+        assert 0 <= move.stage < len(version_moves.STAGES)
+        assert move.revision == 9 and math.isfinite(move.started_at)
+
+    @given(
+        st.sampled_from(sorted(entries.ENTRY_READERS)),
+        st.text(st.characters(), max_size=20)
+        | st.sampled_from(['\ud800', '0' * 16, 'f' * 17, '-' + '1' * 15]),
+        st.none() | st.binary(max_size=60) | ODD_JSON.map(str.encode),
+    )
+    def test_any_entry_leaves_no_unexpected_error(self, prefix, name, value):
+        gateway = test_platform.RecordingGateway()
+        gateway.members = test_hints.make_members('gw-1', 1)
+        gateway.moves = version_moves.VersionMoves(
+            stores.MemoryStore(), configuration.encode_move_status
+        )
+        gateway.prompt_guard = harmful_prompts.HarmfulPromptGuard(
+            stores.MemoryStore(),
+            bulletins.BulletinBoard('gw-1', gateway.members),
+            gateway.members,
+        )
+        key = prefix + name if prefix.endswith('/') else prefix
+        change = transport_stores.Change(key, 9, None)
+        if value is not None:
+            change = self.make_change(key, value)
+        # Reported, it would be a decoder that raises another error.
+        recorded = []
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(
+                containment,
+                'record_error',
+                lambda *args, **fields: recorded.append(args),
+            )
+            entries.EntryReader(gateway, REGIONS).apply(change, False)
+        assert recorded == []
+
 
 class TestGatewayMessages:
     """Hints and relay responses of other gateways."""
@@ -304,6 +527,27 @@
         with pytest.raises(errors.SettingError):
             settings.read_settings(str(path))
 
+    # PyYAML takes a second for some of the long texts.
+    @given(
+        mutate_json(test_platform.SETTINGS).filter(
+            lambda content: len(content) < 1500
+        )
+    )
+    def test_file_with_any_field(self, tmp_path_factory, content):
+        """JSON is YAML too."""
+        path = tmp_path_factory.getbasetemp() / 'settings.yaml'
+        path.write_bytes(content)
+        try:
+            options = program.make_options(settings.read_settings(str(path)))
+        except errors.SettingError as exc:
+            str(exc).encode()
+            return
+        options.name.encode()
+        assert 0 < options.max_config_age_seconds < math.inf
+        assert 0 <= options.retry_share < math.inf
+        assert 0 < options.retry_window_seconds < math.inf
+        assert 0 < options.capacity < math.inf
+
 
 class TestEventStreams:
     """Event streams of backend servers, in chunks of any size."""
