Make the test of missing descriptors independent of other tests

It failed in 3 of 3 runs beside tests/test_stopping.py (-n 4): sockets of earlier tests were freed under the limit, so the connect found a descriptor and the accept of the test's own server did not. The pool is now tested under a real limit without a server, with the garbage collected before; the attempt with the same error.

--- a/tests/test_attempt_errors.py
+++ b/tests/test_attempt_errors.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import contextlib
+import errno
+import gc
 import os
 import resource
 
+import anyio
 import pytest
 
 from chivejunction import containment
 from chivejunction.coordination import attempt_choice
 from chivejunction.platform import headers as platform_headers
 from chivejunction.scheduling import backend_selection
+from chivejunction.transport import backend_connections
 from tests import forward_rig
 from tests.forward_rig import run_async
 
@@ -237,29 +241,53 @@
     """Guards against servers that pause for a fault of this process."""
 
     @run_async
-    async def test_lack_of_descriptors_is_no_fault_of_the_server(self):
-        async with forward_rig.start() as rig:
-            await rig.add_server(forward_rig.respond_ok)
-            (backend,) = rig.gateway.backends.list_backends('desk')
-            async with await rig.connect() as stream:
-                # The callers' connection is accepted before.
-                await rig.exchange(stream, '/nothing')
-                limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-                descriptors = []
-                last = os.open('/dev/null', os.O_RDONLY)
-                resource.setrlimit(
-                    resource.RLIMIT_NOFILE, (last + 1, limits[1])
-                )
-                try:
-                    with contextlib.suppress(OSError):
-                        while True:
-                            descriptors.append(os.dup(last))
-                    response = await rig.exchange(stream, '/once/a')
-                finally:
-                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-                    for descriptor in (*descriptors, last):
-                        os.close(descriptor)
-                assert response.status == 503
-                assert backend.failures == 0
-                response = await rig.exchange(stream, '/once/b')
-                assert response.status == 200
+    async def test_lack_of_descriptors_is_reported_as_such(self):
+        pool = backend_connections.ConnectionPool()
+        with (
+            no_descriptors_left(),
+            pytest.raises(backend_connections.NoDescriptorError),
+        ):
+            await pool.acquire('i-1', '127.0.0.1', 1, 9, 1e12)
+        assert pool.count_open('i-1') == 0
+
+    def test_lack_of_descriptors_is_no_fault_of_the_server(self, monkeypatch):
+        async def fail(*args, **kwargs):
+            raise OSError('failed') from OSError(errno.EMFILE, 'too many')
+
+        @run_async
+        async def play():
+            async with forward_rig.start() as rig:
+                await rig.add_server(forward_rig.respond_ok)
+                (backend,) = rig.gateway.backends.list_backends('desk')
+                async with await rig.connect() as stream:
+                    with monkeypatch.context() as patch:
+                        patch.setattr(anyio, 'connect_tcp', fail)
+                        response = await rig.exchange(stream, '/once/a')
+                    assert response.status == 503
+                    assert backend.failures == 0
+                    response = await rig.exchange(stream, '/once/b')
+                    assert response.status == 200
+
+        play()
+
+
+@contextlib.contextmanager
+def no_descriptors_left():
+    """Runs its body at this process's limit of descriptors."""
+    # Sockets of earlier tests must not be freed meanwhile.
+    gc.collect()
+    gc.disable()
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    last = os.open('/dev/null', os.O_RDONLY)
+    descriptors = [last]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (last + 1, limits[1]))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                descriptors.append(os.dup(last))
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        for descriptor in descriptors:
+            os.close(descriptor)
+        gc.enable()
