--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -6,6 +6,7 @@
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -114,6 +115,14 @@
                     await self._run_attempts(context)
                 except errors.RefusalError as exc:
                     await self._refuse(reply, request, exc)
+                except BaseException as exc:
+                    if direct_attempts.is_expected(exc, context):
+                        raise
+                    containment.record_error(
+                        'request', exc, request=request.id
+                    )
+                    context.reason = 'unexpected error'
+                    await self._send_failure(context)
             # A later stop must not cancel the final response.
             self._active.pop(context, None)
             if scope.cancelled_caught:
@@ -128,10 +137,18 @@
             raise
         finally:
             self._active.pop(context, None)
-            self._record_result(context)
+            with containment.contain('request'):
+                self._record_result(context)
 
     def _require_admission(self, request: forwarding.ForwardRequest) -> None:
-        """Raises RefusalError if this gateway stops too soon for a request."""
+        """Checks a request that no configuration concerns.
+
+        Raises:
+            RefusalError: It asks for a tunnel, or this gateway stops too
+                soon.
+        """
+        if request.method == 'CONNECT':
+            raise errors.RefusalError('method_not_allowed', 'no tunnels')
         if request.received_at > self._admit_until:
             raise errors.RefusalError('leaving', 'this gateway stops')
 
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -6,12 +6,14 @@
 """
 
 import contextlib
+import errno
 
 import anyio
 from anyio import abc
 import h11
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import metrics
 from chivejunction.protocol import forwarding
@@ -34,6 +36,19 @@
 )
 
 
+class NoDescriptorError(errors.TransportError):
+    """This process cannot open a connection, whatever the server."""
+
+
+def is_descriptor_missing(error: BaseException | None) -> bool:
+    """Returns whether an error, or its cause, is a lack of descriptors."""
+    while error is not None:
+        if getattr(error, 'errno', None) in (errno.EMFILE, errno.ENFILE):
+            return True
+        error = error.__cause__
+    return False
+
+
 async def is_refused(address: str, port: int) -> bool:
     """Returns whether a host refuses connections to a port.
 
@@ -216,7 +231,11 @@
 
     def has_no_pending_input(self) -> bool:
         """Returns whether neither data nor a close is waiting to be read."""
-        return not sockets.is_readable(self._stream)
+        try:
+            return not sockets.is_readable(self._stream)
+        except (ValueError, *sockets.DISCONNECT_ERRORS):
+            # The transport has closed the socket: there is no descriptor.
+            return False
 
     async def close(self) -> None:
         """Closes the connection; the server cancels the request on it."""
@@ -256,6 +275,7 @@
             deadline: Monotonic time by which the connection must be open.
 
         Raises:
+            NoDescriptorError: This process has no descriptor left.
             TransportError: No connection could be opened; nothing was
                 sent.
         """
@@ -275,9 +295,15 @@
             with anyio.fail_after(limit):
                 stream = await anyio.connect_tcp(address, port)
                 sockets.enable_keepalive(sockets.get_socket(stream))
-        except (TimeoutError, OSError) as exc:
+        except Exception as exc:
+            # An address that cannot exist raises others than OSError.
             self._count_closed(instance)
-            raise errors.TransportError(
+            kind = (
+                NoDescriptorError
+                if is_descriptor_missing(exc)
+                else errors.TransportError
+            )
+            raise kind(
                 f'connect to {address}:{port}: {exc!r}', connected=False
             ) from exc
         except BaseException:
@@ -313,7 +339,8 @@
     ) -> None:
         """Closes a connection that must not be reused."""
         self._count_closed(instance)
-        await connection.close()
+        with containment.contain('backend connection', instance=instance):
+            await connection.close()
 
     async def close_expired(self) -> None:
         """Closes idle connections whose idle deadline has passed."""
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -9,17 +9,21 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import math
+import errno
+import resource
 import socket
+import sys
 
 import anyio
 from anyio import abc
+from anyio import lowlevel
 import h11
 
 from chivejunction import clock
 from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
+from chivejunction import metrics
 from chivejunction.protocol import forwarding
 from chivejunction.transport import listening
 from chivejunction.transport import sockets
@@ -30,16 +34,33 @@
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
+# Time limit for reading what has arrived as an idle connection closes: several
+# turns of the event loop.
+LAST_RECEIVE_SECONDS = 0.05
 # Name of connections in logs and metrics of unexpected errors.
 CONNECTION_PART = 'caller connection'
-
-
-def is_cancelled() -> bool:
-    """Returns whether the current task is being cancelled.
-
-    Otherwise a cancellation error is that of a future it waited for.
-    """
-    return anyio.current_effective_deadline() == -math.inf
+# Share of the descriptors of this process that callers of an address may use.
+CALLER_SHARE = 0.75
+# Idle connections that are closed at once for lack of descriptors: this share
+# of them, and at least this number.
+CLOSED_IDLE_SHARE = 1 / 16
+MIN_CLOSED_IDLE = 8
+# Pause after a failed accept.
+ACCEPT_RETRY_SECONDS = 0.05
+# Time without a failed accept after which the next one is reported again.
+ACCEPT_REPORT_SECONDS = 10.0
+RESOURCE_ERRORS = {
+    errno.EMFILE: 'EMFILE',
+    errno.ENFILE: 'ENFILE',
+    errno.ENOBUFS: 'ENOBUFS',
+    errno.ENOMEM: 'ENOMEM',
+}
+UNUSABLE_SOCKET_ERRORS = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)
+ACCEPT_FAILURES = metrics.make_counter(
+    'accept_failures', 'Failed accepts of connections.', 'error'
+)
+# Those of all listeners, as they share the descriptors.
+_open_connections: set['CallerConnection'] = set()
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,13 +90,17 @@
 
     Attributes:
         has_started: Whether sending the response has begun.
-        is_finished: Whether the complete response was sent.
     """
 
     def __init__(self, connection: 'CallerConnection'):
         self._connection = connection
         self.has_started = False
-        self.is_finished = False
+        self._has_ended = False
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the complete response was passed to the stream."""
+        return self._has_ended and self._connection.has_written
 
     async def start(self, status: int, headers: forwarding.Headers) -> None:
         """Sends status and headers.
@@ -98,7 +123,7 @@
     async def finish(self) -> None:
         """Marks the response as complete."""
         await self._connection.send(h11.EndOfMessage())
-        self.is_finished = True
+        self._has_ended = True
 
     async def send_response(
         self, status: int, headers: forwarding.Headers, body: bytes
@@ -114,6 +139,26 @@
         await self._connection.flush()
 
 
+def find_max_sockets() -> int:
+    """Returns the number of sockets that callers of an address may use."""
+    try:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError:
+        return sys.maxsize
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, int(CALLER_SHARE * limit))
+
+
+def close_longest_idle() -> None:
+    """Closes some connections, those that have been idle longest."""
+    idle = [c for c in _open_connections if c.is_idle]
+    idle.sort(key=lambda connection: connection.idle_deadline)
+    count = max(MIN_CLOSED_IDLE, int(CLOSED_IDLE_SHARE * len(idle)))
+    for connection in idle[:count]:
+        connection.close_if_idle()
+
+
 Handler = Callable[[RawRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -128,6 +173,9 @@
             progress.
         active_requests: Number of requests in progress.
         connections: Open connections.
+        accepted_sockets: Number of accepted sockets that are not closed yet.
+        max_sockets: Number of them beyond which callers wait in the queue of
+            the kernel. The other descriptors are left to outgoing connections.
         accept_scope: Scope of the task that accepts connections, or None.
     """
 
@@ -138,6 +186,8 @@
     connections: set['CallerConnection'] = dataclasses.field(
         default_factory=set
     )
+    accepted_sockets: int = 0
+    max_sockets: int = dataclasses.field(default_factory=find_max_sockets)
     accept_scope: anyio.CancelScope | None = None
 
     async def serve(self, address: str, port: int) -> None:
@@ -155,25 +205,62 @@
             # A cancelled wait loses no connection, a cancelled accept could.
             with sock, anyio.CancelScope() as self.accept_scope:
                 try:
-                    while True:
-                        await anyio.wait_readable(sock)
-                        self._serve_queued(group, sock)
+                    await self._accept(group, sock)
                 finally:
-                    self._serve_queued(group, sock)
+                    # A failed accept leaves them to the close.
+                    with contextlib.suppress(OSError):
+                        self._serve_queued(group, sock)
+
+    async def _accept(self, group, sock: socket.socket) -> None:
+        """Accepts connections until cancelled.
+
+        While there are no descriptors for more, connections that have been
+        idle longest are closed.
+        """
+        report_at = clock.now()
+        while True:
+            try:
+                await anyio.wait_readable(sock)
+                self._serve_queued(group, sock)
+                continue
+            except OSError as exc:
+                if exc.errno in UNUSABLE_SOCKET_ERRORS:
+                    raise
+                name = RESOURCE_ERRORS.get(exc.errno, 'other')
+                ACCEPT_FAILURES.labels(name).inc()
+                if clock.has_passed(report_at):
+                    containment.record_error('accept', exc)
+                report_at = clock.make_deadline(ACCEPT_REPORT_SECONDS)
+                if exc.errno in RESOURCE_ERRORS:
+                    close_longest_idle()
+            # The socket stays readable.
+            await anyio.sleep(ACCEPT_RETRY_SECONDS)
 
     def _serve_queued(self, group, sock: socket.socket) -> None:
-        """Serves the connections that the kernel has queued."""
+        """Serves the connections that the kernel has queued.
+
+        Raises:
+            OSError: Some of them cannot be accepted at present.
+        """
+        if self.accepted_sockets >= self.max_sockets:
+            raise OSError(errno.EMFILE, 'too many connections')
         for accepted in listening.accept_queued(sock):
+            self.accepted_sockets += 1
             group.start_soon(self._serve_accepted, accepted)
+            if self.accepted_sockets >= self.max_sockets:
+                return
 
     async def _serve_accepted(self, accepted: socket.socket) -> None:
-        with accepted, containment.contain(CONNECTION_PART):
-            try:
-                stream = await abc.SocketStream.from_socket(accepted)
-            except (OSError, ValueError):
-                # The caller has reset the connection before the accept.
-                return
-            await self.serve_stream(stream)
+        try:
+            with accepted, containment.contain(CONNECTION_PART):
+                try:
+                    stream = await abc.SocketStream.from_socket(accepted)
+                except (OSError, ValueError):
+                    # The caller has reset the connection before the accept.
+                    return
+                await self.serve_stream(stream)
+        finally:
+            self.accepted_sockets -= 1
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections are served on.
@@ -190,15 +277,13 @@
         """
         connection = CallerConnection(stream, self)
         self.connections.add(connection)
+        _open_connections.add(connection)
         try:
             with containment.contain(CONNECTION_PART):
                 await connection.serve()
-        except anyio.get_cancelled_exc_class() as exc:
-            if is_cancelled():
-                raise
-            containment.record_error(CONNECTION_PART, exc)
         finally:
             self.connections.discard(connection)
+            _open_connections.discard(connection)
             with contextlib.suppress(*sockets.DISCONNECT_ERRORS):
                 await stream.aclose()
 
@@ -225,6 +310,8 @@
 
     Attributes:
         is_reading: Whether a request is being read or the first one is due.
+        has_written: Whether any part of the current response was passed to
+            the stream.
     """
 
     def __init__(self, stream: abc.SocketStream, listener: Listener):
@@ -239,7 +326,20 @@
             FIRST_REQUEST_TIMEOUT_SECONDS
         )
         self._has_served = False
+        self._is_head_request = False
         self.is_reading = True
+        self.has_written = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for a request and is to stay open."""
+        scope = self._idle_scope
+        return scope is not None and not scope.cancel_called
+
+    @property
+    def idle_deadline(self) -> float:
+        """Monotonic time at which an idle connection is to be closed."""
+        return self._idle_scope.deadline
 
     def close_if_idle(self) -> None:
         """Closes the connection if no part of a request was received.
@@ -266,17 +366,26 @@
     async def flush(self) -> None:
         """Sends the buffered data with a single write."""
         buffered, self._send_buffer = self._send_buffer, None
-        await self._stream.send(b''.join(buffered or []))
+        await self._write(b''.join(buffered or []))
+
+    async def _write(self, data: bytes) -> None:
+        # A cancellation here leaves nothing written, a later one all of it.
+        await lowlevel.checkpoint_if_cancelled()
+        self.has_written = True
+        await self._stream.send(data)
 
     async def send(self, event: h11.Event) -> None:
         """Sends or buffers an h11 event of a response."""
+        if self._is_head_request and isinstance(event, h11.Data):
+            # A response to HEAD has no body.
+            return
         data = self._conn.send(event)
         if not data:
             return
         if self._send_buffer is not None:
             self._send_buffer.append(data)
         else:
-            await self._stream.send(data)
+            await self._write(data)
 
     async def serve(self) -> None:
         """Serves requests until either side closes the connection."""
@@ -324,6 +433,7 @@
             Whether the response is complete and the caller still connected.
         """
         reply = ResponseWriter(self)
+        self.has_written = False
         async with anyio.create_task_group() as group:
 
             async def watch_for_disconnect() -> None:
@@ -338,20 +448,27 @@
                         return
 
             group.start_soon(watch_for_disconnect)
-            try:
-                await self._listener.handle(raw, reply)
-            except sockets.DISCONNECT_ERRORS:
-                self._is_disconnected = True
-            except Exception:
-                # An error in one request must not stop the whole process.
-                logs.LOG.exception('request handler failed')
-                if not reply.has_started:
-                    await self._reject(502, 'the request failed here')
+            await self._handle(raw, reply)
             group.cancel_scope.cancel()
-        if reply.has_started and not reply.is_finished:
+        if self.has_written and not reply.is_finished:
             sockets.reset_on_close(self._stream)
+        if not self.has_written and not self._is_disconnected:
+            await self._reject(502, 'the request failed here')
         return reply.is_finished and not self._is_disconnected
 
+    async def _handle(self, raw: RawRequest, reply: ResponseWriter) -> None:
+        """Runs the handler; its errors end only this request."""
+        try:
+            await self._listener.handle(raw, reply)
+            if not self.has_written and not self._is_disconnected:
+                raise RuntimeError('the handler sent no response')
+        except BaseException as exc:
+            if not containment.is_unexpected(exc):
+                raise
+            has_caller_left = self.has_written or self._is_disconnected
+            if not has_caller_left or not sockets.is_disconnect(exc):
+                containment.record_error('request', exc)
+
     async def _receive(self) -> None:
         if self._pipelined_data:
             data, self._pipelined_data = self._pipelined_data, b''
@@ -364,10 +481,26 @@
                 data = b''
         self._conn.receive_data(data)
 
+    async def _receive_last(self) -> bool:
+        """Receives data that came as the wait for a request was cancelled.
+
+        A cancelled wait leaves data that was read in the stream, and the
+        kernel may hold some.
+
+        Returns:
+            Whether there was any, or the caller has closed the connection.
+        """
+        self.is_reading = True
+        with anyio.move_on_after(LAST_RECEIVE_SECONDS) as scope:
+            await self._receive()
+        return not scope.cancelled_caught
+
     async def _read_request(self, limits) -> RawRequest | None:
+        self._is_head_request = False
         head = await self._read_head(limits)
         if head is None:
             return None
+        self._is_head_request = head.method == b'HEAD'
         size = sum(len(k) + len(v) + 4 for k, v in head.headers)
         if size + len(head.target) + len(head.method) > limits.header_bytes:
             raise errors.RequestRejected(431, 'the headers are too large')
@@ -398,7 +531,7 @@
                 self._idle_scope = scope
                 await self._receive()
             self._idle_scope = None
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and not await self._receive_last():
                 return None
             self.is_reading = True
             event = self._conn.next_event()
@@ -438,8 +571,12 @@
         """Sends an error response that announces the connection's close."""
         logs.log_decision('request rejected', status=status, detail=detail)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        body = detail.encode()
+            if self.has_written:
+                return
+            # A response has failed before any part of it was sent. That to a
+            # HEAD request must have no body.
+            self._conn, detail = h11.Connection(h11.SERVER), ''
+        body = detail.encode(errors='replace')
         headers = [
             (b'content-type', b'text/plain; charset=utf-8'),
             (b'connection', b'close'),
