Do not join the membership list again while stopping

The entry of a gateway that stops came back after it had been removed.

Cause: leave() removes the entry, the mirror reports that removal, and run(), which goes on for the rest of the grace period, took it for a lost entry and joined again with a new lease.

Evidence: the new test failed before with the entry back in the store and the line 'member entry lost, joining again'.

A gateway that has left does not join or renew any more. If the removal fails, its lease ends by itself.

--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -101,6 +101,7 @@
         self._own_member = Member(*address, region, capacity)
         # Whether another writer removed or changed the entry of this gateway.
         self._is_own_entry_lost = False
+        self._has_left = False
         self._members: dict[str, Member] = {}
         # Monotonic times until which gateways are kept whose entry may have
         # expired during an outage of the store.
@@ -268,10 +269,10 @@
         return [self.get_address(name) for name in others]
 
     async def run(self) -> None:
-        """Keeps this gateway registered until cancelled."""
+        """Keeps this gateway registered until it leaves."""
         lease = 0
         retry_delay = RETRY_DELAY_SECONDS
-        while True:
+        while not self._has_left:
             try:
                 if lease and self._is_own_entry_lost:
                     logs.LOG.warning('member entry lost, joining again')
@@ -288,6 +289,7 @@
                 delay = RENEWAL_INTERVAL_SECONDS
                 retry_delay = RETRY_DELAY_SECONDS
             await anyio.sleep(clock.jitter(delay))
+        await anyio.sleep_forever()
 
     async def _join(self) -> int:
         """Writes the entry of this gateway; returns the id of its lease."""
@@ -303,7 +305,8 @@
         return lease
 
     async def leave(self) -> None:
-        """Removes this gateway from the membership list."""
+        """Removes this gateway from the membership list for good."""
+        self._has_left = True
         try:
             entry = await self._store.get(PREFIX + self.name)
             if entry is not None:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -434,6 +434,29 @@
         await gateways.leave()
         assert not store.entries
 
+    @run_async
+    async def test_does_not_join_again_once_it_has_left(self, monkeypatch):
+        """A stop serves requests for seconds after the entry is removed."""
+        monkeypatch.setattr(
+            gateway_membership, 'RENEWAL_INTERVAL_SECONDS', 0.05
+        )
+        store = stores.MemoryStore()
+        key = gateway_membership.PREFIX + 'gw-1'
+        gateways = gateway_membership.GatewayMembership(
+            store, 'gw-1', ('127.0.0.1', 7), 'bkk'
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(gateways.run)
+            with anyio.fail_after(5):
+                while key not in store.entries:
+                    await anyio.sleep(0.01)
+            await gateways.leave()
+            assert key not in store.entries
+            gateways.apply(transport_stores.Change(key, store.revision, None))
+            await anyio.sleep(0.3)
+            assert key not in store.entries
+            group.cancel_scope.cancel()
+
     @run_async
     async def test_joins_again_after_its_lease_was_lost(self, monkeypatch):
         monkeypatch.setattr(
