Wait in a stop for requests that are read during the leave

A request that crossed the close of idle connections in a planned stop was passed on and cut without an answer, when no other was in progress.

Cause: the stop waited for requests beside the removal of the membership entry. It found none and ended; the removal (up to 1 s) then took its time, in which a request could be read, and its end cancelled all tasks. A connection that is closed as idle, or an accepted one whose task has not begun, also counted as having no request until its task ran.

Evidence: the new test failed before with one active request at the end of _shut_down; tests/test_stopping.py and tests/test_gateway_tasks.py pass.

The wait comes after the removal again, which ends no later, and both kinds of connections count until they have shown that no request came.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -541,9 +541,9 @@
             # gateway, while there is time to answer those accepted before.
             with containment.contain('stop'):
                 self.caller_listener.stop_accepting()
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._leave)
-                await self._wait_for_requests()
+            # Requests that are read meanwhile are waited for, too.
+            await self._leave()
+            await self._wait_for_requests()
 
     async def _leave(self) -> None:
         """Leaves the membership list, unless that takes too long."""
@@ -554,9 +554,15 @@
             await self.members.leave()
 
     async def _wait_for_requests(self) -> None:
-        """Waits until no request is in progress or being sent."""
-        while (
-            self.caller_listener.active_requests
-            or self.caller_listener.has_unread_requests()
-        ):
+        """Waits until no request is in progress or being sent.
+
+        Connections that were accepted, or closed as idle, just now show only
+        after a while whether they bring a request.
+        """
+        is_busy = True
+        while is_busy:
             await anyio.sleep(REQUEST_POLL_SECONDS)
+            is_busy = (
+                self.caller_listener.active_requests
+                or self.caller_listener.has_unread_requests()
+            )
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -289,7 +289,9 @@
 
         So is a caller that was accepted just now, who sends at once.
         """
-        return any(c.is_reading for c in self.connections)
+        return self.accepted_sockets > len(self.connections) or any(
+            c.is_reading for c in self.connections
+        )
 
     def close_idle(self) -> None:
         """Closes idle connections, and the others after their response."""
@@ -346,6 +348,8 @@
         if self._idle_scope is None:
             return
         if self._has_served or clock.has_passed(self._first_request_at):
+            # Until it is known that no request came just before the close.
+            self.is_reading = True
             self._idle_scope.cancel()
         else:
             self._idle_scope.deadline = min(
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -10,6 +10,7 @@
 import time
 
 import anyio
+from anyio import abc
 import pytest
 import yaml
 
@@ -454,6 +455,44 @@
                 assert response.status == 200
                 assert response.headers['connection'] == 'close'
 
+    @run_async
+    async def test_request_that_crosses_the_close_is_not_cut_by_the_leave(
+        self, monkeypatch
+    ):
+        """The only request is read while the membership entry is removed."""
+        monkeypatch.setattr(
+            forward_gateway, 'READINESS_DRAIN_SECONDS', DRAIN_SECONDS
+        )
+        async with forward_rig.start() as rig:
+            await rig.add_server(respond_slowly)
+            listener = rig.gateway.caller_listener
+            async with await rig.connect() as stream:
+                await rig.exchange(stream, '/once/a')
+                await anyio.sleep(0.05)
+                raw = stream.extra(abc.SocketAttribute.raw_socket)
+                close_idle = listener.close_idle
+
+                async def leave():
+                    await anyio.sleep(0.1)
+
+                rig.gateway.members.leave = leave
+
+                def send_and_close_idle():
+                    os.write(raw.fileno(), rig.write_request('/once/b'))
+                    close_idle()
+
+                monkeypatch.setattr(
+                    caller_connections.Listener,
+                    'close_idle',
+                    lambda self: send_and_close_idle(),
+                )
+                await rig.gateway._shut_down()
+                # All tasks are cancelled from here on.
+                assert listener.active_requests == 0
+                with anyio.fail_after(0.5):
+                    response = await forward_rig.read_response(stream)
+                assert response.status == 200
+
     @run_async
     async def test_connection_without_a_request_is_closed(self):
         async with forward_rig.start() as rig:
