Report no error at each planned stop

Each stop by SIGTERM logged 'unexpected error in signals: TaskEnded' with a traceback and counted a task failure, as if the gateway had a fault.

Cause: the task that handles signals returns after it has cancelled all tasks, and the supervisor takes the end of a task for a failure.

Evidence: the new test failed before with that line; tests/test_gateway_tasks.py passes.

The task waits for the cancellation that it has ordered.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -487,6 +487,8 @@
             with containment.contain('shutdown'):
                 await self._shut_down()
             scope.cancel()
+            # The supervisor must not take the stop for a failure.
+            await anyio.sleep_forever()
 
     def _reload(self) -> None:
         """Applies options that have changed."""
--- a/tests/test_gateway_tasks.py
+++ b/tests/test_gateway_tasks.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import logging
 import os
 import signal
 import socket
@@ -179,6 +180,22 @@
             group.cancel_scope.cancel()
 
 
+class TestOrderlyStop:
+    """Guards against a stop that looks like a fault in log and metrics."""
+
+    @run_async
+    async def test_stop_reports_no_error(self, caplog):
+        async with anyio.create_task_group() as group:
+            running = RunningGateway(group)
+            await running.start()
+            assert (await running.fetch('caller')).status == 200
+            os.kill(os.getpid(), signal.SIGTERM)
+            with anyio.fail_after(8):
+                await running.has_ended.wait()
+            group.cancel_scope.cancel()
+        assert not [r for r in caplog.records if r.levelno >= logging.ERROR]
+
+
 class TestStopWithFailingStep:
     """Guards against a stop that never ends since one step failed."""
 
