Forget the requests that have left the window of the retry budget

A gateway without failed attempts kept the time of each request for as long as its process ran, until it would have reached its memory limit.

Cause: old times were only removed when an extra attempt was asked for.

Evidence: the new test failed before: all 50,000 times of 500 s were kept with a window of 10 s.

Old times are also removed as a request is added.

--- a/chivejunction/state/budgets.py
+++ b/chivejunction/state/budgets.py
@@ -129,6 +129,7 @@
 
     def add_request(self) -> None:
         """Records the first attempt of a request."""
+        self._remove_expired()
         self._request_times.append(clock.now())
 
     def take(self, reserve: float = 0.0) -> bool:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -590,6 +590,16 @@
             assert len(window) <= 0.5 * 201 + 2 + 1
         assert taken > 100
 
+    def test_requests_without_retries_are_forgotten(self, monkeypatch):
+        """A day without failures asks for no extra attempt."""
+        now = [0.0]
+        monkeypatch.setattr(clock, 'now', lambda: now[0])
+        budget = budgets.WindowedBudget(0.5, 2, 10)
+        for number in range(50_000):
+            now[0] = number * 0.01
+            budget.add_request()
+        assert len(budget._request_times) <= 1002
+
     def test_reserve_is_kept(self):
         budget = budgets.WindowedBudget(0, 3, 10)
         assert budget.take(reserve=2)
