Bound the number of prompt parts that are kept for each server

Requests whose prompts name parts of no tokens made a gateway keep all of them for as long as their server was listed.

Cause: the index of cached prefixes evicts by tokens only, and a caller may name a part of 0 tokens.

Evidence: the new test failed before: all 39,960 shared parts of 40 prompts were kept. tests/test_backend_selection.py passes.

The index also evicts by the number of parts.

--- a/chivejunction/state/prefix_caches.py
+++ b/chivejunction/state/prefix_caches.py
@@ -9,6 +9,8 @@
 # Share of a server's cache that prefixes may occupy. Running requests need the
 # rest.
 MAX_CACHE_SHARE = 0.7
+# Callers may name parts of no tokens, which would take no share of a cache.
+MAX_PARTS_PER_SERVER = 16_384
 
 
 def list_prefixes(
@@ -49,7 +51,8 @@
     ) -> None:
         """Adds the prefixes of a prompt that a server processes.
 
-        Evicts the least recently used prefixes that exceed the cache.
+        Evicts the least recently used prefixes that exceed the cache or the
+        number of parts.
 
         Args:
             instance: Instance id of the server.
@@ -67,7 +70,10 @@
                 used_tokens += end - previous_end
             part_tokens.move_to_end(key)
             previous_end = end
-        while part_tokens and used_tokens > MAX_CACHE_SHARE * memory:
+        while part_tokens and (
+            used_tokens > MAX_CACHE_SHARE * memory
+            or len(part_tokens) > MAX_PARTS_PER_SERVER
+        ):
             used_tokens -= part_tokens.popitem(last=False)[1]
         self._used_tokens[instance] = used_tokens
 
--- a/tests/test_backend_selection.py
+++ b/tests/test_backend_selection.py
@@ -389,6 +389,19 @@
 
 
 class TestPrefixCacheIndex:
+    def test_parts_without_tokens_do_not_fill_the_memory(self):
+        """Callers name the parts of a prompt and their tokens."""
+        prefix_cache_index = prefix_caches.PrefixCacheIndex()
+        for number in range(40):
+            prompt = tuple(
+                forwarding.PromptPart(f'{number}-{i}', 0) for i in range(1000)
+            )
+            prefix_cache_index.add(
+                'i-1', prefix_caches.list_prefixes(prompt, 'm'), 90_000
+            )
+        held = prefix_cache_index._part_tokens['i-1']
+        assert len(held) <= prefix_caches.MAX_PARTS_PER_SERVER
+
     def test_only_contiguous_prefixes_count(self):
         prefix_cache_index = prefix_caches.PrefixCacheIndex()
         prefix_cache_index.add('a', [('m/x', 100), ('m/x/y', 300)], 10_000)
