Do not share pins of sessions that have expired

Callers saw a session id that was idle for six hours get its old version again, perhaps one that costs more, when a rollout started.

Cause: PinTable's iteration, which SharedPins uses to save all sessions when the rollouts change, yielded pins past their deadline, and pins in the store do not expire.

list_pins(now) replaces the iteration and leaves out expired pins, as lookup() does.

Seen failing: TestPinTable.test_expired_pins_are_not_listed (the expired pin was listed). Passes now with the other tests of pins.

--- a/chivejunction/coordination/pins.py
+++ b/chivejunction/coordination/pins.py
@@ -162,7 +162,7 @@
             # that this gateway has pinned before must keep their version at
             # every gateway.
             self._enqueued_revision = self._rollouts.revision
-            for key, version in self._local_pins:
+            for key, version in self._local_pins.list_pins(clock.now()):
                 self._enqueue(key, version)
         for name in list(self._pending_pins):
             pins = self._pending_pins.pop(name)
--- a/chivejunction/state/sessions.py
+++ b/chivejunction/state/sessions.py
@@ -106,8 +106,13 @@
     def __len__(self) -> int:
         return len(self._pins)
 
-    def __iter__(self):
-        return iter([(key, pin[0]) for key, pin in self._pins.items()])
+    def list_pins(self, now: float) -> list[tuple[PinKey, str]]:
+        """Returns the key and version of each unexpired pin."""
+        return [
+            (key, version)
+            for key, (version, deadline) in self._pins.items()
+            if now < deadline
+        ]
 
     def lookup(self, key: PinKey, now: float) -> str:
         """Returns the version of a session, empty without an unexpired pin."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -72,6 +72,13 @@
         late = sessions.IDLE_TIMEOUT_SECONDS + 1
         assert table.lookup(('a', '2', 'auto'), late) == ''
 
+    def test_expired_pins_are_not_listed(self):
+        table = sessions.PinTable()
+        late = sessions.IDLE_TIMEOUT_SECONDS + 1
+        table.save(('a', 's1', 'auto'), 'small-1', 0.0)
+        table.save(('a', 's2', 'auto'), 'large-1', late)
+        assert table.list_pins(late) == [(('a', 's2', 'auto'), 'large-1')]
+
 
 class FakeRollouts:
     revision = 1
