Save session pins above the limit of a bucket

Callers saw a session change its version after a restart of a gateway, or at another gateway, during a rollout with many sessions.

Cause: merge_pins refused a bucket above MAX_BUCKET_PINS, so that no pin of the bucket was saved from then on, the pending pins grew without limit and each flush ended with an error. A value that is no JSON object ended the request (lookup) with an undeclared exception.

A bucket now has up to four pages, filled in order. A full page takes no more pins, so that the first version that a gateway saved for a session stays: a page that is not full can be filled only by compare-and-swap, and the next page is used only after that. Full pages are read once. Pages are limited in bytes too, since session ids have up to 255 characters. Pins that find no room are dropped with a warning and stay in the gateway's memory. A malformed page raises StoreError: the lookup goes on without it.

--- a/chivejunction/coordination/pins.py
+++ b/chivejunction/coordination/pins.py
@@ -3,9 +3,11 @@
 Without a rollout, the configuration determines the version of a session at
 every gateway. While a rollout moves a share of the sessions, gateways agree on
 their versions through pins in the store. Pins are saved in batches; each
-rollout has a fixed number of buckets with one store key each.
+rollout has a fixed number of buckets. A bucket has one or more pages, with one
+store key each, which are filled in order. A full page never changes.
 """
 
+import dataclasses
 import json
 import math
 
@@ -25,7 +27,11 @@
 READ_TIMEOUT_SECONDS = 0.5
 BUCKET_CACHE_TTL_SECONDS = 2.0
 MAX_WRITE_ATTEMPTS = 4
-MAX_BUCKET_PINS = 8_000
+# A page that reaches one of these limits is full. The store accepts values of
+# 1.5 MB, in base64.
+MAX_PAGE_PINS = 8_000
+MAX_PAGE_BYTES = 768 * 1024
+MAX_PAGES = 4
 
 
 def make_pin_field(pin: sessions.PinKey) -> str:
@@ -41,21 +47,94 @@
     return f'pins/{rollout}/{number:02d}'
 
 
-def merge_pins(saved: dict[str, str], added: dict[str, str]) -> dict[str, str]:
-    """Returns the saved and the added pins.
+def make_page_key(bucket: str, number: int) -> str:
+    """Returns the store key of a page of a bucket."""
+    return f'{bucket}/{number}' if number else bucket
+
+
+def decode_pins(value: bytes) -> dict[str, str]:
+    """Returns the versions of a page by field.
+
+    Raises:
+        StoreError: The value is no page.
+    """
+    try:
+        page = json.loads(value)
+        # Half surrogates cannot be written back.
+        ''.join([*page, *page.values()]).encode()
+    except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+        raise errors.StoreError(f'malformed session pins: {exc!r}') from exc
+    return page
+
+
+def encode_pins(page: dict[str, str]) -> bytes:
+    """Returns the store value of a page."""
+    return json.dumps(page, ensure_ascii=False).encode()
+
+
+def measure_pin(field: str, version: str) -> int:
+    """Returns about how many bytes a pin takes in its page."""
+    return len(field.encode()) + len(version.encode())
+
+
+def is_full(page: dict[str, str]) -> bool:
+    """Returns whether a page takes no more pins."""
+    return (
+        len(page) >= MAX_PAGE_PINS
+        or sum(map(measure_pin, page, page.values())) >= MAX_PAGE_BYTES
+    )
+
+
+def merge_pins(
+    saved: dict[str, str], added: dict[str, str]
+) -> tuple[dict[str, str], dict[str, str]]:
+    """Adds pins to a page until it is full.
 
     A saved version takes precedence, so that the first one that any gateway
     has saved for a session stays.
 
-    Raises:
-        StoreError: The pins exceed ``MAX_BUCKET_PINS``.
+    Returns:
+        The page and the pins that it has no room for.
     """
-    merged = {**added, **saved}
-    if len(merged) > MAX_BUCKET_PINS:
-        raise errors.StoreError(
-            f'session pins exceed {MAX_BUCKET_PINS} in one bucket'
-        )
-    return merged
+    page, rest = dict(saved), {}
+    size = sum(map(measure_pin, page, page.values()))
+    for field, version in added.items():
+        if field in page:
+            continue
+        if len(page) >= MAX_PAGE_PINS or size >= MAX_PAGE_BYTES:
+            rest[field] = version
+            continue
+        page[field] = version
+        size += measure_pin(field, version)
+    return page, rest
+
+
+@dataclasses.dataclass(slots=True)
+class Bucket:
+    """Pages of a bucket as last read.
+
+    Attributes:
+        pages: Versions by field, for each page.
+        full_count: Number of full pages, which need not be read again.
+        deadline: Monotonic time until which no page need be read again.
+    """
+
+    pages: list[dict[str, str]] = dataclasses.field(default_factory=list)
+    full_count: int = 0
+    deadline: float = -math.inf
+
+    def lookup(self, field: str) -> str:
+        """Returns the version of a pin, empty without one."""
+        for page in self.pages:
+            if field in page:
+                return page[field]
+        return ''
+
+    def set_page(self, number: int, page: dict[str, str]) -> None:
+        """Replaces a page."""
+        self.pages[number : number + 1] = [page]
+        if is_full(page):
+            self.full_count = max(self.full_count, number + 1)
 
 
 class SharedPins:
@@ -78,7 +157,7 @@
         self._rollouts = rollouts
         self._store = store
         self._pending_pins: dict[str, dict[str, str]] = {}
-        self._cached_buckets: dict[str, tuple[float, dict[str, str]]] = {}
+        self._cached_buckets: dict[str, Bucket] = {}
         self._enqueued_revision = -1
 
     @staticmethod
@@ -101,28 +180,32 @@
         if not rollout:
             return ''
         name = make_bucket_key(rollout, key)
-        deadline, pins = self._cached_buckets.get(name, (-math.inf, {}))
-        if clock.has_passed(deadline):
+        bucket = self._cached_buckets.setdefault(name, Bucket())
+        if clock.has_passed(bucket.deadline):
             try:
                 with anyio.fail_after(READ_TIMEOUT_SECONDS):
-                    entry = await self._store.get(name)
-                pins = json.loads(entry.value) if entry else {}
+                    await self._read_bucket(name, bucket)
             except (TimeoutError, errors.StoreError) as exc:
                 logs.LOG.warning(
                     'cannot read session pins from the store: %s', exc
                 )
-            # Cached after a failure too, so that an outage of the store does
+            # Set after a failure too, so that an outage of the store does
             # not delay each request.
-            self._cached_buckets[name] = (
-                clock.make_deadline(BUCKET_CACHE_TTL_SECONDS),
-                pins,
-            )
+            bucket.deadline = clock.make_deadline(BUCKET_CACHE_TTL_SECONDS)
         # A concurrent request of the session may have been pinned during the
         # read.
-        return self._local_pins.lookup(key, clock.now()) or pins.get(
-            make_pin_field(key), ''
+        return self._local_pins.lookup(key, clock.now()) or bucket.lookup(
+            make_pin_field(key)
         )
 
+    async def _read_bucket(self, name: str, bucket: Bucket) -> None:
+        while (number := bucket.full_count) < MAX_PAGES:
+            entry = await self._store.get(make_page_key(name, number))
+            page = decode_pins(entry.value) if entry else {}
+            bucket.set_page(number, page)
+            if not is_full(page):
+                return
+
     def save(
         self, call: calls.Call, version: str, may_change: bool = False
     ) -> None:
@@ -176,25 +259,38 @@
                 raise
 
     async def _save_bucket(self, name: str, pins: dict[str, str]) -> None:
+        bucket = self._cached_buckets.setdefault(name, Bucket())
+        for page in bucket.pages[: bucket.full_count]:
+            _, pins = merge_pins(page, pins)
+        while pins and (number := bucket.full_count) < MAX_PAGES:
+            key = make_page_key(name, number)
+            page, pins = await self._save_page(key, pins)
+            bucket.set_page(number, page)
+        if pins:
+            logs.LOG.warning(
+                'no room in %s for %d session pins', name, len(pins)
+            )
+
+    async def _save_page(
+        self, key: str, pins: dict[str, str]
+    ) -> tuple[dict[str, str], dict[str, str]]:
+        """Returns the page and the pins that it has no room for."""
         for _ in range(MAX_WRITE_ATTEMPTS):
-            entry = await self._store.get(name)
-            saved = json.loads(entry.value) if entry else {}
-            merged = merge_pins(saved, pins)
-            if merged == saved:
-                return
+            entry = await self._store.get(key)
+            saved = decode_pins(entry.value) if entry else {}
+            page, rest = merge_pins(saved, pins)
+            if page == saved:
+                return page, rest
             try:
                 await self._store.swap(
-                    name,
-                    json.dumps(merged, ensure_ascii=False).encode(),
-                    entry.revision if entry else 0,
+                    key, encode_pins(page), entry.revision if entry else 0
                 )
             except (errors.StoreConflict, errors.StoreResultUnknown):
                 # The next read shows which pins are saved.
                 continue
-            self._cached_buckets.pop(name, None)
-            return
+            return page, rest
         raise errors.StoreError(
-            f'{name} not saved because of concurrent writes or lost responses'
+            f'{key} not saved because of concurrent writes or lost responses'
         )
 
     async def run(self) -> None:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import math
 import urllib.parse
 
 import anyio
@@ -194,6 +195,114 @@
         anyio.run(check)
 
 
+class TestLargeBuckets:
+    """Guards against pins that are lost because their bucket is full."""
+
+    @pytest.fixture(autouse=True)
+    def set_limits(self, monkeypatch):
+        monkeypatch.setattr(pins, 'BUCKET_COUNT', 1)
+        monkeypatch.setattr(pins, 'MAX_PAGE_PINS', 4)
+
+    def make(self, store):
+        return pins.SharedPins(sessions.PinTable(), FakeRollouts(), store)
+
+    def make_call(self, number):
+        return test_routing.make_call(session=f's{number}')
+
+    async def save_all(self, store, numbers, version='small-1'):
+        shared_pins = self.make(store)
+        for number in numbers:
+            shared_pins.save(self.make_call(number), version)
+        await shared_pins.flush()
+        return shared_pins
+
+    @stores.run_async
+    async def test_pins_above_the_limit_are_found_after_a_restart(self):
+        store = stores.MemoryStore()
+        await self.save_all(store, range(3))
+        await self.save_all(store, range(3, 14))
+        for entry in store.entries.values():
+            assert len(json.loads(entry.value)) <= pins.MAX_PAGE_PINS
+        restarted = self.make(store)
+        for number in range(14):
+            assert await restarted.lookup(self.make_call(number)) == 'small-1'
+
+    @stores.run_async
+    async def test_first_saved_version_stays_on_any_page(self):
+        store = stores.MemoryStore()
+        await self.save_all(store, range(14))
+        writes = store.writes
+        await self.save_all(store, range(14), 'large-1')
+        assert store.writes == writes
+        restarted = self.make(store)
+        for number in range(14):
+            assert await restarted.lookup(self.make_call(number)) == 'small-1'
+
+    @stores.run_async
+    async def test_gateways_that_fill_a_page_together_lose_no_pin(self):
+        store = stores.MemoryStore()
+        store.delay = 0.001
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.save_all, store, range(6))
+            group.start_soon(self.save_all, store, range(4, 10))
+        restarted = self.make(store)
+        for number in range(10):
+            assert await restarted.lookup(self.make_call(number)) == 'small-1'
+
+    @stores.run_async
+    async def test_full_pages_are_read_once(self):
+        store = stores.MemoryStore()
+        shared_pins = await self.save_all(store, range(6))
+        await shared_pins.lookup(self.make_call(20))
+        store.reads = 0
+        shared_pins._cached_buckets['pins/r/00'].deadline = -math.inf
+        await shared_pins.lookup(self.make_call(21))
+        assert store.reads == 1
+
+    @stores.run_async
+    async def test_bucket_without_free_page_keeps_no_other_waiting(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(pins, 'MAX_PAGES', 2)
+        store = stores.MemoryStore()
+        shared_pins = await self.save_all(store, range(14))
+        assert len(store.entries) == 2
+        assert not shared_pins._pending_pins
+
+
+class TestMalformedBuckets:
+    """Guards against a bad store entry that ends a call or all writes."""
+
+    VALUES = [
+        b'',
+        b'\xff',
+        b'[' * 100_000,
+        b'[]',
+        b'{"a": 1}',
+        b'{"a": "\\ud800"}',
+    ]
+
+    @pytest.mark.parametrize('value', VALUES)
+    def test_lookup_and_flush_continue(self, monkeypatch, value):
+        monkeypatch.setattr(pins, 'BUCKET_COUNT', 1)
+        store = stores.MemoryStore()
+        shared_pins = pins.SharedPins(
+            sessions.PinTable(), FakeRollouts(), store
+        )
+        call = test_routing.make_call(session='s1')
+
+        async def check():
+            key = pins.make_bucket_key('r', shared_pins.make_key(call))
+            await store.swap(key, value, 0)
+            assert await shared_pins.lookup(call) == ''
+            shared_pins.save(call, 'small-1')
+            with pytest.raises(errors.StoreError):
+                await shared_pins.flush()
+            assert len(shared_pins._pending_pins) == 1
+
+        anyio.run(check)
+
+
 class TestSessionManager:
     """Guards against a selection that ignores the session's pin."""
 
