Accept each line end and a missing blank in event streams

Callers of an engine that writes 'data:[DONE]' saw complete streams end as cut ones, and streams with CR line ends arrived at the end only, or with 1 MB of delay; token counts in an event with another field before its data were neither billed nor removed.

Cause: the usage filter compared the whole event with 'data: [DONE]', looked for usage only in events that begin with 'data:', and split at LF LF (after CRLF). The format of event streams makes the blank optional and allows CR, LF and CRLF. sse.EVENT_SEPARATOR did not know CR, and EventBuffer only two equal line ends; a plain service's stream without any was held in memory without a limit.

The filter uses sse.parse_event_data and turns each line end into a line feed as it arrives, remembering a CR at the end of a chunk. The separator of sse matches CR CR at once and waits for the byte after CRLF CR, so that events do not depend on chunks. EventBuffer uses the same separator and passes on a partial event above 1 MB, as the filter does.

Seen failing: TestEventFormat (15 of 21) and four of TestEventStreams (events with CR, endless event, chunks).

--- a/chivejunction/protocol/sse.py
+++ b/chivejunction/protocol/sse.py
@@ -6,12 +6,16 @@
 from chivejunction import errors
 
 MEDIA_TYPE = 'text/event-stream'
-EVENT_SEPARATOR = re.compile(rb'\r?\n\r?\n')
+# Lines end with CR, LF or CRLF. A line feed may follow a carriage return that
+# is the last byte so far, except in a stream whose lines end with CR.
+EVENT_SEPARATOR = re.compile(rb'\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r')
 MAX_SEPARATOR_BYTES = 4
 END_MARKER = b'[DONE]'
 END_EVENT = b'data: [DONE]\n\n'
 # Longest event that an EventReader accepts.
 MAX_EVENT_BYTES = 256 * 1024
+# Longest partial event that an EventBuffer holds back.
+MAX_BUFFERED_BYTES = 1024 * 1024
 # An id with more digits is none; int() refuses very long numbers.
 MAX_ID_DIGITS = 18
 
@@ -44,28 +48,32 @@
     """Buffers partial events and passes on complete ones.
 
     If a partial event were passed on, an error event sent after it would
-    become a part of it.
+    become a part of it. Only one above ``MAX_BUFFERED_BYTES`` is.
     """
 
     def __init__(self):
-        self._pending = b''
+        self._pending = bytearray()
 
     def feed(self, payload: bytes) -> bytes:
         """Appends a payload and returns the events that are now complete."""
         if not self._pending and payload.endswith(b'\n\n'):
             return payload
+        # A separator may begin in the bytes that were searched before.
+        position = max(0, len(self._pending) - MAX_SEPARATOR_BYTES + 1)
         self._pending += payload
         end = 0
-        for separator in (b'\n\n', b'\r\n\r\n'):
-            position = self._pending.rfind(separator)
-            if position >= 0:
-                end = max(end, position + len(separator))
-        complete, self._pending = self._pending[:end], self._pending[end:]
+        for match in EVENT_SEPARATOR.finditer(self._pending, position):
+            end = match.end()
+        if len(self._pending) - end > MAX_BUFFERED_BYTES:
+            end = len(self._pending)
+        complete = bytes(self._pending[:end])
+        del self._pending[:end]
         return complete
 
     def finish(self) -> bytes:
         """Returns the bytes after the last complete event."""
-        partial, self._pending = self._pending, b''
+        partial = bytes(self._pending)
+        self._pending.clear()
         return partial
 
 
--- a/chivejunction/protocol/usage.py
+++ b/chivejunction/protocol/usage.py
@@ -2,8 +2,9 @@
 
 import json
 
+from chivejunction.protocol import sse
+
 SEPARATOR = b'\n\n'
-END_MARKER = b'data: [DONE]'
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -11,7 +12,7 @@
     """Extracts the token counts of an event stream while it is forwarded.
 
     Events that contain token counts but no choices are removed if the caller
-    did not request them.
+    did not request them. Line ends are forwarded as line feeds.
 
     Args:
         drop_usage: Whether to remove events that contain only usage.
@@ -24,8 +25,8 @@
     def __init__(self, drop_usage: bool):
         self._drop_usage = drop_usage
         self._pending = b''
-        # A carriage return at the end of a chunk: a line feed may follow.
-        self._carriage_return = b''
+        # Whether a line feed would belong to the carriage return before it.
+        self._ends_with_cr = False
         self.usage: dict = {}
         self.has_end_marker = False
 
@@ -34,12 +35,12 @@
 
         A partial event above MAX_EVENT_BYTES is forwarded without parsing.
         """
-        chunk = self._carriage_return + chunk
-        self._carriage_return = b''
+        if self._ends_with_cr and chunk:
+            chunk = chunk.removeprefix(b'\n')
+            self._ends_with_cr = False
         if b'\r' in chunk:
-            if chunk.endswith(b'\r'):
-                chunk, self._carriage_return = chunk[:-1], b'\r'
-            chunk = chunk.replace(b'\r\n', b'\n')
+            self._ends_with_cr = chunk.endswith(b'\r')
+            chunk = chunk.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
         data = self._pending + chunk
         *events, self._pending = data.split(SEPARATOR)
         forwarded = [e + SEPARATOR for e in events if self._process_event(e)]
@@ -50,20 +51,25 @@
 
     def finish(self) -> bytes:
         """Returns the bytes after the last complete event."""
-        partial = self._pending + self._carriage_return
-        self._pending = self._carriage_return = b''
-        if partial.strip() == END_MARKER:
+        partial, self._pending = self._pending, b''
+        if sse.parse_event_data(partial) == [sse.END_MARKER]:
             self.has_end_marker = True
         return partial
 
     def _process_event(self, event: bytes) -> bool:
         """Records the usage of an event; returns whether to forward it."""
-        if event.strip() == END_MARKER:
-            self.has_end_marker = True
-        if b'"usage"' not in event or not event.startswith(b'data:'):
+        if b'"usage"' not in event and sse.END_MARKER not in event:
             return True
+        for data in sse.parse_event_data(event):
+            if data == sse.END_MARKER:
+                self.has_end_marker = True
+            elif b'"usage"' in data:
+                return self._process_usage(data)
+        return True
+
+    def _process_usage(self, data: bytes) -> bool:
         try:
-            value = json.loads(event[len(b'data:') :])
+            value = json.loads(data)
             usage = value.get('usage')
         except (ValueError, AttributeError):
             return True
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -563,6 +563,8 @@
             b': comment\n',
             b'\n',
             b'\r\n',
+            b'\r',
+            b'data:[DONE]\r',
         ]
     ) | st.binary(max_size=10)
     STREAMS = st.lists(LINES, max_size=12).map(b''.join)
@@ -591,6 +593,36 @@
         assert forwarded + parts.finish() == expected
         assert parts.usage == whole.usage
 
+    @given(STREAMS, st.integers(1, 40))
+    def test_buffered_events_do_not_depend_on_chunks(self, data, size):
+        whole, parts = sse.EventBuffer(), sse.EventBuffer()
+        expected = whole.feed(data)
+        forwarded = b''.join(parts.feed(c) for c in self.split(data, size))
+        # Empty lines after an event may be passed on with it.
+        assert forwarded.rstrip(b'\r\n') == expected.rstrip(b'\r\n')
+        assert forwarded + parts.finish() == data
+
+    @pytest.mark.parametrize(
+        'stream',
+        [
+            b'data: a\r\rdata: b\r\r',
+            b'data: a\n\r\ndata: b\r\n\n',
+            b'data: a\r\n\r\ndata: b\n\n',
+            b'data:a\r\rdata:b\r\r',
+        ],
+    )
+    def test_any_line_end_separates_events(self, stream):
+        assert len(sse.EventReader().feed(stream)) == 2
+        assert sse.EventBuffer().feed(stream) == stream
+        assert sse.parse_event_data(stream) == [b'a', b'b']
+
+    def test_endless_event_is_passed_on(self):
+        buffer = sse.EventBuffer()
+        part = b'x' * 1000
+        forwarded = b''.join(buffer.feed(part) for _ in range(3000))
+        assert len(forwarded) > 3_000_000 - sse.MAX_BUFFERED_BYTES - 2000
+        assert forwarded + buffer.finish() == part * 3000
+
     def test_comments_are_no_events(self):
         reader = sse.EventReader()
         assert reader.feed(b': a\n\n\n\n: b\r\n\r\n') == []
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from chivejunction.protocol import usage
 
 TOKEN = b'data: {"choices": [{"delta": {"content": "w"}}], "usage": null}\n\n'
@@ -52,6 +54,42 @@
         assert forwarded == TOKEN + DONE
 
 
+class TestEventFormat:
+    """Guards against complete streams that count as cut or as unbilled.
+
+    The format of event streams makes the blank after the colon optional,
+    lines may end with CR, LF or CRLF, and an event may have other fields.
+    """
+
+    @pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+    @pytest.mark.parametrize('blank', [b' ', b''])
+    @pytest.mark.parametrize('size', [1, 7, 1000])
+    def test_line_ends_and_blanks(self, line_end, blank, size):
+        stream = (TOKEN + COUNTS + DONE).replace(b'data: ', b'data:' + blank)
+        event_filter, forwarded = filter_stream(
+            stream.replace(b'\n', line_end), size, True
+        )
+        assert event_filter.has_end_marker
+        assert event_filter.usage == {'completion_tokens': 7}
+        expected = (TOKEN + DONE).replace(b'data: ', b'data:' + blank)
+        assert forwarded == expected
+
+    def test_events_with_cr_are_forwarded_at_once(self):
+        event_filter = usage.UsageFilter(True)
+        forwarded = event_filter.feed(TOKEN.replace(b'\n', b'\r'))
+        assert forwarded == TOKEN
+
+    def test_usage_after_other_fields(self):
+        stream = b': comment\nid: 4\nevent: usage\n' + COUNTS + DONE
+        event_filter, forwarded = filter_stream(stream, 9, True)
+        assert event_filter.usage == {'completion_tokens': 7}
+        assert forwarded == DONE
+
+    def test_end_marker_after_other_fields(self):
+        event_filter, _ = filter_stream(TOKEN + b'id: 9\n' + DONE, 9, True)
+        assert event_filter.has_end_marker
+
+
 class TestAskForUsage:
     """Guards against unbilled streams and needlessly changed requests."""
 
