Follow other gateways while no listing can be read after a loss of history

A gateway whose history the store had discarded, and that the store then turned away, applied no change any more until the store took it again; its configuration expired, although other gateways had all changes.

Cause: after RevisionCompacted the mirror read nothing but a listing, which only the store has. The check of revisions that go back made this state reachable from a response of a relay too.

Evidence: the new test failed before (the later change was not applied); tests/test_mirrors.py, test_relays.py, test_gateway_tasks.py and test_platform_store.py pass. Not run with real processes.

A listing that fails is tried again before each poll, and the poll goes on from the known revision. A source that lacks changes after it still says so, and nothing is confirmed by a listing that was not read.

--- a/chivejunction/coordination/mirrors.py
+++ b/chivejunction/coordination/mirrors.py
@@ -142,9 +142,22 @@
                 await anyio.sleep(clock.jitter(delay, 0.5))
 
     async def _load(self) -> None:
-        """Reads all entries and applies the differences."""
+        """Reads all entries and applies the differences.
+
+        Only the store has a listing. Once a first one was read, one that
+        fails is left for later: another gateway may still have the changes.
+
+        Raises:
+            StoreError: There is no listing yet, or it is wrong.
+        """
         started_at = freshness.read_boot_clock()
-        entries, revision = await self._feed.read_all(self._prefix)
+        try:
+            entries, revision = await self._feed.read_all(self._prefix)
+        except errors.StoreError as exc:
+            if not self.has_loaded.is_set():
+                raise
+            logs.LOG.info('entries not read, polling for changes: %s', exc)
+            return
         self._check_revision(revision)
         self._record_success()
         keys = {entry.key for entry in entries}
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -114,6 +114,27 @@
         )
         assert feed.read_count == 2
 
+    @run_async
+    async def test_changes_are_followed_while_no_listing_can_be_read(self):
+        """The store forgot its history and turns this gateway away.
+
+        Others still pass changes on.
+        """
+        feed = ScriptedFeed(
+            ([make_entry('a', 3)], 3),
+        )
+
+        async def turn_away(prefix):
+            raise errors.StoreError('status 503')
+
+        async def forget_history():
+            feed.read_all = turn_away
+            raise errors.RevisionCompacted('gone')
+
+        feed.responses += [forget_history, ([make_change('b', 4)], 4)]
+        applied = await run_mirror(feed, seconds=1.0)
+        assert [key for key, *_ in applied] == ['a', 'b']
+
     @run_async
     async def test_entry_missing_after_an_outage_counts_as_lapsed(self):
         feed = ScriptedFeed(
