Refuse frames whose content the receiver cannot use

One odd frame ended the receiver that serves all links of a gateway or agent (it starts again after 0.1 to 1 s; frames in between wait), or left a load report whose numbers made each later choice of a server fail.

Causes: check_frame bounded numbers from below only and put them into the error text; a CBOR number of 2,048 bytes raises ValueError there, as in unpack_frame. The maps in frames (load, headers, usage, records) were not checked; apply_load stored a part of an invalid one. Codecs let TypeError out for a map whose key is a list. ExchangeClient.call let CodecError and TypeError out for a response that is no map.

Frames are checked where they arrive: numbers below 2**63, texts and numbers in the maps, at most 16,384 frames in a batch (what a sender puts into one). The codecs turn each conversion error into CodecError, and an exchange with a malformed response fails with TransportError.

--- a/chivejunction/coordination/peers.py
+++ b/chivejunction/coordination/peers.py
@@ -182,7 +182,7 @@
         for frame in frames:
             try:
                 self._handle_frame(frame)
-            except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            except errors.MALFORMED_DOCUMENT_ERRORS as exc:
                 # The maps inside frames have no schema. An invalid one must
                 # not end the receiver, which serves all links.
                 logs.LOG.warning(
--- a/chivejunction/protocol/codecs.py
+++ b/chivejunction/protocol/codecs.py
@@ -8,6 +8,13 @@
 from chivejunction import errors
 from chivejunction import registry
 
+# A map whose key is a list, for example, raises TypeError.
+DECODE_ERRORS = (
+    *errors.MALFORMED_DOCUMENT_ERRORS,
+    EOFError,
+    cbor2.CBORError,
+    msgpack.UnpackException,
+)
 CODECS: registry.Registry['Codec'] = registry.Registry('codec')
 
 
@@ -38,7 +45,7 @@
         """Returns the value decoded from msgpack."""
         try:
             return msgpack.unpackb(data, strict_map_key=False)
-        except (ValueError, msgpack.UnpackException) as exc:
+        except DECODE_ERRORS as exc:
             raise errors.CodecError(f'invalid msgpack: {exc}') from exc
 
 
@@ -53,7 +60,7 @@
         """Returns the value decoded from CBOR."""
         try:
             return cbor2.loads(data)
-        except (ValueError, EOFError, cbor2.CBORError) as exc:
+        except DECODE_ERRORS as exc:
             raise errors.CodecError(f'invalid CBOR: {exc}') from exc
 
 
--- a/chivejunction/protocol/messages.py
+++ b/chivejunction/protocol/messages.py
@@ -48,9 +48,14 @@
         ProtocolError: The type code is unknown or the number of fields is
             wrong.
     """
+    if not (type(packed) is list and packed and type(packed[0]) is int):
+        raise errors.ProtocolError('malformed frame')
+    kind = FRAMES.get(packed[0])
+    if kind is None:
+        raise errors.ProtocolError('unknown type code of a frame')
     try:
-        return FRAMES[packed[0]](*packed[1:])
-    except (KeyError, IndexError, TypeError) as exc:
+        return kind(*packed[1:])
+    except TypeError as exc:
         raise errors.ProtocolError(f'malformed frame: {exc}') from exc
 
 
--- a/chivejunction/transport/exchanges.py
+++ b/chivejunction/transport/exchanges.py
@@ -178,7 +178,8 @@
 
         Raises:
             TransportError: No response was received in time, and the socket
-                was closed, or the peer responded with an error.
+                was closed, or the peer responded with an error or something
+                that is no response.
         """
         self._sequence += 1
         message = {
@@ -213,10 +214,24 @@
                 self._contexts.discard(context)
                 context.close()
         traffic.CONTROL.count('exchange', len(encoded), len(data))
-        response = self._codec.decode(data)
+        return self._decode_response(kind, data)
+
+    def _decode_response(self, kind: str, data: bytes) -> dict:
+        try:
+            response = self._codec.decode(data)
+        except errors.CodecError as exc:
+            raise errors.TransportError(
+                f'malformed response of {self.address} to {kind}: {exc}'
+            ) from exc
+        if not isinstance(response, dict):
+            raise errors.TransportError(
+                f'response of {self.address} to {kind} is no map'
+            )
         if 'error' in response:
+            error = response['error']
+            reason = error if isinstance(error, str) else 'no reason given'
             raise errors.TransportError(
-                f'{self.address} refused {kind}: {response["error"]}'
+                f'{self.address} refused {kind}: {reason}'
             )
         return response
 
--- a/chivejunction/transport/links.py
+++ b/chivejunction/transport/links.py
@@ -27,6 +27,11 @@
 # Without this limit two request bodies of 4 MiB in one batch would exceed
 # MAX_MESSAGE_BYTES, and NNG would close the connection that all streams share.
 MAX_BATCH_BYTES = 1024 * 1024
+# Size that a frame adds to a batch besides its texts and bytes.
+FRAME_OVERHEAD_BYTES = 64
+MAX_BATCH_FRAMES = MAX_BATCH_BYTES // FRAME_OVERHEAD_BYTES
+# Both codecs encode larger numbers in another way, or not at all.
+MAX_NUMBER = 2**63 - 1
 MAX_MESSAGES_PER_WAKEUP = 64
 SEND_TIMEOUT_MS = 3000
 
@@ -47,12 +52,95 @@
     return [(field.name, field.type) for field in dataclasses.fields(kind)]
 
 
+def is_text(value) -> bool:
+    """Returns whether a value is a text."""
+    return type(value) is str
+
+
+def is_count(value) -> bool:
+    """Returns whether a value is a whole number in the range of frames."""
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def is_number(value) -> bool:
+    """Returns whether a value is a number in the range of frames."""
+    return type(value) in (int, float) and 0 <= value <= MAX_NUMBER
+
+
+def is_text_list(value) -> bool:
+    """Returns whether a value is a list of texts."""
+    return type(value) is list and all(map(is_text, value))
+
+
+def is_plain(value) -> bool:
+    """Returns whether a value is a text, a number or a list of texts."""
+    return (
+        is_text(value)
+        or is_number(value)
+        or type(value) is bool
+        or is_text_list(value)
+    )
+
+
+def is_header_map(value: dict) -> bool:
+    """Returns whether names and values of a map are texts."""
+    return all(is_text(k) and is_text(v) for k, v in value.items())
+
+
+def is_count_map(value: dict) -> bool:
+    """Returns whether a map has whole numbers by name."""
+    return all(is_text(k) and is_count(v) for k, v in value.items())
+
+
+# Fields of the maps of agents; others are ignored.
+PLAIN_FIELDS = {
+    **dict.fromkeys('kqrtw', is_number),
+    **dict.fromkeys('is', is_text),
+    'v': is_text_list,
+    'versions': is_text_list,
+}
+
+
+def is_plain_map(value: dict) -> bool:
+    """Returns whether a map describes a server or its load."""
+    return all(
+        is_text(k) and PLAIN_FIELDS.get(k, is_plain)(v)
+        for k, v in value.items()
+    )
+
+
+def is_record(value) -> bool:
+    """Returns whether a value is a list of texts and whole numbers."""
+    return type(value) is list and all(
+        is_text(v) or is_count(v) for v in value
+    )
+
+
+def is_record_list(value: list) -> bool:
+    """Returns whether a list has pairs of a number and a record."""
+    return all(
+        type(v) is list and len(v) == 2 and is_count(v[0]) and is_record(v[1])
+        for v in value
+    )
+
+
+CONTENT_CHECKS = {
+    messages.Welcome: ('info', is_plain_map),
+    messages.Heartbeat: ('load', is_plain_map),
+    messages.Start: ('headers', is_header_map),
+    messages.Head: ('headers', is_header_map),
+    messages.End: ('usage', is_count_map),
+    messages.Usage: ('record', is_record),
+    messages.Handover: ('records', is_record_list),
+}
+
+
 def check_frame(frame: messages.Frame) -> None:
     """Checks the types and ranges of the fields of a received frame.
 
     Raises:
-        ProtocolError: A field has a wrong type, a number is negative or
-            the payload exceeds ``messages.MAX_DATA_BYTES``.
+        ProtocolError: A field has a wrong type or content, a number is
+            out of range or the payload exceeds ``messages.MAX_DATA_BYTES``.
     """
     for name, kind in list_fields(type(frame)):
         value = getattr(frame, name)
@@ -60,10 +148,15 @@
             raise errors.ProtocolError(
                 f'{type(frame).__name__}.{name} is a {type(value).__name__}'
             )
-        if kind is int and value < 0:
+        if kind is int and not 0 <= value <= MAX_NUMBER:
             raise errors.ProtocolError(
-                f'{type(frame).__name__}.{name} is {value}'
+                f'{type(frame).__name__}.{name} is out of range'
             )
+    name, has_valid_content = CONTENT_CHECKS.get(type(frame), ('', None))
+    if name and not has_valid_content(getattr(frame, name)):
+        raise errors.ProtocolError(
+            f'{type(frame).__name__}.{name} has an invalid content'
+        )
     size = len(frame.payload) if isinstance(frame, messages.Data) else 0
     if size > messages.MAX_DATA_BYTES:
         raise errors.ProtocolError(f'payload of {size} bytes')
@@ -77,7 +170,7 @@
     batch_list: list[list[list]] = []
     size = MAX_BATCH_BYTES
     for frame in frames:
-        frame_size = 64 + sum(
+        frame_size = FRAME_OVERHEAD_BYTES + sum(
             len(field) for field in frame if isinstance(field, bytes | str)
         )
         if size + frame_size > MAX_BATCH_BYTES:
@@ -252,8 +345,13 @@
         except (TypeError, ValueError) as exc:
             self._on_error(errors.ProtocolError(f'malformed batch: {exc}'))
             return None
-        field_types = [type(v) for v in (sender, epoch, sequence, packed)]
-        if field_types != [str, int, int, list]:
+        if not (
+            is_text(sender)
+            and is_count(epoch)
+            and is_count(sequence)
+            and type(packed) is list
+            and len(packed) <= MAX_BATCH_FRAMES
+        ):
             self._on_error(errors.ProtocolError('malformed batch'))
             return None
         unpacked = [self._unpack(item) for item in packed]
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -9,6 +9,7 @@
 import math
 
 import anyio
+import cbor2
 from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
@@ -30,11 +31,16 @@
 from chivejunction.platform import servers
 from chivejunction.platform import settings
 from chivejunction.platform import store as platform_store
+from chivejunction.protocol import codecs
 from chivejunction.protocol import forwarding
+from chivejunction.protocol import messages
 from chivejunction.protocol import sse
 from chivejunction.protocol import usage
 from chivejunction.state import backends
 from chivejunction.state import route_tables
+from chivejunction.state import servers as state_servers
+from chivejunction.transport import exchanges
+from chivejunction.transport import links
 from chivejunction.transport import stores as transport_stores
 from tests import forward_rig
 from tests import stores
@@ -462,6 +468,217 @@
             pass
 
 
+# Values in the encoding of a codec that its own encoder does not make.
+ODD_ENCODINGS = {
+    'msgpack': [
+        b'\x91' * 2000 + b'\xc0',
+        b'\x91' * 300 + b'\xc0',
+        b'\x81\x91\x01\x01',
+        b'\x81\x80\x01',
+        b'\xa3\xed\xa0\x80',
+        b'\xd4\x05a',
+        b'\xd7\xff' + b'\xff' * 8,
+        b'\xdd\xff\xff\xff\xff',
+        b'\xcf' + b'\xff' * 8,
+        b'\xcb\x7f\xf8' + bytes(6),
+        b'\xcb\x7f\xf0' + bytes(6),
+    ],
+    'cbor': [
+        b'\x81' * 2000 + b'\x01',
+        b'\x81' * 300 + b'\x01',
+        b'\xc1' * 2000 + b'\x01',
+        b'\xa1\x81\x01\x01',
+        b'\x63\xed\xa0\x80',
+        b'\xc2\x59\x08\x00' + b'\xff' * 2048,
+        b'\xc3\x59\x08\x00' + b'\xff' * 2048,
+        b'\x9b' + b'\xff' * 8,
+        b'\x5b' + b'\x7f' * 8,
+        b'\xd8\x1c\x81\xd8\x1d\x00',
+        b'\xd8\x1e\x82\x01\x00',
+        b'\xc4\x82\x19\x7f\xff\x01',
+        b'\xf9\x7e\x00',
+        b'\xf9\x7c\x00',
+        b'\xf7',
+        b'\xff',
+    ],
+}
+FRAMES = [
+    messages.Hello('gw-1', 'i', 1, 'tcp://127.0.0.1:1'),
+    messages.Welcome('lm-1', 'i', 1, {'versions': ['a'], 'host': 'lm-1'}),
+    messages.Heartbeat(
+        1, {'k': 1, 'r': 1, 'q': 1, 'w': 1, 't': 1, 's': 'ready', 'v': ['a']}
+    ),
+    messages.Start(
+        *('a', 'r', 'o', 'pool', 'v', 's', True, 10, 1, 0, 'POST', '/'),
+        {'a': 'b'},
+        b'x',
+    ),
+    messages.Admitted('a', 'i'),
+    messages.Refused('a', 'overload', '', 1),
+    messages.Head('a', 200, {'content-type': 'a'}),
+    messages.Data('a', 0, b'x'),
+    messages.End('a', 1, 2, '', {'completion_tokens': 1}),
+    messages.Credit('a', 1),
+    messages.Resolved('a', 'i', 'running', 1),
+    messages.Usage('s', 1, ['r', 'o', 't', 1, 1]),
+    messages.Saved('s', 1),
+    messages.Handover('gw-1', 'i', 's', [[1, ['r', 'o', 't', 1, 1]]]),
+]
+MARKER = 'the-replaced-value'
+
+
+def replace_value(name, document, path, odd):
+    """Returns an encoded document with the encoding of a value replaced."""
+    codec = codecs.CODECS.get(name)
+    changed = copy.deepcopy(document)
+    target = changed
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = MARKER
+    return codec.encode(changed).replace(codec.encode(MARKER), odd)
+
+
+def mutate_encoding(name, document):
+    """Returns a strategy of an encoded document with an odd value."""
+    odd = st.sampled_from(ODD_ENCODINGS[name]) | JSON_VALUES.map(
+        codecs.CODECS.get(name).encode
+    )
+    return st.tuples(st.sampled_from(list_paths(document)), odd).map(
+        lambda pair: replace_value(name, document, *pair)
+    )
+
+
+CODEC_NAMES = st.sampled_from(sorted(ODD_ENCODINGS))
+
+
+class TestLinkMessages:
+    """Batches of the links between gateways and agents."""
+
+    BATCHES = CODEC_NAMES.flatmap(
+        lambda name: st.tuples(
+            st.just(name),
+            st.binary(max_size=60)
+            | st.sampled_from(ODD_ENCODINGS[name])
+            | st.sampled_from(FRAMES).flatmap(
+                lambda frame: mutate_encoding(
+                    name, ['lm-1', 1, 1, [frame.pack(), FRAMES[7].pack()]]
+                )
+            ),
+        )
+    )
+
+    def decode(self, name, data):
+        """Returns what a receiver makes of a message, and its errors."""
+        # Without the socket of a receiver, which would need an address.
+        receiver = object.__new__(links.Receiver)
+        receiver._codec = codecs.CODECS.get(name)
+        decode_errors = []
+        receiver._on_error = decode_errors.append
+        return receiver._decode(data), decode_errors
+
+    @given(BATCHES)
+    def test_batch_of_any_content(self, sample):
+        name, data = sample
+        batch, decode_errors = self.decode(name, data)
+        for error in decode_errors:
+            assert isinstance(error, errors.ProtocolError)
+            str(error).encode()
+        if batch is None:
+            assert decode_errors
+            return
+        sender, epoch, sequence, frames = batch
+        assert sender.encode() and 0 <= epoch < 2**63 > sequence >= 0
+        for frame in frames:
+            str(frame).encode()
+            # What an agent or a gateway passes on.
+            for codec in ('msgpack', 'cbor'):
+                codecs.CODECS.get(codec).encode(frame.pack())
+
+    @given(
+        CODEC_NAMES.flatmap(
+            lambda name: st.tuples(
+                st.just(name),
+                mutate_encoding(name, ['lm-1', 1, 1, [FRAMES[2].pack()]]),
+            )
+        )
+    )
+    def test_heartbeat_with_any_field(self, sample):
+        batch, _ = self.decode(*sample)
+        for frame in batch[3] if batch else ():
+            if not isinstance(frame, messages.Heartbeat):
+                continue
+            server = state_servers.Server('lm-1', 'a', 'a', 'p')
+            server.apply_load(frame.load)
+            for number in (server.running, server.queued, server.window):
+                assert 0 <= number < math.inf
+            assert 0 <= server.first_token_seconds < math.inf
+            assert isinstance(server.ready, bool)
+            ''.join(server.versions).encode()
+
+    def test_valid_frames_are_unchanged(self):
+        for name in ODD_ENCODINGS:
+            batch = ['lm-1', 1, 1, [frame.pack() for frame in FRAMES]]
+            decoded, decode_errors = self.decode(
+                name, codecs.CODECS.get(name).encode(batch)
+            )
+            assert decode_errors == []
+            assert decoded[3] == FRAMES
+
+    def test_number_of_frames_is_limited(self):
+        data = codecs.CODECS.get('msgpack').encode(
+            ['lm-1', 1, 1, [None] * 100_000]
+        )
+        batch, decode_errors = self.decode('msgpack', data)
+        assert batch is None and len(decode_errors) == 1
+
+    @given(
+        CODEC_NAMES.flatmap(
+            lambda name: st.tuples(
+                st.just(name),
+                st.binary(max_size=60)
+                | st.sampled_from(ODD_ENCODINGS[name])
+                | mutate_encoding(name, {'a': [1, {'b': 2}], 'c': 'd'}),
+            )
+        )
+    )
+    def test_codec_raises_its_declared_error(self, sample):
+        name, data = sample
+        try:
+            codecs.CODECS.get(name).decode(data)
+        except errors.CodecError as exc:
+            str(exc).encode()
+
+
+class TestExchangeMessages:
+    """Responses of the control exchange."""
+
+    @given(
+        CODEC_NAMES.flatmap(
+            lambda name: st.tuples(
+                st.just(name),
+                st.binary(max_size=60)
+                | st.sampled_from(ODD_ENCODINGS[name])
+                | mutate_encoding(name, {'error': 'x', 'revision': 1})
+                | mutate_encoding(name, {'revision': 1}),
+            )
+        )
+    )
+    @example(('msgpack', msgpack.packb(7)))
+    @example(('msgpack', b'\xc1'))
+    @example(('cbor', cbor2.dumps({'error': 10**5000})))
+    def test_response_of_any_content(self, sample):
+        name, data = sample
+        client = exchanges.ExchangeClient(
+            'tcp://127.0.0.1:1', 'me', 'i', codecs.CODECS.get(name)
+        )
+        try:
+            response = client._decode_response('sync', data)
+        except errors.TransportError as exc:
+            str(exc).encode()
+            return
+        assert isinstance(response, dict)
+
+
 class TestHeaders:
     """Headers of callers and backend servers."""
 
