Map odd addresses to a declared error of the HTTP client

An attempt whose URL httpcore refuses ended by containment as 'may have run', although nothing was sent.

Cause: Client.stream mapped three classes of httpcore; call mapped the rest (PEER_ERRORS). Until the response is open, stream now maps them too. Later errors are those of the caller's own code and stay as they are. An address that is none counts as not sent.

Seen failing: 3 of the 4 odd addresses (ValueError, UnsupportedProtocol, UnicodeEncodeError/TypeError); the fourth was added later. The 8 odd responses raised the declared error before, too (h11 refuses them), so that an odd response ending an attempt was not reproduced.

--- a/chivejunction/transport/http_client.py
+++ b/chivejunction/transport/http_client.py
@@ -24,6 +24,7 @@
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
 )
 # Further errors that a response or an odd address can cause.
 PEER_ERRORS = (
@@ -89,8 +90,16 @@
                 None for the time left until the deadline.
 
         Raises:
-            TransportError: The connection failed or timed out.
+            TransportError: The connection failed or timed out, or the
+                address or the head of the response is odd.
         """
+        try:
+            target = httpcore.URL(url)
+        except (TypeError, ValueError) as exc:
+            raise errors.TransportError(
+                f'{method} {ascii(url)}: {exc!r}', connected=False
+            ) from exc
+        is_open = False
         remaining = clock.remaining(deadline)
         timeouts = {
             'connect': min(CONNECT_TIMEOUT_SECONDS, remaining),
@@ -101,11 +110,12 @@
         try:
             async with self._pool.stream(
                 method,
-                url,
+                target,
                 headers=list((headers or {}).items()),
                 content=body,
                 extensions={'timeout': timeouts},
             ) as response:
+                is_open = True
                 yield response
         except (
             httpcore.NetworkError,
@@ -116,6 +126,14 @@
                 f'{method} {url}: {exc!r}',
                 connected=not isinstance(exc, UNSENT_ERRORS),
             ) from exc
+        except PEER_ERRORS as exc:
+            if is_open:
+                # Raised by the caller's own code.
+                raise
+            raise errors.TransportError(
+                f'{method} {url}: {exc!r}',
+                connected=not isinstance(exc, UNSENT_ERRORS),
+            ) from exc
 
     async def call(
         self,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -177,3 +177,71 @@
     async def test_unknown_scheme_is_a_transport_error(self):
         with pytest.raises(errors.TransportError):
             await call('gopher://127.0.0.1:1', 0.0)
+
+
+class TestOddResponses:
+    """Guards against a response that ends a task with an undeclared error."""
+
+    @run_async
+    @pytest.mark.parametrize(
+        'response',
+        [
+            b'HTTP/1.1 200 OK\r\nContent-Length: ' + b'9' * 5000 + b'\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n',
+            b'HTTP/1.1 99 OK\r\n\r\n',
+            b'HTTP/1.1 101 OK\r\n\r\n',
+            b'\x00\xff\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nx',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'f' * 5000
+            + b'\r\nx',
+        ],
+    )
+    async def test_stream_raises_its_declared_error(self, response):
+        async def respond(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(response)
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, respond)
+            client = http_client.Client()
+            with pytest.raises(errors.TransportError) as info:
+                async with client.stream(
+                    'GET',
+                    f'http://127.0.0.1:{port}/',
+                    clock.make_deadline(2.0),
+                ) as opened:
+                    async for _ in opened.aiter_stream():
+                        pass
+            assert info.value.connected
+            await client.close()
+            group.cancel_scope.cancel()
+
+    @run_async
+    @pytest.mark.parametrize(
+        'url',
+        [
+            'http://127.0.0.1:99999/',
+            'ftp://127.0.0.1/',
+            'http://\xb2/',
+            'http://127.0.0.1/\ud800',
+        ],
+    )
+    async def test_stream_to_an_odd_address(self, url):
+        client = http_client.Client()
+        with pytest.raises(errors.TransportError) as info:
+            async with client.stream('GET', url, clock.make_deadline(2.0)):
+                pass
+        assert not info.value.connected
+
+    @run_async
+    async def test_error_of_the_caller_is_no_error_of_the_peer(self):
+        async with serve(0.01) as url:
+            client = http_client.Client()
+            with pytest.raises(ValueError, match='own'):
+                async with client.stream('GET', url, clock.make_deadline(2.0)):
+                    raise ValueError('own')
