Refuse a traffic split that names no service

A share with an empty service was taken, so that its part of the requests had no server. Found by test_configuration_with_any_field with 20,000 examples (HYPOTHESIS_PROFILE=fuzz).

tests/test_platform.py: the new case of test_invalid_value_is_a_protocol_error failed before.

--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -47,7 +47,7 @@
 class TrafficSplit(ConfigModel):
     """Share of a route's traffic that a service receives."""
 
-    service: str
+    service: str = pydantic.Field(min_length=1)
     weight: settings.Amount = 1.0
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -469,6 +469,7 @@
             (1, 'model_tiers', ['a\r\nB: c']),
             (1, 'allowed_regions', 'bkk'),
             (1, 'traffic_split', [{'service': 'pool', 'weight': 0}]),
+            (2, 'service', ''),
             (2, 'weight', -1),
             (2, 'weight', float('nan')),
             (2, 'weight', 1e300),
