Send refusals outside of the time limit of their request

A stream request whose time was over as it arrived got 502 'the request failed here' instead of 503, and each such request counted, logged and showed in readiness as an unexpected error. Any caller could cause it with Deadline-Ms: 0.

Cause: the refusal was sent inside the scope of the time limit. The write was cancelled before its first byte, the response counted as started, and so none followed.

Evidence: two of nine cases of the new test failed before (/stream/ with 0 and 0.001 ms), all pass now, with tests/test_stopping.py, test_listeners.py and test_platform*.py.

Refusals and failures are sent after the scope. The test of the descriptor limit failed in two of six runs beside the new test ('Too many open files' in the accept of the test's own server), passed alone in three of three and, after a collection of garbage at its begin, beside it in eight of eight. It asserts what it did before.

--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -108,13 +108,14 @@
             await self._refuse(reply, request, exc)
             return
         context.set_stop_times(self._admit_until, self._stop_at)
+        is_done, refusal = False, None
         try:
             with anyio.move_on_at(context.deadline) as scope:
                 self._active[context] = scope
                 try:
-                    await self._run_attempts(context)
+                    is_done = await self._run_attempts(context)
                 except errors.RefusalError as exc:
-                    await self._refuse(reply, request, exc)
+                    refusal = exc
                 except BaseException as exc:
                     if direct_attempts.is_expected(exc, context):
                         raise
@@ -122,8 +123,8 @@
                         'request', exc, request=request.id
                     )
                     context.reason = 'unexpected error'
-                    await self._send_failure(context)
-            # A later stop must not cancel the final response.
+            # Neither the time limit nor a later stop cancels a final response
+            # of this gateway.
             self._active.pop(context, None)
             if scope.cancelled_caught:
                 context.reason = (
@@ -131,6 +132,9 @@
                     if clock.has_passed(context.stop_at)
                     else 'time limit reached'
                 )
+            if refusal is not None:
+                await self._refuse(reply, request, refusal)
+            elif not is_done:
                 await self._send_failure(context)
         except anyio.get_cancelled_exc_class():
             context.reason = 'the caller left'
@@ -203,7 +207,12 @@
 
     async def _run_attempts(
         self, context: request_context.RequestContext
-    ) -> None:
+    ) -> bool:
+        """Makes attempts; returns whether one has sent the response.
+
+        Raises:
+            RefusalError: The request was not sent.
+        """
         budget = self._chooser.get_retry_budget(context.service.name)
         budget.add_request()
         action = request_context.NextAction.RETRY
@@ -229,8 +238,7 @@
                 and not self._can_retry(context)
             ):
                 break
-        if action is not request_context.NextAction.DONE:
-            await self._send_failure(context)
+        return action is request_context.NextAction.DONE
 
     def _is_harmless(self, context: request_context.RequestContext) -> bool:
         """Returns whether a request may be sent to a server at all.
--- a/tests/test_attempt_errors.py
+++ b/tests/test_attempt_errors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 import resource
 
@@ -159,6 +160,31 @@
             assert not containment.list_recent_errors()
 
 
+class TestRequestsWithoutTime:
+    """Guards against refusals that the time limit itself cancels."""
+
+    @pytest.mark.parametrize('deadline', ['0', '0.001', '1'])
+    @pytest.mark.parametrize('path', ['/once/a', '/safe/a', '/stream/a'])
+    def test_request_without_time_is_refused_and_no_error(
+        self, deadline, path
+    ):
+        @run_async
+        async def play():
+            async with forward_rig.start() as rig:
+                for service in ('desk', 'pool'):
+                    await rig.add_server(forward_rig.respond_ok, service)
+                response = await rig.call(
+                    path,
+                    Deadline_Ms=deadline,
+                    Model='m',
+                    Token_Count='10,10',
+                )
+                assert response.status in (503, 504)
+                assert not containment.list_recent_errors()
+
+        play()
+
+
 class TestErrorsOfLogs:
     """Guards against a log line that replaces a response."""
 
@@ -244,6 +270,8 @@
             async with await rig.connect() as stream:
                 # The callers' connection is accepted before.
                 await rig.exchange(stream, '/nothing')
+                # Sockets of earlier tests would give descriptors back later.
+                gc.collect()
                 limits = resource.getrlimit(resource.RLIMIT_NOFILE)
                 descriptors = []
                 last = os.open('/dev/null', os.O_RDONLY)
