--- a/bench/forward_soak.py
+++ b/bench/forward_soak.py
@@ -638,10 +638,12 @@
             call.is_kept
             and call.is_closed
             and runs
-            and self.is_undisrupted(
-                name, call.sent_at, call.ended_at, CONTACT_SECONDS
+            and all(
+                self.is_undisrupted(
+                    target, call.sent_at, call.ended_at, CONTACT_SECONDS
+                )
+                for target in (name, 'servers')
             )
-            and self.is_undisrupted('servers', call.sent_at, call.ended_at)
         ):
             self.violations.append(
                 f'lost: {call.id} ran, {name} closed its kept connection'
