Take only usable token counts from an engine's response

An engine that reported a count above 64 bits, or a name with half a surrogate, broke the link to the gateway (the batch cannot be encoded), and with it all responses on it; a deeply nested body ended an attempt whose answer was complete; negative counts were billed.

Cause: extract_token_counts took each int and bool, of any size and name, and RecursionError was not caught.

Counts are whole numbers from 0 to 2**63 - 1 with ASCII names, at most 32; the decoders catch errors.MALFORMED_DOCUMENT_ERRORS.

Seen failing: 7 of the 9 tests of TestOddCounts. All pass now, with test_execution and test_continuations. That the link broke was concluded from the code (Sender encodes without a handler), not run.

--- a/chivejunction/protocol/usage.py
+++ b/chivejunction/protocol/usage.py
@@ -2,10 +2,14 @@
 
 import json
 
+from chivejunction import errors
 from chivejunction.protocol import sse
 
 SEPARATOR = b'\n\n'
 MAX_EVENT_BYTES = 1024 * 1024
+# Limits of what a frame to a gateway holds.
+MAX_COUNT = 2**63 - 1
+MAX_COUNTS = 32
 
 
 class UsageFilter:
@@ -71,7 +75,7 @@
         try:
             value = json.loads(data)
             usage = value.get('usage')
-        except (ValueError, AttributeError):
+        except errors.MALFORMED_DOCUMENT_ERRORS:
             return True
         if not isinstance(usage, dict):
             return True
@@ -80,15 +84,20 @@
 
 
 def extract_token_counts(usage: dict) -> dict[str, int]:
-    """Returns the fields of a usage object that are whole numbers."""
-    return {k: v for k, v in usage.items() if isinstance(v, int)}
+    """Returns the counts of a usage object, at most ``MAX_COUNTS``."""
+    counts = {
+        name: count
+        for name, count in usage.items()
+        if name.isascii() and type(count) is int and 0 <= count <= MAX_COUNT
+    }
+    return dict(list(counts.items())[:MAX_COUNTS])
 
 
 def parse_usage(body: bytes) -> dict[str, int]:
     """Returns the token counts of a JSON response, empty without any."""
     try:
         usage = json.loads(body).get('usage')
-    except (ValueError, AttributeError):
+    except errors.MALFORMED_DOCUMENT_ERRORS:
         return {}
     return extract_token_counts(usage) if isinstance(usage, dict) else {}
 
@@ -102,7 +111,7 @@
     """
     try:
         value = json.loads(body)
-    except ValueError:
+    except errors.MALFORMED_DOCUMENT_ERRORS:
         return body, False, False
     if not isinstance(value, dict) or not value.get('stream'):
         return body, False, False
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -103,3 +103,45 @@
     def test_option_set_by_the_caller_is_kept(self):
         body = b'{"stream": true, "stream_options": {"include_usage": true}}'
         assert usage.add_usage_option(body) == (body, True, False)
+
+
+class TestOddCounts:
+    """Guards against counts that end an attempt or a link.
+
+    A count above 64 bits or a name with half a surrogate cannot be encoded in
+    a frame.
+    """
+
+    COUNTS = [
+        ('9' * 400, {}),
+        ('18446744073709551616', {}),
+        ('-1', {}),
+        ('true', {}),
+        ('1e3', {}),
+        ('7', {'a': 7}),
+    ]
+
+    @pytest.mark.parametrize(('text', 'counts'), COUNTS)
+    def test_only_counts_are_extracted(self, text, counts):
+        body = f'{{"choices": [], "usage": {{"a": {text}}}}}'.encode()
+        assert usage.parse_usage(body) == counts
+        event_filter = usage.UsageFilter(False)
+        event_filter.feed(b'data: ' + body + b'\n\n')
+        assert event_filter.usage == counts
+
+    def test_odd_names_are_left_out(self):
+        body = b'{"usage": {"\\ud800": 1, "\\u0e01": 1, "a": 2}}'
+        assert usage.parse_usage(body) == {'a': 2}
+
+    def test_number_of_counts_is_limited(self):
+        body = json.dumps({'usage': {f'c{i}': i for i in range(1000)}})
+        counts = usage.parse_usage(body.encode())
+        assert len(counts) == usage.MAX_COUNTS
+
+    def test_deep_nesting_is_no_usage(self):
+        deep = b'{"usage": ' + b'[' * 100_000
+        assert usage.parse_usage(deep) == {}
+        assert usage.add_usage_option(deep) == (deep, False, False)
+        event_filter = usage.UsageFilter(False)
+        event = b'data: ' + deep + b'\n\n'
+        assert event_filter.feed(event) == event
