Check the answers of the key-value store and the host list

An answer of the store with a wrong type, a huge number or deep nesting ended the task that had asked (a configuration reader, a lease, billing) with an undeclared exception, after a write without the verdict that it may have taken effect. A host list with deep nesting ended its reader (it starts again), one with a number as a host's region or with half a surrogate was accepted, and a gzip bomb of 100 kB took 100 MB.

Cause: only ValueError of json.loads was caught; the conversions of fields were outside of it.

Conversion errors become StoreError after a read and StoreResultUnknown after a write; numbers are below 2**63; a line of a watch has a limit.

Seen failing: both drawn tests of TestKeyValueStoreResponses (26 and 20 distinct failures) and 2 of TestHostList (RecursionError; the bomb was inflated).

--- a/chivejunction/transport/host_list.py
+++ b/chivejunction/transport/host_list.py
@@ -17,6 +17,7 @@
 # Makes zlib expect the gzip format. The list is compressed because 2,350 hosts
 # take about 600 KB, and a tenth of that with gzip.
 GZIP_WINDOW_BITS = 31
+MAX_LIST_BYTES = http_client.MAX_BODY_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +37,32 @@
     leaving: bool
 
 
+def read_text(value) -> str:
+    """Returns a value that must be a text without half surrogates."""
+    if not isinstance(value, str):
+        raise TypeError(f'expected a text, got a {type(value).__name__}')
+    value.encode()
+    return value
+
+
+def decompress_list(content: bytes) -> bytes:
+    """Returns the content of a gzip file.
+
+    Raises:
+        TransportError: The file is malformed, cut or too large.
+    """
+    decompressor = zlib.decompressobj(GZIP_WINDOW_BITS)
+    try:
+        text = decompressor.decompress(content, MAX_LIST_BYTES)
+    except zlib.error as exc:
+        raise errors.TransportError(f'malformed host list: {exc}') from exc
+    if decompressor.unconsumed_tail:
+        raise errors.TransportError('the host list is too large')
+    if not decompressor.eof:
+        raise errors.TransportError('the host list is cut')
+    return text
+
+
 def parse_hosts(value: dict) -> list[ListedHost]:
     """Returns the entries of a decoded host list.
 
@@ -45,18 +72,18 @@
     try:
         return [
             ListedHost(
-                host=item['host'],
-                role=item['role'],
-                failure_domain=item['failure_domain'],
-                region=item['region'],
-                pool=item.get('pool', ''),
-                control_address=item.get('control_address', ''),
-                data_address=item.get('data_address', ''),
+                host=read_text(item['host']),
+                role=read_text(item['role']),
+                failure_domain=read_text(item['failure_domain']),
+                region=read_text(item['region']),
+                pool=read_text(item.get('pool', '')),
+                control_address=read_text(item.get('control_address', '')),
+                data_address=read_text(item.get('data_address', '')),
                 leaving=item.get('state') == 'leaving',
             )
             for item in value['hosts']
         ]
-    except (KeyError, TypeError, AttributeError) as exc:
+    except errors.MALFORMED_DOCUMENT_ERRORS as exc:
         raise errors.TransportError(f'malformed host list: {exc!r}') from exc
 
 
@@ -120,9 +147,9 @@
             )
         try:
             if response_headers.get('content-encoding') == 'gzip':
-                content = zlib.decompress(content, GZIP_WINDOW_BITS)
+                content = decompress_list(content)
             value = json.loads(content)
-        except (zlib.error, ValueError) as exc:
+        except (ValueError, RecursionError) as exc:
             raise errors.TransportError(f'malformed host list: {exc}') from exc
         self._replace(parse_hosts(value))
         self._etag = response_headers.get('etag', '')
--- a/chivejunction/transport/store_client.py
+++ b/chivejunction/transport/store_client.py
@@ -2,6 +2,8 @@
 
 import base64
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import contextlib
 import json
 
 from chivejunction import clock
@@ -11,6 +13,7 @@
 from chivejunction.transport import traffic
 
 CALL_TIMEOUT_SECONDS = 2.0
+MAX_NUMBER = 2**63 - 1
 
 
 def _encode(text: str | bytes) -> str:
@@ -22,15 +25,33 @@
     return base64.b64decode(text)
 
 
+def _parse_number(value: str | int) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError('number out of range')
+    return number
+
+
 def _parse_entry(item: dict) -> stores.Entry:
     return stores.Entry(
         key=_decode(item['key']).decode(),
         value=_decode(item.get('value', '')),
-        revision=int(item['mod_revision']),
-        lease=int(item.get('lease', 0)),
+        revision=_parse_number(item['mod_revision']),
+        lease=_parse_number(item.get('lease', 0)),
     )
 
 
+@contextlib.contextmanager
+def _read_answer(
+    path: str, error_class: type[errors.StoreError] = errors.StoreError
+) -> Iterator[None]:
+    """Turns the conversion errors of its body into an error of the store."""
+    try:
+        yield
+    except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+        raise error_class(f'{path}: malformed answer: {exc!r}') from exc
+
+
 def range_end(prefix: str) -> bytes:
     """Returns the end of the key range that a prefix covers."""
     raw = bytearray(prefix.encode())
@@ -67,8 +88,9 @@
         if is_local:
             request['serializable'] = True
         response = await self._post('kv/range', request)
-        items = response.get('kvs', [])
-        return _parse_entry(items[0]) if items else None
+        with _read_answer('kv/range'):
+            items = response.get('kvs', [])
+            return _parse_entry(items[0]) if items else None
 
     async def list_prefix(self, prefix: str) -> list[stores.Entry]:
         """Returns all entries whose keys start with a prefix."""
@@ -76,7 +98,8 @@
             'kv/range',
             {'key': _encode(prefix), 'range_end': _encode(range_end(prefix))},
         )
-        return [_parse_entry(item) for item in response.get('kvs', [])]
+        with _read_answer('kv/range'):
+            return [_parse_entry(item) for item in response.get('kvs', [])]
 
     async def swap(
         self,
@@ -114,7 +137,8 @@
         )
         if not response.get('succeeded'):
             raise errors.StoreConflict(f'{key} is not at {expected}')
-        return int(response['header']['revision'])
+        with _read_answer('kv/txn', errors.StoreResultUnknown):
+            return _parse_number(response['header']['revision'])
 
     async def delete(self, key: str, expected: int) -> None:
         """Deletes a key if it has the expected modification revision."""
@@ -134,14 +158,16 @@
         response = await self._post(
             'lease/grant', {'TTL': str(seconds)}, is_write=True
         )
-        return int(response['ID'])
+        with _read_answer('lease/grant', errors.StoreResultUnknown):
+            return _parse_number(response['ID'])
 
     async def keep_alive(self, lease: int) -> int:
         """Renews a lease; returns its remaining seconds, 0 if expired."""
         response = await self._post(
             'lease/keepalive', {'ID': str(lease)}, is_write=True
         )
-        return int(response.get('result', {}).get('TTL', 0))
+        with _read_answer('lease/keepalive', errors.StoreResultUnknown):
+            return _parse_number(response.get('result', {}).get('TTL', 0))
 
     async def revoke_lease(self, lease: int) -> None:
         """Revokes a lease, which deletes its keys."""
@@ -179,30 +205,32 @@
                 pending = b''
                 async for chunk in response.aiter_stream():
                     *lines, pending = (pending + chunk).split(b'\n')
+                    if len(pending) > http_client.MAX_BODY_BYTES:
+                        raise errors.StoreError(f'watch of {key}: too long')
                     traffic.CONTROL.count('watch', 0, len(chunk))
                     for line in filter(None, lines):
                         for entry in self._parse_events(line):
                             yield entry
         except errors.StoreError:
             raise
-        except (errors.TransportError, ValueError, KeyError) as exc:
+        except errors.TransportError as exc:
             raise errors.StoreError(f'watch of {key}: {exc}') from exc
         raise errors.StoreError(f'watch of {key} ended')
 
     @staticmethod
     def _parse_events(line: bytes) -> list[stores.Entry]:
-        result = json.loads(line)['result']
-        if result.get('canceled'):
-            raise errors.StoreError(
-                f'watch canceled: {result.get("cancel_reason", "")}, '
-                f'compacted to {result.get("compact_revision", 0)}'
-            )
-        events = result.get('events', [])
-        return [
-            _parse_entry(event['kv'])
-            for event in events
-            if event.get('type', 'PUT') == 'PUT'
-        ]
+        with _read_answer('watch'):
+            result = json.loads(line)['result']
+            if result.get('canceled'):
+                raise errors.StoreError(
+                    f'watch canceled: {result.get("cancel_reason", "")}, '
+                    f'compacted to {result.get("compact_revision", 0)}'
+                )
+            return [
+                _parse_entry(event['kv'])
+                for event in result.get('events', [])
+                if event.get('type', 'PUT') == 'PUT'
+            ]
 
     @staticmethod
     def _make_comparison(key: str, expected: int) -> dict:
@@ -234,15 +262,16 @@
                 body,
             )
             traffic.CONTROL.count('store', len(body), len(content))
-            response = json.loads(content) if status < 400 else None
         except errors.TransportError as exc:
             if is_write and not exc.connected:
                 # No byte of the write was sent.
                 raise errors.StoreError(f'{path}: {exc}') from exc
             raise error_class(f'{path}: {exc}') from exc
-        except ValueError as exc:
-            raise error_class(f'{path}: answer is not JSON') from exc
         if status >= 500 and is_write:
             raise error_class(f'store answered {status} to {path}')
         self._check_status(status, path)
-        return response or {}
+        with _read_answer(path, error_class):
+            response = json.loads(content)
+        if not isinstance(response, dict):
+            raise error_class(f'{path}: answer is no JSON object')
+        return response
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -5,6 +5,8 @@
 """
 
 import copy
+import dataclasses
+import gzip
 import json
 import math
 
@@ -40,7 +42,10 @@
 from chivejunction.state import route_tables
 from chivejunction.state import servers as state_servers
 from chivejunction.transport import exchanges
+from chivejunction.transport import host_list
+from chivejunction.transport import http_client
 from chivejunction.transport import links
+from chivejunction.transport import store_client
 from chivejunction.transport import stores as transport_stores
 from tests import forward_rig
 from tests import stores
@@ -679,6 +684,125 @@
         assert isinstance(response, dict)
 
 
+class ScriptedHttpClient(http_client.Client):
+    """HTTP client whose responses a test sets."""
+
+    def __init__(self, body, headers=()):
+        self._response = 200, dict(headers), body
+
+    async def call(self, *args, **kwargs):
+        return self._response
+
+
+class TestKeyValueStoreResponses:
+    """Responses of the key-value store to gateways and agents."""
+
+    ENTRY = {'key': 'YQ==', 'value': 'YQ==', 'mod_revision': '3', 'lease': '4'}
+    RESPONSE = {
+        'kvs': [ENTRY],
+        'succeeded': True,
+        'header': {'revision': '3'},
+        'ID': '5',
+        'result': {'TTL': '5', 'events': [{'kv': ENTRY, 'type': 'PUT'}]},
+    }
+    CALLS = [
+        ('get', 'a'),
+        ('list_prefix', 'a'),
+        ('swap', 'a', b'', 3),
+        ('delete', 'a', 3),
+        ('grant_lease', 5),
+        ('keep_alive', 5),
+    ]
+
+    @given(
+        st.binary(max_size=40)
+        | ODD_JSON.map(str.encode)
+        | mutate_json(RESPONSE),
+        st.sampled_from(CALLS),
+    )
+    def test_response_of_any_content(self, body, call):
+        client = store_client.StoreClient('http://a', ScriptedHttpClient(body))
+
+        async def run():
+            return await getattr(client, call[0])(*call[1:])
+
+        try:
+            found = anyio.run(run)
+        except errors.StoreError as exc:
+            is_write = call[0] not in ('get', 'list_prefix')
+            unknown = errors.StoreResultUnknown, errors.StoreConflict
+            assert not is_write or isinstance(exc, unknown)
+            return
+        entries_found = found if isinstance(found, list) else [found]
+        for entry in entries_found:
+            if isinstance(entry, transport_stores.Entry):
+                assert 0 <= entry.revision < 2**63 > entry.lease >= 0
+            else:
+                assert entry is None or 0 <= entry < 2**63
+
+    @given(
+        st.binary(max_size=40)
+        | ODD_JSON.map(str.encode)
+        | mutate_json(RESPONSE)
+    )
+    def test_event_of_any_content(self, line):
+        try:
+            events = store_client.StoreClient._parse_events(line)
+        except errors.StoreError:
+            return
+        for entry in events:
+            assert 0 <= entry.revision < 2**63
+
+
+class TestHostList:
+    """Host list of the platform."""
+
+    HOST = {
+        'host': 'lm-1',
+        'role': 'agent',
+        'failure_domain': 'bkk-a',
+        'region': 'bkk',
+        'pool': 'lm-pool',
+        'control_address': 'tcp://127.0.0.1:1',
+        'data_address': 'tcp://127.0.0.1:2',
+        'state': 'live',
+    }
+
+    def read(self, body, headers=()):
+        directory = host_list.HostDirectory(
+            ScriptedHttpClient(body, headers), 'http://a'
+        )
+        anyio.run(directory.read)
+        return directory.hosts
+
+    @given(
+        st.binary(max_size=40)
+        | ODD_JSON.map(str.encode)
+        | mutate_json({'hosts': [HOST, HOST]})
+    )
+    def test_list_of_any_content(self, body):
+        try:
+            hosts = self.read(body)
+        except errors.TransportError:
+            return
+        for host in hosts.values():
+            for text in dataclasses.astuple(host)[:-1]:
+                assert isinstance(text, str) and text.encode() is not None
+
+    def test_compressed_list_is_limited(self):
+        body = gzip.compress(b' ' * 100_000_000)
+        with pytest.raises(errors.TransportError, match='too large'):
+            self.read(body, {'content-encoding': 'gzip'})
+
+    @pytest.mark.parametrize('cut', [0, 1, 10, 30])
+    def test_cut_list_is_refused(self, cut):
+        body = gzip.compress(json.dumps({'hosts': [self.HOST]}).encode())
+        headers = {'content-encoding': 'gzip'}
+        assert list(self.read(body, headers)) == ['lm-1']
+        with pytest.raises(errors.TransportError):
+            self.read(body[:cut], headers)
+
+
 class TestHeaders:
     """Headers of callers and backend servers."""
 
