--- a/chivejunction/agent.py
+++ b/chivejunction/agent.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import signal
-import socket
 import time
 from typing import Annotated
 from typing import Literal
@@ -357,6 +356,7 @@
                 'revision': self.view.revision,
                 'running': self.admission.running,
                 'control': traffic.CONTROL.describe(),
+                'recent_errors': containment.list_recent_errors(),
             },
             200 if ready else 503,
         )
@@ -441,24 +441,18 @@
                         clock.jitter(2 * store_reader.READ_DELAY_SECONDS, 0.5),
                     )
                 tasks.start(
-                    'operators', self._serve_admin, admin_app, [admin_socket]
+                    'operators',
+                    http_server.serve_address,
+                    admin_app,
+                    self.config.address,
+                    self.config.admin_port,
+                    [admin_socket],
                 )
                 is_drained = await drain.run(signals)
                 await self._wait_for_saved_usage()
                 group.cancel_scope.cancel()
         return is_drained
 
-    async def _serve_admin(self, app, sockets: list[socket.socket]) -> None:
-        """Serves operators, first on the socket that is open already."""
-        admin_socket = (
-            sockets.pop()
-            if sockets
-            else listening.bind_socket(
-                self.config.address, self.config.admin_port
-            )
-        )
-        await http_server.serve(app, admin_socket, anyio.Event(), 1)
-
     async def _wait_for_saved_usage(self) -> None:
         with anyio.move_on_after(USAGE_SAVE_TIMEOUT_SECONDS):
             while self.billing.ledger.count_records():
--- a/chivejunction/gateway.py
+++ b/chivejunction/gateway.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import signal
-import socket
 import time
 from typing import Literal
 import uuid
@@ -325,6 +324,7 @@
                     s.host for s in self.server_table if s.leaving
                 ],
                 'control': traffic.CONTROL.describe(),
+                'recent_errors': containment.list_recent_errors(),
             },
             200 if ready else 503,
         )
@@ -362,17 +362,6 @@
         with contextlib.closing(server):
             await server.run()
 
-    async def _serve_admin(self, app, sockets: list[socket.socket]) -> None:
-        """Serves operators, first on the socket that is open already."""
-        admin_socket = (
-            sockets.pop()
-            if sockets
-            else listening.bind_socket(
-                self.config.address, self.config.admin_port
-            )
-        )
-        await http_server.serve(app, admin_socket, anyio.Event(), 1)
-
     async def _drain_on_signal(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
@@ -416,7 +405,12 @@
             group.start_soon(self._drain_on_signal)
             tasks = containment.Supervisor(group)
             tasks.start(
-                'operators', self._serve_admin, admin_app, [admin_socket]
+                'operators',
+                http_server.serve_address,
+                admin_app,
+                self.config.address,
+                self.config.admin_port,
+                [admin_socket],
             )
             tasks.start('batches', self._receive_batches)
             tasks.start('exchanges', self._serve_exchanges)
--- a/chivejunction/transport/http_server.py
+++ b/chivejunction/transport/http_server.py
@@ -6,6 +6,8 @@
 import anyio
 import uvicorn
 
+from chivejunction.transport import listening
+
 KEEP_ALIVE_TIMEOUT_SECONDS = 75
 # Longer than the 0.1 s of uvicorn's own main loop, to save processor time.
 TICK_INTERVAL_SECONDS = 1.0
@@ -36,6 +38,25 @@
                 self.should_exit = True
 
 
+async def serve_address(
+    app, address: str, port: int, opened: list[socket.socket]
+) -> None:
+    """Serves an application at an address until cancelled.
+
+    Args:
+        app: ASGI application.
+        address: IP address.
+        port: Port.
+        opened: Listening sockets of the address, used up one after the other;
+            without one the address is bound.
+
+    Raises:
+        OSError: The address is in use or not assigned to this host.
+    """
+    sock = opened.pop() if opened else listening.bind_socket(address, port)
+    await serve(app, sock, anyio.Event(), 1)
+
+
 async def serve(
     app,
     sock: socket.socket,
