Take only usable versions and ratings from documents

Three faults of the same kind in agents' and gateways' documents:

An engine whose list of versions had half a surrogate, or 10 MB, made each heartbeat of its agent impossible to encode, so that the links to all gateways broke again and again. Versions are texts that can be encoded, up to 255 characters, at most 1,000; an odd incarnation is ignored.

A load report without a list of versions ended the reconciler of versions with TypeError.

A malformed rating ended each poll at the same place, so that no later rating was ever used; an infinite sequence number raised OverflowError out of the poll. A malformed rating is dropped and counted in the log.

Seen failing: both tests of TestEngineDocuments (UnicodeEncodeError, TypeError) and 4 of TestRatings (KeyError, TypeError, ValueError). All pass, with test_cascades, test_load_reports and test_orders. That links broke was concluded from the code, not run.

--- a/chivejunction/coordination/load_reports.py
+++ b/chivejunction/coordination/load_reports.py
@@ -12,6 +12,30 @@
 from chivejunction.transport import http_client
 
 REQUEST_TIMEOUT_SECONDS = 2.0
+# Limits of a list of versions that a heartbeat passes on.
+MAX_VERSIONS = 1000
+MAX_NAME_LENGTH = 255
+
+
+def is_name(value) -> bool:
+    """Returns whether a value is a text that a heartbeat can pass on."""
+    if not isinstance(value, str) or len(value) > MAX_NAME_LENGTH:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def parse_versions(value) -> list[str] | None:
+    """Returns the versions that an engine lists, None without a list.
+
+    What is no name of a version is left out.
+    """
+    if not isinstance(value, list):
+        return None
+    return list(filter(is_name, value[:MAX_VERSIONS]))
 
 
 class LoadReportPoller:
@@ -77,13 +101,15 @@
             report: JSON object of the response.
         """
         incarnation = str(report.get('incarnation', ''))
+        if not is_name(incarnation):
+            incarnation = self.incarnation
         if self.incarnation and incarnation != self.incarnation:
             self._window.reset('the engine has a new incarnation')
         self.incarnation = incarnation
         self.latest = report
-        versions = report.get('versions')
-        if isinstance(versions, list):
-            loaded = frozenset(map(str, versions))
+        versions = parse_versions(report.get('versions'))
+        if versions is not None:
+            loaded = frozenset(versions)
             if loaded != self._admission.versions:
                 logs.LOG.info(
                     'versions loaded by the engine changed to %s',
--- a/chivejunction/coordination/orders.py
+++ b/chivejunction/coordination/orders.py
@@ -12,6 +12,7 @@
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction.coordination import leases
+from chivejunction.coordination import load_reports
 from chivejunction.transport import http_client
 from chivejunction.transport import store_client
 
@@ -166,7 +167,7 @@
                 'expected status 200 and a JSON object from /load, '
                 f'got status {status}'
             )
-        return list(value.get('versions') or [])
+        return load_reports.parse_versions(value.get('versions')) or []
 
     async def send(self, order: str, version: str, lock: FencedLock) -> None:
         """Sends an order if the lease lasts for ORDER_TIMEOUT_SECONDS.
--- a/chivejunction/coordination/ratings.py
+++ b/chivejunction/coordination/ratings.py
@@ -8,7 +8,6 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import json
 import math
 
 import anyio
@@ -37,6 +36,7 @@
 # Interval of checks that find out whether the service is available again.
 PROBE_INTERVAL_SECONDS = 5.0
 MIN_SUCCESS_SHARE = 0.2
+MAX_SEQUENCE = 2**63 - 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -311,21 +311,29 @@
             raise errors.TransportError(
                 f'rating service returned status {status}'
             )
+        items = value.get('ratings') if isinstance(value, dict) else None
+        if not isinstance(items, list):
+            raise ValueError('no list of ratings from rating service')
+        invalid_count = sum(not self._record_item(item) for item in items)
+        if invalid_count:
+            logs.LOG.warning('dropped %d invalid ratings', invalid_count)
+
+    def _record_item(self, item) -> bool:
+        """Records a rating of a list; returns whether it has valid fields."""
         try:
-            for item in value['ratings']:
-                self._last_sequence = max(
-                    self._last_sequence, int(item['sequence'])
-                )
-                self.tracker.record_rating(
-                    item['request'],
-                    item['version'],
-                    item['rating'],
-                    clock.now(),
-                )
-        except (KeyError, TypeError, json.JSONDecodeError) as exc:
-            raise ValueError(
-                f'invalid list of ratings from rating service: {exc!r}'
-            ) from exc
+            sequence = int(item['sequence'])
+            key = item['request'], item['version']
+            rating = item['rating']
+        except errors.MALFORMED_DOCUMENT_ERRORS:
+            return False
+        if not (
+            0 <= sequence <= MAX_SEQUENCE
+            and all(isinstance(name, str) for name in key)
+        ):
+            return False
+        self._last_sequence = max(self._last_sequence, sequence)
+        self.tracker.record_rating(*key, rating, clock.now())
+        return True
 
     async def _poll_ratings(self) -> None:
         while True:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -9,6 +9,7 @@
 import gzip
 import json
 import math
+import types
 
 import anyio
 import cbor2
@@ -23,6 +24,9 @@
 from chivejunction import errors
 from chivejunction.coordination import bulletins
 from chivejunction.coordination import harmful_prompts
+from chivejunction.coordination import load_reports
+from chivejunction.coordination import orders
+from chivejunction.coordination import ratings
 from chivejunction.coordination import relays
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import version_moves
@@ -803,6 +807,88 @@
             self.read(body[:cut], headers)
 
 
+class TestEngineDocuments:
+    """Load reports of engines."""
+
+    REPORT = {'incarnation': 'a', 'versions': ['small-1', 'large-1']}
+    BODIES = (
+        st.binary(max_size=40) | ODD_JSON.map(str.encode) | mutate_json(REPORT)
+    )
+
+    @given(BODIES)
+    @example(json.dumps({'versions': ['x' * 1000] * 10_000}).encode())
+    def test_report_of_any_content(self, body):
+        admission = types.SimpleNamespace(versions=frozenset())
+        poller = load_reports.LoadReportPoller(
+            'http://a',
+            ScriptedHttpClient(body),
+            admission,
+            types.SimpleNamespace(reset=lambda reason: None),
+            1.0,
+            lambda: None,
+        )
+        anyio.run(poller._poll)
+        heartbeat = messages.Heartbeat(1, {'v': sorted(admission.versions)})
+        links.check_frame(heartbeat)
+        data = codecs.CODECS.get('msgpack').encode(heartbeat.pack())
+        assert len(data) < links.MAX_BATCH_BYTES
+        poller.incarnation.encode()
+
+    @given(BODIES)
+    def test_versions_of_any_content(self, body):
+        client = orders.EngineClient(ScriptedHttpClient(body), 'http://a')
+        try:
+            versions = anyio.run(client.read_versions)
+        except errors.OrderError:
+            return
+        assert ''.join(versions).encode() is not None
+
+
+class TestRatings:
+    """Ratings of the rating service."""
+
+    RATING = {
+        'sequence': 3,
+        'request': 'r',
+        'version': 'small-1',
+        'rating': 0.5,
+    }
+
+    def poll(self, body):
+        recorded = []
+        tracker = types.SimpleNamespace(
+            record_rating=lambda *args: recorded.append(args[:3])
+        )
+        client = ratings.RatingClient(
+            'http://a', ScriptedHttpClient(body), tracker, None, None
+        )
+        anyio.run(client.poll)
+        return client, recorded
+
+    @given(
+        st.binary(max_size=40)
+        | ODD_JSON.map(str.encode)
+        | mutate_json({'ratings': [RATING, RATING]})
+    )
+    def test_list_of_any_content(self, body):
+        try:
+            client, recorded = self.poll(body)
+        except (errors.TransportError, ValueError) as exc:
+            assert not isinstance(exc, UnicodeError)
+            return
+        assert 0 <= client._last_sequence < 2**63
+        for row in recorded:
+            hash(row[:2])
+
+    @pytest.mark.parametrize('odd', [{}, None, {'sequence': [4]}])
+    def test_odd_rating_holds_up_no_other(self, odd):
+        later = {**self.RATING, 'sequence': 9}
+        body = json.dumps({'ratings': [odd, later]}).encode()
+        client, recorded = self.poll(body)
+        assert client._last_sequence == 9
+        assert recorded == [('r', 'small-1', 0.5)]
+
+
 class TestHeaders:
     """Headers of callers and backend servers."""
 
