Validate heads and deltas of the configuration

A head in the store or a delta of a peer with a wrong type ended the task that read it with an undeclared exception, or was accepted: a revision that is a text made each later comparison of revisions fail.

Cause: parse_head checked no types, decompress_json let RecursionError and values that are no objects through, apply_delta built the document without validation (model_construct).

A delta is a validated model; a head has checked types; decompress_json returns an object or raises ProtocolError.

Seen failing: 20 of the 32 tests of TestOddDocuments (RecursionError, TypeError, AttributeError; 10 values were accepted). All pass now, with test_config_sync and test_configuration.

--- a/chivejunction/coordination/config_sync.py
+++ b/chivejunction/coordination/config_sync.py
@@ -445,7 +445,10 @@
     def _apply_packed(self, packed: bytes) -> None:
         value = deltas.decompress_json(packed)
         if 'base' not in value:
-            self._view.apply(resources.parse_document(value['document']))
+            document = value.get('document', '')
+            if not isinstance(document, str):
+                raise errors.ProtocolError('document is no text')
+            self._view.apply(resources.parse_document(document))
         elif value['base'] == self._view.revision:
             self._view.apply_delta(value)
         # Otherwise another response was applied first. The next response
--- a/chivejunction/coordination/configuration.py
+++ b/chivejunction/coordination/configuration.py
@@ -118,16 +118,21 @@
     """
     try:
         value = json.loads(entry.value)
-        return Head(
-            value['revision'],
-            value['digest'],
-            value.get('delta'),
-            entry.revision,
-        )
-    except (ValueError, KeyError, TypeError) as exc:
+        revision, digest = value['revision'], value['digest']
+        delta = value.get('delta')
+    except errors.MALFORMED_DOCUMENT_ERRORS as exc:
         raise errors.ProtocolError(
             f'malformed configuration head: {exc!r}'
         ) from exc
+    is_valid = (
+        isinstance(revision, int)
+        and revision >= 0
+        and isinstance(digest, int)
+        and isinstance(delta, dict | None)
+    )
+    if not is_valid:
+        raise errors.ProtocolError('malformed configuration head')
+    return Head(revision, digest, delta, entry.revision)
 
 
 def encode_stored_document(document: resources.Document) -> bytes:
--- a/chivejunction/protocol/deltas.py
+++ b/chivejunction/protocol/deltas.py
@@ -1,8 +1,10 @@
 """Deltas between two revisions of the configuration document."""
 
 import json
+from typing import Annotated
 import zlib
 
+import pydantic
 import xxhash
 
 from chivejunction import errors
@@ -10,6 +12,18 @@
 
 DIGEST_MASK = (1 << 64) - 1
 
+Revision = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+
+
+class Delta(pydantic.BaseModel):
+    """Resources that changed between two revisions, see ``make_delta``."""
+
+    base: Revision
+    revision: Revision
+    changed: dict[str, tuple[Revision, dict | None]]
+    changes: list[str]
+    forgotten: Revision
+
 
 class Digester:
     """Computes digests of documents, caching the hash of each resource.
@@ -92,30 +106,31 @@
             than that of the document.
     """
     try:
-        if delta['base'] != document.revision:
+        parsed = Delta.model_validate(delta)
+        if parsed.base != document.revision:
             raise errors.ProtocolError(
-                f'delta starts at revision {delta["base"]}, '
+                f'delta starts at revision {parsed.base}, '
                 f'not {document.revision}'
             )
         updated = {k: dict(v) for k, v in document.resources.items()}
         changed = dict(document.changed)
-        for key, (revision, value) in delta['changed'].items():
+        for key, (revision, value) in parsed.changed.items():
             kind, name = key.split('/', 1)
             changed[key] = revision
             if value is None:
                 updated.get(kind, {}).pop(name, None)
             else:
                 updated.setdefault(kind, {})[name] = value
-        changes = [*document.changes, *delta['changes']]
-        newer = resources.Document.model_construct(
-            revision=delta['revision'],
-            resources=updated,
-            changed=changed,
-            changes=changes[-resources.MAX_CHANGE_IDS :],
-            forgotten=delta['forgotten'],
-        )
-    except (KeyError, TypeError, ValueError) as exc:
+    except ValueError as exc:
         raise errors.ProtocolError(f'malformed delta: {exc!r}') from exc
+    changes = [*document.changes, *parsed.changes]
+    newer = resources.Document.model_construct(
+        revision=parsed.revision,
+        resources=updated,
+        changed=changed,
+        changes=changes[-resources.MAX_CHANGE_IDS :],
+        forgotten=parsed.forgotten,
+    )
     for key, revision in list(changed.items()):
         kind, name = key.split('/', 1)
         if revision <= newer.forgotten and name not in updated.get(kind, {}):
@@ -132,14 +147,17 @@
     """Returns the value decoded from zlib-compressed JSON.
 
     Raises:
-        ProtocolError: The data is not compressed JSON, or the text is longer
-            than 4 * MAX_DOCUMENT_BYTES.
+        ProtocolError: The data is no compressed JSON object, or the text is
+            longer than 4 * MAX_DOCUMENT_BYTES.
     """
     try:
         decompressor = zlib.decompressobj()
         text = decompressor.decompress(data, 4 * resources.MAX_DOCUMENT_BYTES)
         if decompressor.unconsumed_tail:
             raise errors.ProtocolError('compressed value is too large')
-        return json.loads(text)
-    except (zlib.error, ValueError) as exc:
+        value = json.loads(text)
+    except (zlib.error, *errors.MALFORMED_DOCUMENT_ERRORS) as exc:
         raise errors.ProtocolError(f'malformed value: {exc}') from exc
+    if not isinstance(value, dict):
+        raise errors.ProtocolError('compressed value is no JSON object')
+    return value
--- a/chivejunction/state/views.py
+++ b/chivejunction/state/views.py
@@ -74,11 +74,14 @@
                 digest of the result is not that of the sender's document.
             InvariantViolation: The applied revision has decreased.
         """
-        if delta['revision'] <= self.revision:
+        revision = delta.get('revision')
+        if not isinstance(revision, int):
+            raise errors.ProtocolError('delta has no revision')
+        if revision <= self.revision:
             return False
         document = deltas.apply_delta(self.document, delta)
         digest = self._digester.compute(document)
-        if digest != delta['digest']:
+        if digest != delta.get('digest'):
             raise errors.ProtocolError(
                 f'delta to revision {document.revision} gives another digest'
             )
--- a/tests/test_deltas.py
+++ b/tests/test_deltas.py
@@ -1,5 +1,7 @@
 """Deltas between revisions and the view that applies them."""
 
+import zlib
+
 import pytest
 
 from chivejunction import errors
@@ -7,6 +9,7 @@
 from chivejunction.protocol import deltas
 from chivejunction.protocol import resources
 from chivejunction.state import views
+from chivejunction.transport import stores
 
 Change = configuration.Change
 
@@ -124,3 +127,57 @@
         with pytest.raises(errors.RefusalError) as raised:
             view.check_ready()
         assert raised.value.code == 'not_ready'
+
+
+class TestOddDocuments:
+    """Guards against documents that end a task with an undeclared error."""
+
+    TEXTS = [
+        b'',
+        b'\xff',
+        b'[' * 100_000,
+        b'[]',
+        b'7',
+        b'null',
+        b'{"revision": 1}',
+        b'{"revision": "1", "digest": 1}',
+        b'{"revision": 1, "digest": [1]}',
+        b'{"revision": 1e999, "digest": 1}',
+        b'{"revision": -1, "digest": 1}',
+    ]
+
+    @pytest.mark.parametrize('text', TEXTS)
+    def test_head(self, text):
+        with pytest.raises(errors.ProtocolError):
+            configuration.parse_head(stores.Entry('head', text, 1, 0))
+
+    @pytest.mark.parametrize('text', TEXTS[:6])
+    def test_compressed_value(self, text):
+        with pytest.raises(errors.ProtocolError):
+            deltas.decompress_json(zlib.compress(text))
+
+    @pytest.mark.parametrize('data', [b'', None, 7, 'text', [1]])
+    def test_value_that_is_not_compressed(self, data):
+        with pytest.raises(errors.ProtocolError):
+            deltas.decompress_json(data)
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'changed': 7},
+            {'changed': {'pool': [1, {}]}},
+            {'changed': {'pool/a': [1, {}, 3]}},
+            {'changed': {'pool/a': ['x', {}]}},
+            {'changed': {'pool/a': [1, 7]}},
+            {'changes': 7},
+            {'revision': 'x'},
+            {'revision': float('inf')},
+            {'forgotten': 'x'},
+            {'forgotten': None},
+        ],
+    )
+    def test_delta(self, change):
+        newest = HISTORY[-1]
+        delta = deltas.make_delta(newest, 8, compute_digest(newest))
+        with pytest.raises(errors.ProtocolError):
+            deltas.apply_delta(HISTORY[8], {**delta, **change})
