Give the test of a lost history the time of the longest pause

Cause: the mirror pauses 0.075 to 0.225 s before it reads all entries, and the test let it run for 0.2 s.

--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -108,7 +108,7 @@
             errors.RevisionCompacted('gone'),
             ([make_entry('b', 3), make_entry('c', 9)], 9),
         )
-        applied = await run_mirror(feed)
+        applied = await run_mirror(feed, seconds=0.6)
         assert ('a', False, False) in applied and (
             ('c', True, False) in applied
         )
