Refuse operators' documents with deep nesting or huge numbers

An operator's deeply nested body was answered with a server error that is no JSON, and a number of 400 digits was accepted into the configuration, which gateways and agents have to decode.

Cause: _read_json caught ValueError only, and int fields have no upper limit.

Bodies are refused with 400 for deep nesting, integers above 64 bits and numbers that are not finite.

--- a/chivejunction/coordination/operators.py
+++ b/chivejunction/coordination/operators.py
@@ -2,6 +2,7 @@
 
 import hmac
 import json
+import math
 from typing import Annotated
 from typing import Literal
 
@@ -24,6 +25,31 @@
 WATCH_INTERVAL_SECONDS = 0.2
 # Largest request: one document and the JSON that encloses it.
 MAX_BODY_BYTES = 2 * resources.MAX_DOCUMENT_BYTES
+MAX_INTEGER = 2**63 - 1
+
+
+def parse_integer(text: str) -> int:
+    """Returns an integer that other programs can read.
+
+    Raises:
+        ValueError: It has more than 64 bits.
+    """
+    number = int(text)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError('an integer has more than 64 bits')
+    return number
+
+
+def parse_number(text: str) -> float:
+    """Returns a finite number.
+
+    Raises:
+        ValueError: It is not finite.
+    """
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError('a number is not finite')
+    return number
 
 
 class ApplyItem(pydantic.BaseModel):
@@ -203,8 +229,13 @@
         if not size and default is not None:
             return default
         try:
-            return json.loads(b''.join(chunks))
-        except ValueError as exc:
+            return json.loads(
+                b''.join(chunks),
+                parse_int=parse_integer,
+                parse_float=parse_number,
+                parse_constant=parse_number,
+            )
+        except (ValueError, RecursionError) as exc:
             raise errors.RefusalError(
                 'invalid_request', f'body is not JSON: {exc}'
             ) from exc
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,6 +2,7 @@
 
 import json
 import types
+import urllib.error
 import urllib.request
 
 import anyio
@@ -242,3 +243,50 @@
     )
     def test_invalid_action_is_refused(self, gateway, path, value):
         assert call(gateway, 'POST', path, value)[0] == 400
+
+
+class TestOddBodies:
+    """Guards against a document that an operator sees end as a server error.
+
+    What a store or a peer cannot hold must be refused where it arrives.
+    """
+
+    def put(self, url, body, headers=None):
+        request = urllib.request.Request(
+            f'{url}/pool/odd',
+            body,
+            {**TOKEN, 'content-type': 'application/json', **(headers or {})},
+            method='PUT',
+        )
+        try:
+            with urllib.request.urlopen(request) as response:
+                return response.status, json.load(response)
+        except urllib.error.HTTPError as exc:
+            return exc.code, json.load(exc)
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'\xff',
+            b'[' * 100_000,
+            b'{"name": "odd", "queue_length": ' + b'[' * 5000,
+            b'{"name": "odd", "queue_length": ' + b'9' * 5000 + b'}',
+            b'{"name": "odd", "queue_length": ' + b'9' * 400 + b'}',
+            b'{"name": "odd", "queue_length": 1e999}',
+            b'{"name": "odd", "queue_length": NaN}',
+            b'{"name": "odd", "cold_window": 18446744073709551616}',
+            b'{"name": "odd", "\\ud800": 1}',
+            b'{"name": "\\ud800"}',
+            b'{"name": "odd", "queue_length": "\\ud800"}',
+        ],
+    )
+    def test_body_is_refused(self, gateway, body):
+        status, answer = self.put(gateway, body)
+        assert 400 <= status < 500 and answer
+
+    @pytest.mark.parametrize('text', ['9' * 5000, '-1', 'x', '1e3', ''])
+    def test_revision_is_refused(self, gateway, text):
+        status, _ = self.put(
+            gateway, b'{"name": "odd"}', {'if-match': f'"{text}"'}
+        )
+        assert 400 <= status < 500
