Validate the records of idempotency keys

A repeated call whose record in the store was malformed got 'not run', though the attempt that the record stood for may have run, so that a retry could double it; with deep nesting or a wrong type it ended with an undeclared exception or went on with the wrong values.

Cause: decode_record caught two errors, checked no types and used the default verdict of a refusal.

Records are validated in strict mode, with a finite time; the refusal says 'may have run'.

Seen failing: the 9 values of TestOddRecords (4 by the verdict or RecursionError, 5 accepted). All pass now, with the rest of test_idempotency.

--- a/chivejunction/coordination/idempotency.py
+++ b/chivejunction/coordination/idempotency.py
@@ -10,8 +10,11 @@
 import time
 import urllib.parse
 
+import pydantic
+
 from chivejunction import clock
 from chivejunction import errors
+from chivejunction.protocol import verdicts
 from chivejunction.state import calls
 from chivejunction.transport import store_client
 
@@ -44,7 +47,7 @@
     agent: str
     incarnation: str
     hash: str
-    until: float
+    until: pydantic.FiniteFloat
     state: str = 'sent'
 
     def encode(self) -> bytes:
@@ -61,17 +64,22 @@
         return time.time() < self.until
 
 
+RECORDS = pydantic.TypeAdapter(Record)
+
+
 def decode_record(value: bytes) -> Record:
     """Decodes a stored record.
 
     Raises:
-        RefusalError: The value is not a record.
+        RefusalError: The value is not a record. An attempt may have run.
     """
     try:
-        return Record(**json.loads(value))
-    except (TypeError, ValueError) as exc:
+        return RECORDS.validate_json(value, strict=True)
+    except ValueError as exc:
         raise errors.RefusalError(
-            'internal', 'the record of the idempotency key is malformed'
+            'internal',
+            'the record of the idempotency key is malformed',
+            verdicts.Verdict.MAY_HAVE_RUN,
         ) from exc
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,5 +1,6 @@
 """Tests of idempotency keys with an in-memory store."""
 
+import json
 import time
 import types
 
@@ -204,3 +205,41 @@
         anyio.run(run)
         assert len(store.leases) == 1
         assert store.revision == 5
+
+
+class TestOddRecords:
+    """Guards against a store entry that ends a request with any error."""
+
+    FIELDS = {
+        'gateway': 'gw-1',
+        'attempt': 'a',
+        'agent': 'lm-1',
+        'incarnation': 'i',
+        'hash': 'h',
+        'until': 1.0,
+        'state': 'sent',
+    }
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'',
+            b'\xff',
+            b'7',
+            b'[' * 100_000,
+            json.dumps({**FIELDS, 'until': 'x'}).encode(),
+            json.dumps({**FIELDS, 'until': None}).encode(),
+            json.dumps({**FIELDS, 'until': float('nan')}).encode(),
+            json.dumps({**FIELDS, 'agent': []}).encode(),
+            json.dumps({**FIELDS, 'state': 7}).encode(),
+        ],
+    )
+    def test_record_is_refused(self, value):
+        with pytest.raises(errors.RefusalError) as info:
+            idempotency.decode_record(value)
+        assert info.value.code == 'internal'
+        assert info.value.verdict == verdicts.Verdict.MAY_HAVE_RUN
+
+    def test_record_is_read(self):
+        record = idempotency.decode_record(json.dumps(self.FIELDS).encode())
+        assert record.is_within_deadline is False
