Report an address that nng refuses as a transport error

An address of the host list that nng refuses ended the exchange with that partner with an undeclared exception and left a socket behind that was dialled nowhere, so that later calls timed out.

Cause: the socket was stored before it was dialled, and dial's errors were not mapped.

Seen failing: the 5 addresses of TestOddAddresses. All pass now, with the rest of test_exchanges.

--- a/chivejunction/transport/exchanges.py
+++ b/chivejunction/transport/exchanges.py
@@ -237,6 +237,13 @@
 
     def _open_socket(self) -> pynng.Req0:
         if self._socket is None:
-            self._socket = pynng.Req0(recv_max_size=MAX_MESSAGE_BYTES)
-            self._socket.dial(self.address, block=False)
+            socket = pynng.Req0(recv_max_size=MAX_MESSAGE_BYTES)
+            try:
+                socket.dial(self.address, block=False)
+            except pynng.NNGException as exc:
+                socket.close()
+                raise errors.TransportError(
+                    f'dialing {self.address!r} failed: {exc!r}'
+                ) from exc
+            self._socket = socket
         return self._socket
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -145,3 +145,20 @@
             return response
 
         assert run_with_server(handler, work) == {'kind': 'now'}
+
+
+class TestOddAddresses:
+    """Guards against a listed address that ends the exchanges of a process."""
+
+    @pytest.mark.parametrize(
+        'address', ['', 'bad', 'tcp://\x00', 'tcp://' + '9' * 300, 'udp://1']
+    )
+    def test_call_fails_with_its_declared_error(self, address):
+        async def run():
+            exchange = exchanges.ExchangeClient(address, 'me', 'i', CODEC)
+            for _ in range(2):
+                with pytest.raises(errors.TransportError, match='failed'):
+                    await exchange.call('sync', {}, 0.2)
+                assert exchange._socket is None
+
+        anyio.run(run)
