Keep a lasting lack of descriptors in readiness

Accepts that fail are logged once for each time without descriptors, so that readiness named them for a minute only, though the lack went on. It is named for as long as accepts fail now.

--- a/chivejunction/containment.py
+++ b/chivejunction/containment.py
@@ -47,7 +47,7 @@
         **fields: Further fields of the log line.
     """
     ERRORS.labels(part).inc()
-    _reported_until[part] = clock.make_deadline(REPORT_SECONDS)
+    extend_report(part)
     logs.LOG.error(
         'unexpected error in %s: %r',
         part,
@@ -57,6 +57,11 @@
     )
 
 
+def extend_report(part: str) -> None:
+    """Lets readiness report an error that was recorded and lasts."""
+    _reported_until[part] = clock.make_deadline(REPORT_SECONDS)
+
+
 def is_unexpected(error: BaseException) -> bool:
     """Returns whether an error is a failure of the current task.
 
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -230,6 +230,8 @@
                 ACCEPT_FAILURES.labels(name).inc()
                 if clock.has_passed(report_at):
                     containment.record_error('accept', exc)
+                else:
+                    containment.extend_report('accept')
                 report_at = clock.make_deadline(ACCEPT_REPORT_SECONDS)
                 if exc.errno in RESOURCE_ERRORS:
                     close_longest_idle()
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -239,6 +239,16 @@
                 assert await rig.call() == 200
                 assert recorded.get() - recorded_before == 2
 
+    @run_async
+    async def test_lasting_lack_stays_in_readiness(self, monkeypatch):
+        monkeypatch.setattr(containment, 'REPORT_SECONDS', 0.2)
+        sock = bind_failing_socket('127.0.0.1', 0)
+        async with start(make_socket=lambda *_: sock) as rig:
+            sock.failures = [errno.EMFILE] * 100_000
+            async with await rig.connect():
+                await anyio.sleep(0.5)
+                assert 'accept' in containment.list_recent_errors()
+
     @run_async
     async def test_longest_idle_connections_are_closed(self, monkeypatch):
         monkeypatch.setattr(caller_connections, 'MIN_CLOSED_IDLE', 2)
