Bound the bodies of all requests in progress together

Bodies over 64 KB are refused with 503 while 32 MB are in progress; shorter ones are always read.

Evidence: test_bodies_beyond_the_sum_are_refused failed before (no such bound) and passes now; 145 tests of callers, listeners, stops and forwarding pass.

--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -34,6 +34,9 @@
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 65536
+# Bytes of the bodies of all requests in progress beyond which longer bodies
+# are refused; those up to READ_BYTES are always read.
+MAX_BODIES_BYTES = 32_000_000
 # Time limit for reading what has arrived as an idle connection closes: several
 # turns of the event loop.
 LAST_RECEIVE_SECONDS = 0.05
@@ -172,6 +175,7 @@
         is_closing: Whether connections are closed after the response in
             progress.
         active_requests: Number of requests in progress.
+        body_bytes: Bytes of the bodies that are being read or processed.
         connections: Open connections.
         accepted_sockets: Number of accepted sockets that are not closed yet.
         max_sockets: Number of them beyond which callers wait in the queue of
@@ -183,6 +187,7 @@
     get_limits: Callable[[], forwarding.CallerLimits] = forwarding.CallerLimits
     is_closing: bool = False
     active_requests: int = 0
+    body_bytes: int = 0
     connections: set['CallerConnection'] = dataclasses.field(
         default_factory=set
     )
@@ -331,6 +336,7 @@
         )
         self._has_served = False
         self._is_head_request = False
+        self._body_bytes = 0
         self.is_reading = True
         self.has_written = False
 
@@ -408,6 +414,14 @@
             )
 
     async def _serve_request(self) -> bool:
+        """Serves one request; returns whether another one may follow."""
+        try:
+            return await self._read_and_handle()
+        finally:
+            self._listener.body_bytes -= self._body_bytes
+            self._body_bytes = 0
+
+    async def _read_and_handle(self) -> bool:
         limits = self._listener.get_limits()
         try:
             raw = await self._read_request(limits)
@@ -565,8 +579,17 @@
                 await self._receive()
             elif isinstance(event, h11.Data):
                 size += len(event.data)
+                self._body_bytes += len(event.data)
+                self._listener.body_bytes += len(event.data)
                 if size > limits.body_bytes:
                     raise errors.RequestRejected(413, 'the body is too large')
+                if (
+                    size > READ_BYTES
+                    and self._listener.body_bytes > MAX_BODIES_BYTES
+                ):
+                    raise errors.RequestRejected(
+                        503, 'bodies in progress take too much memory'
+                    )
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b''.join(chunks)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -596,3 +596,32 @@
             assert response.status in (200, 400, 413, 431, 501, 505)
             assert await rig.call() == 200
         assert containment.list_recent_errors() == []
+
+
+class TestLongBodies:
+    """Guards against bodies that together use up the memory."""
+
+    HEAD = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 400000\r\n\r\n'
+
+    @run_async
+    async def test_bodies_beyond_the_sum_are_refused(self, monkeypatch):
+        monkeypatch.setattr(caller_connections, 'MAX_BODIES_BYTES', 500_000)
+        async with start() as rig:
+            async with (
+                await rig.connect() as first,
+                await rig.connect() as late,
+            ):
+                await first.send(self.HEAD + b'x' * 300_000)
+                while rig.listener.body_bytes < 300_000:
+                    await anyio.sleep(0.01)
+                await late.send(self.HEAD + b'x' * 300_000)
+                response = await late.receive()
+                assert response.startswith(b'HTTP/1.1 503')
+                # A short body is read nevertheless.
+                assert await rig.call() == 200
+                await first.send(b'x' * 100_000)
+                response = await first.receive()
+                assert response.startswith(b'HTTP/1.1 200')
+            with anyio.fail_after(2):
+                while rig.listener.body_bytes:
+                    await anyio.sleep(0.01)
