Bound the time and memory that an odd settings file takes

Callers got no answer for up to 4 s while a changed settings file of 3,000 brackets was parsed, and 153 MB of text were made of a file of nested aliases (1 KB) in the message on it.

Cause: the YAML parser is pure Python, reads ahead of simple keys and takes time by the square of the depth; the message gave the whole value. Nothing else runs in the process meanwhile. Class: work without a bound in the event loop.

Alone the file took 2.36 s, now 1 ms.

The loader refuses more than 32 levels as it meets them, and values in messages are cut. Evidence: five new tests failed before; test_platform and test_platform_start pass (309).

--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import os
+import reprlib
 from typing import Annotated
 
 import pydantic
@@ -12,6 +13,11 @@
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
 MAX_PORT = 65535
+MAX_NESTING = 32
+# Text of a wrong value; aliases can make that of a short file very long.
+VALUE_TEXT = reprlib.Repr()
+VALUE_TEXT.maxlevel = 3
+VALUE_TEXT.maxstring = VALUE_TEXT.maxother = 200
 # Time after which a file that is not valid is read once more: it may have been
 # read while it was written.
 RETRY_SECONDS = 1.0
@@ -175,6 +181,35 @@
     platform: StoreSettings
 
 
+class BoundedLoader(yaml.SafeLoader):
+    """Loader that refuses deep nesting.
+
+    The time of the parser grows with the square of the depth, and nothing
+    else runs meanwhile.
+    """
+
+    _depth = 0
+
+    def fetch_flow_collection_start(self, TokenClass):
+        """Reads the start of a list or mapping in brackets.
+
+        The scanner reads ahead of the nodes.
+        """
+        if self.flow_level == MAX_NESTING:
+            raise yaml.YAMLError(f'over {MAX_NESTING} levels of brackets')
+        super().fetch_flow_collection_start(TokenClass)
+
+    def compose_node(self, parent, index):
+        """Composes a node and those below it."""
+        if self._depth == MAX_NESTING:
+            raise yaml.YAMLError(f'over {MAX_NESTING} levels of nesting')
+        self._depth += 1
+        try:
+            return super().compose_node(parent, index)
+        finally:
+            self._depth -= 1
+
+
 def read_settings(path: str | None = None) -> Settings:
     """Reads the settings file.
 
@@ -192,7 +227,7 @@
         )
     try:
         with open(path, encoding='utf-8') as file:
-            document = yaml.safe_load(file)
+            document = yaml.load(file, Loader=BoundedLoader)
     except Exception as exc:
         # The YAML parser raises errors of many types, depending on the text.
         raise errors.SettingError(f'{path} cannot be read: {exc!r}') from exc
@@ -206,7 +241,7 @@
     """Returns one line with each wrong field, its value and the reason."""
     descriptions = [
         f'{".".join(map(str, error["loc"])) or "file"}: '
-        f'{error["input"]!r} ({error["msg"]})'
+        f'{VALUE_TEXT.repr(error["input"])} ({error["msg"]})'
         for error in exc.errors(include_url=False)
     ]
     return f'{path}: ' + '; '.join(descriptions)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -171,6 +171,27 @@
         with pytest.raises(errors.SettingError):
             program.make_options(settings.read_settings(str(path)))
 
+    @pytest.mark.parametrize(
+        'text', ['[' * 3000, '{a: ' * 3000, '- ' * 3000, '? ' * 3000]
+    )
+    def test_deep_nesting_is_refused_before_it_is_parsed(self, tmp_path, text):
+        """The parser needs seconds for it, in which nothing else runs."""
+        path = tmp_path / 'boot.yaml'
+        path.write_text(text)
+        with pytest.raises(errors.SettingError, match='over 32 levels'):
+            settings.read_settings(str(path))
+
+    def test_error_text_of_aliases_is_short(self, tmp_path):
+        lines = ['a: &a0 [x, x, x, x, x, x, x, x]']
+        for level in range(6):
+            items = ', '.join([f'*a{level}'] * 8)
+            lines.append(f'b{level}: &a{level + 1} [{items}]')
+        path = tmp_path / 'boot.yaml'
+        path.write_text('\n'.join([*lines, 'node_name: *a6']))
+        with pytest.raises(errors.SettingError) as caught:
+            settings.read_settings(str(path))
+        assert len(str(caught.value)) < 10_000
+
     def test_missing_variable_or_file_is_an_error(self, monkeypatch):
         monkeypatch.delenv(settings.PATH_VARIABLE, raising=False)
         with pytest.raises(errors.SettingError, match='is not set'):
