Ignore the reload signal once a gateway has stopped

A gateway that had stopped in order ended with the status of a signal, as if it had failed.

Cause: the receiver of signals restores the default of SIGHUP as it closes, which ends the process, between the line 'stopped' and its exit; the same between two runs of the supervised task.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -476,19 +476,23 @@
             await self._pool.close_instance(instance)
 
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    break
-                with containment.contain('reload'):
-                    self._reload()
-            with containment.contain('shutdown'):
-                await self._shut_down()
-            scope.cancel()
-            # The supervisor must not take the stop for a failure.
-            await anyio.sleep_forever()
+        try:
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            ) as signals:
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    with containment.contain('reload'):
+                        self._reload()
+                with containment.contain('shutdown'):
+                    await self._shut_down()
+                scope.cancel()
+                # The supervisor must not take the stop for a failure.
+                await anyio.sleep_forever()
+        finally:
+            # The receiver restores the default, which ends the process.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def _reload(self) -> None:
         """Applies options that have changed."""
--- a/tests/test_forward_soak.py
+++ b/tests/test_forward_soak.py
@@ -15,6 +15,7 @@
     # Before unexpected errors were contained.
     101: 'few descriptors, a held port, and a key that is no text',
     102: 'resets before the accept, and brackets in an entry',
+    735: 'SIGHUP ended a gateway that had just stopped',
 }
 
 
--- a/tests/test_gateway_tasks.py
+++ b/tests/test_gateway_tasks.py
@@ -195,6 +195,21 @@
             group.cancel_scope.cancel()
         assert not [r for r in caplog.records if r.levelno >= logging.ERROR]
 
+    @run_async
+    async def test_reload_signal_at_the_exit_does_not_end_the_process(self):
+        try:
+            async with anyio.create_task_group() as group:
+                running = RunningGateway(group)
+                await running.start()
+                assert (await running.fetch('caller')).status == 200
+                os.kill(os.getpid(), signal.SIGTERM)
+                with anyio.fail_after(8):
+                    await running.has_ended.wait()
+                assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+                group.cancel_scope.cancel()
+        finally:
+            signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
 
 class TestStopWithFailingStep:
     """Guards against a stop that never ends since one step failed."""
