--- a/review/shared_2/kit.py
+++ b/review/shared_2/kit.py
@@ -622,9 +622,11 @@
             the rule held.
     """
     record = Record(folder)
+    # The gateways are ended also if the case is.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         held = asyncio.run(asyncio.wait_for(play(record), 115))
-    except (CannotRun, OSError, TimeoutError) as exc:
+    except (CannotRun, OSError, TimeoutError, KeyboardInterrupt) as exc:
         record.say(f'could not run: {exc!r}')
         record.close()
         sys.exit(2)
