Review cases: read TROUBLE in each case, doses inside those of the site

Case 6 plays its trouble for 5.5 s at a time, case 10 a rollout of 24 s; the stand-ins answer /health, and an entry leaves after three check-ins.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,12 +1,13 @@
 """Restarts of the gateways move sessions to the new version too early.
 
-Two gateways, model servers of two versions, 360 sessions with a request every
+Two gateways, model servers of two versions, 400 sessions with a request every
 4.8 s. A rollout is ordered; in its first half the gateways are stopped with
 SIGTERM and started again, one after the other. Counted are requests that run
 on the new version although the one before in their session ran on the old one.
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -17,17 +18,18 @@
 from shared_2 import kit  # noqa: E402
 from shared_2 import site  # noqa: E402
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = {'bkk-a': 'bkk', 'bkk-b': 'bkk'}
-SESSIONS = 360
+SESSIONS = 400
 # Pause between two requests of a session; below ``session_s``.
 GAP_SECONDS = 4.8
 SESSION_SECONDS = 5.0
 CONTACT_SECONDS = 4.0
 GRACE_SECONDS = 8.0
 ORDER_SECONDS = 8
-DURATION_SECONDS = 44
+DURATION_SECONDS = 24
 # After the order.
-TERM_SECONDS = (2, 11)
+TERM_SECONDS = (0.5, 6)
 RESTART_SECONDS = 0.3
 ALLOWED = 3
 EVENTS = 3
@@ -200,7 +202,7 @@
             self._order_at = time.monotonic()
             self.record.write('the rollout is ordered')
             # Its servers are started after the order.
-            await asyncio.sleep(1)
+            await asyncio.sleep(0.4)
             for server in added:
                 server.case = self
                 await server.start()
@@ -210,7 +212,7 @@
                 await asyncio.sleep(
                     self._order_at + seconds - time.monotonic()
                 )
-                if kit.has_trouble():
+                if HAS_TROUBLE:
                     await self._restart(gateway)
             await asyncio.sleep(
                 self._order_at + DURATION_SECONDS / 2 - time.monotonic()
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -16,9 +17,11 @@
 from shared_2 import kit  # noqa: E402
 from shared_2 import site  # noqa: E402
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = {'bkk-a': 'bkk', 'bkk-b': 'bkk'}
-SECONDS = 50
-TROUBLE_SECONDS = (6, 36)
+SECONDS = 60
+# Start of the first trouble, its length, the pause after it, and how often.
+FIRST_SECONDS, LENGTH_SECONDS, PAUSE_SECONDS, TIMES = 4, 5.5, 1.0, 8
 # Of the servers, and of the answers of those in trouble.
 BAD_SERVERS = 3
 SPOILED_SHARE = 0.02
@@ -97,7 +100,7 @@
     def take_spoiled(self) -> bool:
         """Returns whether the next answer is spoiled: one in fifty."""
         self._answers_in_trouble += 1
-        is_spoiled = self._answers_in_trouble % round(1 / SPOILED_SHARE) == 1
+        is_spoiled = self._answers_in_trouble % round(1 / SPOILED_SHARE) == 0
         self._spoiled += is_spoiled
         return is_spoiled
 
@@ -179,12 +182,16 @@
                 self._start(self._ask_readiness(gateway))
                 self._start(self._send_requests(gateway))
             began_at = time.monotonic()
-            for seconds, is_in_trouble in zip(
-                TROUBLE_SECONDS, (kit.has_trouble(), False), strict=True
-            ):
-                await asyncio.sleep(began_at + seconds - time.monotonic())
-                for server in models[:BAD_SERVERS]:
-                    server.is_in_trouble = is_in_trouble
+            for number in range(TIMES):
+                starts_at = began_at + FIRST_SECONDS
+                starts_at += number * (LENGTH_SECONDS + PAUSE_SECONDS)
+                for at, is_in_trouble in (
+                    (starts_at, HAS_TROUBLE),
+                    (starts_at + LENGTH_SECONDS, False),
+                ):
+                    await asyncio.sleep(at - time.monotonic())
+                    for server in models[:BAD_SERVERS]:
+                        server.is_in_trouble = is_in_trouble
             await asyncio.sleep(began_at + SECONDS + 14 - time.monotonic())
         finally:
             deployment.close()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -16,6 +17,7 @@
 from shared_2 import kit  # noqa: E402
 from shared_2 import site  # noqa: E402
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = {'bkk-a': 'bkk', 'bkk-b': 'bkk', 'bkk-c': 'bkk'}
 SECONDS = 60
 CRASH_SECONDS = 5
@@ -117,11 +119,11 @@
                 now = time.monotonic()
                 if not crashed_at and now > began_at + CRASH_SECONDS:
                     crashed_at = now
-                    if kit.has_trouble():
+                    if HAS_TROUBLE:
                         self.record.write(f'{servers[0].instance} is lost')
                         servers[0].crash()
                 if (
-                    kit.has_trouble()
+                    HAS_TROUBLE
                     and crashed_at
                     and (now > crashed_at + ENTRY_SECONDS)
                 ):
--- a/review/shared_2/bad_part.py
+++ b/review/shared_2/bad_part.py
@@ -79,10 +79,19 @@
         document_sets: Number of different lists of them.
         writes_first_event: Whether a server has written the first event, and
             a piece of the second, as it crashes; else only the head.
+        has_trouble: Whether requests with the bad part are sent.
     """
 
-    def __init__(self, record, documents, document_sets, writes_first_event):
+    def __init__(
+        self,
+        record,
+        documents,
+        document_sets,
+        writes_first_event,
+        has_trouble,
+    ):
         self.record = record
+        self._has_trouble = has_trouble
         self.writes_first_event = writes_first_event
         self._random = random.Random(7)
         self._sets = [
@@ -172,7 +181,7 @@
                 number += 1
                 gateway = self._random.choice(gateways)
                 self._start(self._send(gateway, number, False))
-                if kit.has_trouble() and time.monotonic() > bad_at:
+                if self._has_trouble and time.monotonic() > bad_at:
                     bad_at += BAD_INTERVAL_SECONDS
                     number += 1
                     gateway = self._random.choice(gateways)
--- a/review/shared_2/kit.py
+++ b/review/shared_2/kit.py
@@ -29,11 +29,6 @@
 RESET = struct.pack('ii', 1, 0)
 
 
-def has_trouble() -> bool:
-    """Returns whether the disruption is played, see ``TROUBLE``."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class CannotRun(Exception):
     """The case could not be set up."""
 
--- a/review/shared_2/site.py
+++ b/review/shared_2/site.py
@@ -9,6 +9,8 @@
 HOST = 'shop.example'
 KEY = 'key-a'
 EVENT_SECONDS = 0.03
+# Time after which the store removes the entry of a silent server.
+ENTRY_SECONDS = 3.6
 
 
 def make_route(name, kind, timeout_ms, objective_ms, service, **fields):
@@ -128,8 +130,10 @@
         """Is back after some seconds, with a new id."""
         instance = self.instance
         await asyncio.sleep(seconds)
-        self._store.remove(f'servers/{instance}')
         await self.start()
+        # After three check-in intervals of silence.
+        await asyncio.sleep(max(0.0, ENTRY_SECONDS - seconds))
+        self._store.remove(f'servers/{instance}')
 
     async def answer(self, method, target, headers, body, writer) -> bool:
         """Checks that a request is meant for this server and runs it."""
@@ -137,8 +141,16 @@
         if target == '/v1/report':
             kit.write_answer(writer, 200, {}, b'{}')
             return True
+        if target == '/health':
+            kit.write_answer(writer, 200, {'Instance-Id': self.instance}, b'')
+            return True
         if headers.get('expect-instance') != self.instance:
-            kit.write_answer(writer, 421, {'Request-Id': request_id}, b'')
+            kit.write_answer(
+                writer,
+                421,
+                {'Request-Id': request_id, 'Instance-Id': self.instance},
+                b'',
+            )
             return True
         return await self.run(request_id, headers, writer)
 
