Let a gateway that starts take over sessions and bulletins from others

Cause: sessions on the old version are announced once, by datagram, to the gateways that are listed at that moment. A gateway that starts has heard of none, and its first share is open by the record of the move in the store, so it took sessions of that share for new ones.

Change: StateTransfer asks another gateway for these sessions and for all valid bulletins, before callers are served while a move is in its first stage, and again once the others list the gateway. Until a gateway that knows has answered, unknown sessions count as old ones. Crash reports, limits and leaving servers came by gossip only, and take the same way now.

--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -223,6 +223,24 @@
         RECEIVED.labels(bulletin.kind).inc()
         self._changed.set()
 
+    def export(self) -> list[bytes]:
+        """Returns datagrams with all valid bulletins, the newest first."""
+        valid = self._list_valid()
+        valid.sort(key=lambda bulletin: bulletin.issued_at, reverse=True)
+        return self._pack(valid)
+
+    def _list_valid(self) -> list[Bulletin]:
+        """Returns the valid bulletins, and removes the others."""
+        now = clock.now()
+        valid = []
+        for known in self._bulletins.values():
+            for key, bulletin in list(known.items()):
+                if bulletin.expires_at <= now:
+                    del known[key]
+                else:
+                    valid.append(bulletin)
+        return valid
+
     async def run(self, sender: datagrams.DatagramSender) -> None:
         """Sends bulletins to other gateways until cancelled."""
         while True:
@@ -237,13 +255,7 @@
 
     async def _send_round(self, sender) -> None:
         now = clock.now()
-        valid = []
-        for known in self._bulletins.values():
-            for key, bulletin in list(known.items()):
-                if bulletin.expires_at <= now:
-                    del known[key]
-                else:
-                    valid.append(bulletin)
+        valid = self._list_valid()
         new = [b for b in valid if b.heard_at > now - NEW_SECONDS]
         if new:
             new.sort(key=lambda b: b.heard_at, reverse=True)
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -24,6 +24,7 @@
 from chivejunction.coordination import mirrors
 from chivejunction.coordination import relays
 from chivejunction.coordination import server_notices
+from chivejunction.coordination import state_transfer
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
@@ -139,6 +140,7 @@
             lambda session_hash: self._hint_exchange.add_session(session_hash),
             lambda service: self.members.find_rank(service),
             self._publish_version_results,
+            lambda: self._transfer.is_complete,
         )
         self.members = gateway_membership.GatewayMembership(
             store,
@@ -180,8 +182,10 @@
         self.config_freshness = freshness.Freshness(
             options.max_config_age_seconds
         )
-        self._feed = relays.RelayedFeed(
-            feed, self.members, http_client.Client()
+        client = http_client.Client()
+        self._feed = relays.RelayedFeed(feed, self.members, client)
+        self._transfer = state_transfer.StateTransfer(
+            self.members, self.moves, self._board, client
         )
         self._pool = backend_connections.ConnectionPool()
         selector = backend_selection.BackendSelector(
@@ -369,6 +373,9 @@
             tasks.start('store mirror', mirror.run)
             tasks.start('relay', self._serve_relay, mirror)
             tasks.start('membership', self.members.run)
+            tasks.start(
+                'state transfer', self._transfer.run, mirror.has_loaded
+            )
             tasks.start('version moves', self.moves.run)
             tasks.start('hints', self._hint_exchange.run)
             tasks.start('prompt guard', self.prompt_guard.run)
@@ -401,7 +408,11 @@
         )
 
     async def _serve_callers(self, mirror: mirrors.StoreMirror) -> None:
-        """Serves callers once the first configuration is loaded or late."""
+        """Serves callers once the first configuration is loaded or late.
+
+        While the other gateways keep sessions on an old version, this one
+        asks for them first.
+        """
         caller_socket, self._caller_socket = self._caller_socket, None
         if caller_socket is None and not self._is_stopping:
             caller_socket = listening.bind_socket(
@@ -410,6 +421,8 @@
         if caller_socket is not None:
             with anyio.move_on_after(FIRST_CONFIG_TIMEOUT_SECONDS):
                 await mirror.has_loaded.wait()
+                if self.moves.is_in_first_stage:
+                    await self._transfer.has_asked.wait()
             await self.caller_listener.serve_socket(caller_socket)
         if self._is_stopping:
             await anyio.sleep_forever()
@@ -418,7 +431,14 @@
         relay = relays.RelayServer(
             mirror, self.config_freshness, lambda: self._is_stopping
         )
-        listener = caller_connections.Listener(relay.handle)
+
+        async def handle(raw, reply) -> None:
+            if raw.target == state_transfer.PATH:
+                await self._transfer.handle(raw, reply)
+            else:
+                await relay.handle(raw, reply)
+
+        listener = caller_connections.Listener(handle)
         await listener.serve(*self._options.peer_address)
 
     async def _serve_readiness(self) -> None:
--- a/chivejunction/coordination/gateway_membership.py
+++ b/chivejunction/coordination/gateway_membership.py
@@ -85,6 +85,10 @@
         address: IP address and port for hints and polls from other gateways.
         region: Region of this gateway.
         capacity: Cores of this host.
+
+    Attributes:
+        name: Name of this gateway.
+        region: Region of this gateway.
     """
 
     def __init__(
@@ -97,7 +101,7 @@
     ):
         self._store = store
         self.name = name
-        self._region = region
+        self.region = region
         self._own_member = Member(*address, region, capacity)
         # Whether another writer removed or changed the entry of this gateway.
         self._is_own_entry_lost = False
@@ -207,33 +211,47 @@
 
     def _rank_relays(self) -> list[str]:
         """Returns the relays of this region, those on large hosts first."""
-        names = self._list_region(self._region)
+        names = self._list_region(self.region)
         count = max(MIN_RELAYS, math.ceil(len(names) / GATEWAYS_PER_RELAY))
         ranked = rendezvous.rank_hosts('store', names)
         ranked.sort(key=lambda name: -self._members[name].capacity)
         return ranked[:count]
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the membership list names this gateway."""
+        return self.name in self._members
+
     def should_poll_store(self) -> bool:
         """Returns whether this gateway polls the store and not a relay.
 
         This is so for relays, and for a gateway that is not listed yet.
         """
-        return self.name not in self._members or (
-            self.name in self._rank_relays()
-        )
+        return not self.is_listed or self.name in self._rank_relays()
 
     def list_relays(self) -> list[str]:
         """Returns the names of the other relays in this region."""
         return [name for name in self._rank_relays() if name != self.name]
 
-    def sample_others(self, limit: int) -> list[str]:
-        """Returns up to ``limit`` random other gateways from any region."""
-        others = [name for name in self._members if name != self.name]
+    def sample_others(
+        self, limit: int, region: str | None = None
+    ) -> list[str]:
+        """Returns some random other gateways.
+
+        Args:
+            limit: Maximum number of gateways.
+            region: Region of the gateways, None for any.
+        """
+        others = [
+            name
+            for name, member in self._members.items()
+            if name != self.name and region in (None, member.region)
+        ]
         return random.sample(others, min(limit, len(others)))
 
     def count_followers(self) -> int:
         """Returns the number of gateways in this region that poll a relay."""
-        names = self._list_region(self._region)
+        names = self._list_region(self.region)
         return len(names) - len(self._rank_relays())
 
     def find_address(self, name: str) -> tuple[str, int] | None:
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -402,6 +402,9 @@
         publish_results: Tells the other gateways of the results of a new
             version here: the key of the move, failures, results, slow and
             other intervals.
+        knows_sessions: Returns whether this gateway has heard of the sessions
+            that other gateways announced. Until then, sessions that it does
+            not know count as sessions on the old version.
     """
 
     def __init__(
@@ -411,6 +414,7 @@
         announce_session: Callable[[int], None] = lambda session_hash: None,
         find_rank: Callable[[str], int] = lambda service: 0,
         publish_results: Callable[[int, tuple], None] = lambda key, row: None,
+        knows_sessions: Callable[[], bool] = lambda: True,
     ):
         self._store = store
         self._make_status_entries = make_status_entries
@@ -420,6 +424,7 @@
         self._announce_session = announce_session
         self._find_rank = find_rank
         self._publish_results = publish_results
+        self._knows_sessions = knows_sessions
         self._sessions: collections.OrderedDict[int, Session] = (
             collections.OrderedDict()
         )
@@ -557,25 +562,59 @@
         return (
             rendezvous.to_fraction(session_hash) < share
             and now >= move.opens_at
+            and self._knows_sessions()
             and is_usable(move.order.target)
         )
 
     def _keep_session(
-        self, session_hash: int, service: str, is_new: bool
+        self,
+        session_hash: int,
+        service: str,
+        is_new: bool,
+        seconds: float = SESSION_TTL_SECONDS,
     ) -> None:
         self._sessions[session_hash] = Session(
-            service, is_new, clock.make_deadline(SESSION_TTL_SECONDS)
+            service, is_new, clock.make_deadline(seconds)
         )
         self._sessions.move_to_end(session_hash)
         if len(self._sessions) > MAX_SESSIONS:
             self._sessions.popitem(last=False)
 
-    def keep_on_old_version(self, session_hash: int) -> None:
+    @property
+    def is_in_first_stage(self) -> bool:
+        """Whether a move is in its first stage."""
+        return any(
+            move.stage == 0 and move.state is State.RUNNING
+            for move in self._moves.values()
+        )
+
+    def list_old_sessions(self) -> list[tuple[int, float]]:
+        """Returns the sessions that stay on the old version of a service.
+
+        These are hashes, and seconds for which the sessions are kept. There
+        are none unless a move is in its first stage.
+        """
+        if not self.is_in_first_stage:
+            return []
+        now = clock.now()
+        return [
+            (session_hash, session.kept_until - now)
+            for session_hash, session in self._sessions.items()
+            if not session.is_new
+            and session.kept_until > now
+            and is_in_first_share(session_hash)
+        ]
+
+    def keep_on_old_version(
+        self, session_hash: int, seconds: float = SESSION_TTL_SECONDS
+    ) -> None:
         """Keeps a session that another gateway served by the old version.
 
         Args:
             session_hash: Hash that the other gateway announced.
+            seconds: Time in seconds for which it is kept.
         """
+        seconds = min(seconds, SESSION_TTL_SECONDS)
         session = self._sessions.get(session_hash)
         # After contradicting announcements, the session stays where this
         # gateway has sent it.
@@ -585,7 +624,9 @@
             or clock.has_passed(session.kept_until)
         ):
             service = session.service if session else ''
-            self._keep_session(session_hash, service, False)
+            if session is not None and not session.is_new:
+                seconds = max(seconds, session.kept_until - clock.now())
+            self._keep_session(session_hash, service, False, seconds)
 
     def record(
         self,
