Take only a complete response for a proof that a prompt is sound

Callers lost streams again and again to engines that one prompt part crashed just after the first event; the part was never found.

Cause: the first event counted as a success of all parts of the prompt, and a break after it was not reported as a crash. Ruled out: that the crash was not confirmed, as no report was made at all (no line 'server broke off').

Change: parts are sound once a response is complete, and has a length or chunks that show it. Each break is reported; the first second after the first event weighs as much as the time before it. The same conclusion is mended where servers and versions are judged: a stream that breaks off is one failure, not a success and a failure.

Seen failing before: TestCrashAfterTheFirstEvents (four), TestBrokenStreams (three), TestProofOfSuccess.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -115,7 +115,7 @@
         backend = choice.backend
         context.choice = choice
         context.progress = request_context.Progress.UNSENT
-        context.event_interval = None
+        context.event_interval = context.version_result = None
         backend.running += 1
         work_id = 0
         connection = None
@@ -154,8 +154,10 @@
                 and exc.is_server_fault
             ):
                 backend.record_failure()
-                self._moves.record(
-                    context.service.name, backend.version, False
+                self._moves.record_failure(
+                    context.service.name,
+                    backend.version,
+                    context.version_result,
                 )
             return request_context.NextAction.RETRY
         except BaseException as exc:
@@ -344,6 +346,7 @@
             context, backend, connection, sent_at
         )
         context.progress = request_context.Progress.BEGUN
+        context.begun_at = clock.now()
         context.confidence = head.confidence
         if head.status != 421:
             self._notices.read_response(backend, head, sent_at)
@@ -372,7 +375,7 @@
             # counts as queued work.
             self._chooser.end_work(context.work_id)
             if self._chooser.try_escalate(context, head.confidence):
-                self._record_success(context, backend, sent_at)
+                self._record_first_byte(context, backend, sent_at, None)
                 context.verdict = request_context.RAN
                 return request_context.NextAction.ESCALATE, idle_seconds
             await self._forward_stream(
@@ -381,8 +384,8 @@
         else:
             body = await self._read_body(connection)
             context.progress = request_context.Progress.RESPONDED
-            self._prompt_guard.record_success(context)
-            self._record_success(context, backend, sent_at)
+            self._record_first_byte(context, backend, sent_at)
+            self._record_success(context, backend, connection)
             context.first_byte_at = clock.now()
             await context.reply.send_response(head.status, head.headers, body)
         return request_context.NextAction.DONE, idle_seconds
@@ -456,7 +459,7 @@
         context.reason = f'server answered {head.status}'
         if head.status >= 500:
             backend.record_failure()
-            self._moves.record(context.service.name, backend.version, False)
+            self._moves.record_failure(context.service.name, backend.version)
         if head.is_signed:
             context.error_response = request_context.ErrorResponse(
                 head.status, head.headers, body
@@ -497,8 +500,8 @@
                         )
                     if is_first:
                         context.progress = request_context.Progress.RESPONDED
-                        self._prompt_guard.record_success(context)
-                        self._record_success(context, backend, sent_at)
+                        context.responded_at = now
+                        self._record_first_byte(context, backend, sent_at)
                         is_first = False
                     else:
                         backend.record_event_interval(now - event_at)
@@ -513,6 +516,7 @@
                 request_context.MAY_HAVE_RUN,
                 True,
             )
+        self._record_success(context, backend, connection)
         if len(intervals) < MAX_MEASURED_INTERVALS:
             self._record_pace(context, backend, intervals)
         if comments := reader.read_comments():
@@ -602,18 +606,33 @@
         if number is not None:
             context.resume_after = number
 
-    def _record_success(self, context, backend, sent_at) -> None:
-        """Records a successful attempt and its time to the first byte."""
+    def _record_success(self, context, backend, connection) -> None:
+        """Records an attempt with a complete response.
+
+        One that ends with its connection may also have been cut off between
+        two events by a crash, so it proves nothing about the prompt.
+        """
+        backend.record_success()
+        if connection.has_framed_body:
+            self._prompt_guard.record_success(context)
+
+    def _record_first_byte(
+        self, context, backend, sent_at, is_success=True
+    ) -> None:
+        """Records the time to the first byte of an attempt.
+
+        Its success is assumed until it fails, except for one that is given
+        up, whose ``is_success`` is None.
+        """
         seconds = clock.now() - sent_at
         choice = context.choice
         if is_prefill_measurable(choice):
             tokens = context.request.input_tokens - choice.held_tokens
             self._prefill_times.record(choice.model, tokens, seconds)
-        backend.record_success()
-        self._moves.record(
+        context.version_result = self._moves.record(
             context.service.name,
             backend.version,
-            True,
+            is_success,
             compute_latency_ratio(seconds, choice, context.route),
         )
 
--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -1,11 +1,12 @@
 """Quarantine of prompt parts that crash engines.
 
-An attempt that breaks off before its first event may have crashed its server.
-If the server refuses connections then, the gateway reports the crash to all
-others, with the parts of the prompt. Each gateway judges all reports, see
-``state.crash_evidence``. Requests with a part that was found harmful are
-refused without an attempt, and those in progress are cancelled before their
-server begins to respond.
+An attempt that breaks off may have crashed its server. If the server refuses
+connections then, the gateway reports the crash to all others, with the parts
+of the prompt. Only a complete response proves that the parts of its prompt
+are sound: an engine may crash after the first events. Each gateway judges all
+reports, see ``state.crash_evidence``. Requests with a part that was found
+harmful are refused without an attempt, and those in progress are cancelled
+before their server begins to respond.
 
 Reports and findings travel as bulletins, which need no store. Findings are
 also written to the store under a lease, for gateways that start later.
@@ -48,7 +49,7 @@
 # Attempts at one server that break off together are collected for this long.
 COLLECT_SECONDS = 0.03
 # Requests that one gateway reports for one crash.
-MAX_REPORTS_PER_CRASH = 8
+MAX_REQUESTS_PER_CRASH = 8
 EVALUATION_INTERVAL_SECONDS = 0.1
 STORE_INTERVAL_SECONDS = 0.5
 # Delay of the write for each gateway that ranks before this one.
@@ -89,6 +90,20 @@
     is_stored: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenAttempt:
+    """An attempt whose connection broke off.
+
+    Attributes:
+        report: Report of the crash, if it was one.
+        begun_at: Monotonic time at which the response began; 0 unless it had
+            just begun.
+    """
+
+    report: crash_evidence.CrashReport
+    begun_at: float
+
+
 class HarmfulPromptGuard:
     """Keeps requests that crash engines away from them.
 
@@ -117,7 +132,7 @@
             dict[anyio.CancelScope, request_context.RequestContext],
         ] = {}
         self._broken: dict[
-            str, tuple[backends.Backend, list[crash_evidence.CrashReport]]
+            str, tuple[backends.Backend, list[BrokenAttempt]]
         ] = {}
         self._has_broken = anyio.Event()
         # Set while there may be something to judge or to store.
@@ -165,7 +180,7 @@
                         del self._attempts[part]
 
     def record_success(self, context: request_context.RequestContext) -> None:
-        """Records that an engine has responded to a prompt."""
+        """Records that an engine has completed the response to a prompt."""
         prompt = context.prompt_hashes
         if not prompt.shared_parts:
             return
@@ -190,20 +205,26 @@
             context: The request.
             backend: Server of the attempt.
         """
-        if context.progress is request_context.Progress.RESPONDED:
-            return
         prompt = context.prompt_hashes
         suspects = self._evidence.list_suspects(prompt.shared_parts)
         if not suspects:
             return
+        now = clock.now()
+        has_begun = context.progress is request_context.Progress.BEGUN or (
+            context.progress is request_context.Progress.RESPONDED
+            and now - context.responded_at < crash_evidence.BEGINNING_SECONDS
+        )
         _, reports = self._broken.setdefault(backend.instance, (backend, []))
         reports.append(
-            crash_evidence.CrashReport(
-                server=backends.hash_process(backend),
-                request=prompt.own_part,
-                parts=suspects,
-                has_begun=(context.progress is request_context.Progress.BEGUN),
-                crashed_at=clock.now(),
+            BrokenAttempt(
+                crash_evidence.CrashReport(
+                    server=backends.hash_process(backend),
+                    request=prompt.own_part,
+                    parts=suspects,
+                    has_begun=has_begun,
+                    crashed_at=now,
+                ),
+                context.begun_at if has_begun else 0.0,
             )
         )
         self._has_broken.set()
@@ -218,10 +239,10 @@
                 self._has_broken = anyio.Event()
                 await anyio.sleep(COLLECT_SECONDS)
                 broken, self._broken = self._broken, {}
-                for backend, reports in broken.values():
-                    group.start_soon(self._confirm_crash, backend, reports)
+                for backend, attempts in broken.values():
+                    group.start_soon(self._confirm_crash, backend, attempts)
 
-    async def _confirm_crash(self, backend, reports) -> None:
+    async def _confirm_crash(self, backend, attempts) -> None:
         """Publishes the reports of a server if it has crashed."""
         has_crashed = await backend_connections.is_refused(
             backend.address, backend.port
@@ -230,13 +251,15 @@
             'server broke off',
             instance=backend.instance,
             crashed=has_crashed,
-            begun=sum(report.has_begun for report in reports),
-            waiting=sum(not report.has_begun for report in reports),
+            begun=sum(attempt.report.has_begun for attempt in attempts),
+            others=sum(not attempt.report.has_begun for attempt in attempts),
         )
         if not has_crashed:
             return
-        reports.sort(key=lambda report: not report.has_begun)
-        for report in reports[:MAX_REPORTS_PER_CRASH]:
+        # The cause is among those that have begun last.
+        attempts.sort(key=lambda attempt: -attempt.begun_at)
+        for attempt in attempts[:MAX_REQUESTS_PER_CRASH]:
+            report = attempt.report
             self._add_report(report)
             self._board.publish(
                 CRASH_KIND,
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -5,6 +5,7 @@
 import math
 
 from chivejunction import errors
+from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import verdicts
 from chivejunction.scheduling import backend_selection
@@ -95,6 +96,10 @@
             None.
         work_id: Id of the latest attempt's entry in the backlog; 0 for none.
         progress: How far the latest attempt has come.
+        begun_at: Monotonic time of the head of the latest response.
+        responded_at: Monotonic time of its first event.
+        version_result: Result of the latest attempt as recorded for its
+            version; None if none was.
         event_interval: Typical seconds between the events of the latest
             attempt's stream; None if it has too few.
         broken_starts: Number of attempts that broke off between the head of
@@ -125,6 +130,9 @@
     next_choice: backend_selection.Choice | None = None
     work_id: int = 0
     progress: Progress = Progress.UNSENT
+    begun_at: float = 0.0
+    responded_at: float = 0.0
+    version_result: version_moves.VersionResult | None = None
     event_interval: float | None = None
     broken_starts: int = 0
     prompt_hashes: crash_evidence.PromptHashes = dataclasses.field(init=False)
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -168,13 +168,29 @@
     elapsed: float = pydantic.Field(ge=0, le=MAX_ELAPSED_SHARE)
 
 
+@dataclasses.dataclass(slots=True)
+class VersionResult:
+    """Result of an attempt at a server of a version.
+
+    Attributes:
+        recorded_at: Monotonic time at which it was known.
+        is_success: Whether the attempt succeeded, or has not failed so far;
+            None if it was given up.
+        latency_ratio: Time to the first byte divided by its estimate, or
+            None.
+    """
+
+    recorded_at: float
+    is_success: bool | None
+    latency_ratio: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class VersionResults:
     """Recent results of one version.
 
     Attributes:
-        results: Tuples of the monotonic time, whether the attempt succeeded,
-            and its latency ratio or None.
+        results: The latest results.
         intervals: Typical seconds between events of each stream, with the
             number of attempts in progress at its server.
     """
@@ -186,23 +202,30 @@
         default_factory=lambda: collections.deque(maxlen=MAX_WINDOW_RESULTS)
     )
 
-    def add(self, is_success: bool, latency_ratio: float | None) -> None:
-        """Adds the result of an attempt."""
-        self.results.append((clock.now(), is_success, latency_ratio))
-
-    def _list_recent(self):
-        since = clock.now() - WINDOW_SECONDS
-        return [result for result in self.results if result[0] >= since]
+    def add(
+        self, is_success: bool | None, latency_ratio: float | None
+    ) -> VersionResult:
+        """Adds and returns the result of an attempt."""
+        result = VersionResult(clock.now(), is_success, latency_ratio)
+        self.results.append(result)
+        return result
 
     def count(self) -> tuple[int, int]:
         """Returns the number of failures and of results within the window."""
-        recent = self._list_recent()
-        return sum(not result[1] for result in recent), len(recent)
+        since = clock.now() - WINDOW_SECONDS
+        recent = [
+            result.is_success
+            for result in self.results
+            if result.recorded_at >= since and result.is_success is not None
+        ]
+        return recent.count(False), len(recent)
 
     def find_median_latency_ratio(self) -> float | None:
         """Returns the median latency ratio, None with too few samples."""
         latency_ratios = [
-            result[2] for result in self.results if result[2] is not None
+            result.latency_ratio
+            for result in self.results
+            if result.latency_ratio is not None
         ]
         if len(latency_ratios) < MIN_LATENCY_SAMPLES:
             return None
@@ -632,22 +655,44 @@
         self,
         service: str,
         version: str,
-        is_success: bool,
+        is_success: bool | None,
         latency_ratio: float | None = None,
-    ) -> None:
+    ) -> VersionResult:
         """Records the result of an attempt and evaluates the new version.
 
         Args:
             service: Service of the server.
             version: Software version of the server.
-            is_success: Whether the attempt succeeded.
+            is_success: Whether the attempt succeeded, or has begun to; None
+                if it was given up.
             latency_ratio: Time to the first byte divided by its estimate;
                 None if it says nothing about the version.
+
+        Returns:
+            The result, for ``record_failure``.
         """
         results = self._results.setdefault(
             (service, version), VersionResults()
         )
-        results.add(is_success, latency_ratio)
+        result = results.add(is_success, latency_ratio)
+        self._evaluate_target(service, version)
+        return result
+
+    def record_failure(
+        self, service: str, version: str, begun: VersionResult | None = None
+    ) -> None:
+        """Records that an attempt failed and evaluates the new version.
+
+        Args:
+            service: Service of the server.
+            version: Software version of the server.
+            begun: Result recorded as the response began, which the failure
+                replaces; None without one.
+        """
+        if begun is None:
+            self.record(service, version, False)
+            return
+        begun.is_success, begun.recorded_at = False, clock.now()
         self._evaluate_target(service, version)
 
     def record_interval(
--- a/chivejunction/state/crash_evidence.py
+++ b/chivejunction/state/crash_evidence.py
@@ -1,10 +1,10 @@
 """Evidence of which prompt parts crash engines, from all gateways.
 
-Each crash report names a request that had no event yet when its engine
+Each crash report names a request that was in progress when its engine
 crashed, and the parts of its prompt that may be the cause. A part is found
-harmful if it was a suspect in several crashes and no request with it has
-succeeded since. Crashes that a harmful part explains do not count against
-the other parts.
+harmful if it was a suspect in several crashes and no request with it has got
+a complete response since. Crashes that a harmful part explains do not count
+against the other parts.
 """
 
 import collections
@@ -23,10 +23,13 @@
 MAX_SUCCESSES = 8192
 # Parts that one report may name; the last ones are the most specific.
 MAX_PARTS = 6
-# Weight of a crash for a part of a request whose response had begun, and of
-# one that still waited: the head of its response may have been lost.
+# Time after the first event within which a response has only just begun.
+BEGINNING_SECONDS = 1.0
+# Weight of a crash for a part of a request whose response had just begun, and
+# of any other: one that still waited, as the head of its response may have
+# been lost, or one that had been running for longer.
 BEGUN_WEIGHT = 1.0
-WAITING_WEIGHT = 0.6
+OTHER_WEIGHT = 0.6
 # A part is harmful at this total weight if the reports name more than one
 # request, else at the second one.
 HARMFUL_WEIGHT = 3.0
@@ -80,7 +83,7 @@
         server: Hash of the server process.
         request: Hash of the request's last prompt part.
         parts: Hashes of the other parts that may be the cause, in order.
-        has_begun: Whether the response had begun.
+        has_begun: Whether the response had just begun.
         crashed_at: Monotonic time of the crash.
     """
 
@@ -122,11 +125,11 @@
     def record_success(
         self, part: int, succeeded_at: float | None = None
     ) -> bool:
-        """Records that a request with a part got an event.
+        """Records that a request with a part got a complete response.
 
         Args:
             part: Hash of the part.
-            succeeded_at: Monotonic time of the event; None for now.
+            succeeded_at: Monotonic time of its end; None for now.
 
         Returns:
             Whether the part was a suspect until now.
@@ -242,7 +245,7 @@
         for crash in crashes:
             crash_weights: dict[int, float] = {}
             for report in crash:
-                weight = BEGUN_WEIGHT if report.has_begun else WAITING_WEIGHT
+                weight = BEGUN_WEIGHT if report.has_begun else OTHER_WEIGHT
                 for position, part in enumerate(report.parts):
                     if self._get_success(part) >= report.crashed_at:
                         continue
--- a/chivejunction/transport/backend_connections.py
+++ b/chivejunction/transport/backend_connections.py
@@ -83,6 +83,8 @@
             reused.
         released_at: Monotonic time at which it was returned to the pool.
         sent_requests: Number of requests sent on this connection.
+        has_framed_body: Whether the latest response has a length or chunks,
+            rather than ending with the connection.
     """
 
     def __init__(self, stream: abc.SocketStream):
@@ -94,6 +96,7 @@
         self.idle_deadline = 0.0
         self.released_at = 0.0
         self.sent_requests = 0
+        self.has_framed_body = False
         self._skipped_responses = 0
         self._pieces = pieces.PieceCounter()
         # Event or error that was read ahead of the data returned last.
@@ -178,6 +181,10 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.has_framed_body = any(
+                    name in (b'content-length', b'transfer-encoding')
+                    for name, _ in event.headers
+                )
                 return event.status_code, list(event.headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.TransportError('closed without an answer')
--- a/tests/test_bad_backends.py
+++ b/tests/test_bad_backends.py
@@ -410,6 +410,22 @@
             assert not response.is_complete
 
 
+class TestProofOfSuccess:
+    @run_async
+    async def test_server_that_breaks_its_streams_is_not_cleared_by_events(
+        self,
+    ):
+        """Guards against a first event that counts as a success."""
+        async with forward_rig.start() as rig:
+            await rig.add_server(
+                forward_rig.make_event_stream(3, last=1), 'pool', 'i-1'
+            )
+            for _ in range(4):
+                await rig.call('/stream/x', b'p')
+            backend = rig.gateway.backends.get('i-1')
+            assert backend.failures == 4
+
+
 # A chunk of one byte, many times.
 TINY_CHUNKS = forward_rig.encode_chunk(b'a') * 10_000
 # Longest time in which the event loop may serve nobody: the users allow half
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -21,12 +21,17 @@
 class Pool:
     """Engines that crash as they begin to respond to a prompt part.
 
+    Args:
+        written: Called with a request; returns the bytes that an engine has
+            written after the head as it crashes.
+
     Attributes:
         servers: The engines.
         harmful_requests: Ids of requests with the part that reached one.
     """
 
-    def __init__(self):
+    def __init__(self, written=lambda request: b''):
+        self._written = written
         self.servers = []
         self.harmful_requests = []
 
@@ -50,7 +55,10 @@
             if HARMFUL_PART not in prompt:
                 return await stream_events(request, stream)
             self.harmful_requests.append(request.id)
-            await stream.send(forward_rig.encode_stream_head(request))
+            await stream.send(
+                forward_rig.encode_stream_head(request)
+                + self._written(request)
+            )
             await anyio.sleep(0.01)
             self.servers[number].crash()
             return False
@@ -97,6 +105,75 @@
             assert response.is_complete and response.status == 200
 
 
+def encode_events(request, count):
+    """Returns the next events of a stream for a request."""
+    first = int(request.headers.get('last-event-id', '0')) + 1
+    return b''.join(
+        forward_rig.encode_event(number)
+        for number in range(first, first + count)
+    )
+
+
+class TestCrashAfterTheFirstEvents:
+    """Guards against a first event that is taken for a success.
+
+    An engine may crash once it has written some of the response.
+    """
+
+    WRITTEN = {
+        'one event': lambda request: encode_events(request, 1),
+        'one event and a part': lambda request: (
+            encode_events(request, 1) + b'20\r\nid: '
+        ),
+        'five events': lambda request: encode_events(request, 5),
+    }
+
+    @pytest.mark.parametrize('case', WRITTEN)
+    def test_part_is_found(self, case):
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                rig._group.start_soon(rig.keep_config_fresh)
+                pool = Pool(self.WRITTEN[case])
+                await pool.start(rig)
+                sent_at_fifth_crash = None
+                for number in range(16):
+                    await call(rig, number, ['class', HARMFUL_PART])
+                    await anyio.sleep(0.3)
+                    if sent_at_fifth_crash is None and (
+                        pool.count_crashes() >= 5
+                    ):
+                        sent_at_fifth_crash = len(pool.harmful_requests)
+                if sent_at_fifth_crash is not None:
+                    late = len(pool.harmful_requests) - sent_at_fifth_crash
+                    assert late <= 3
+                assert (await call(rig, 98, [HARMFUL_PART])).status == 503
+                await anyio.sleep(forward_rig.RESTART_SECONDS)
+                response = await call(rig, 99, ['class', 'good'])
+                assert response.is_complete and response.status == 200
+
+        check(None)
+
+    @run_async
+    async def test_response_that_ends_with_its_connection_proves_nothing(self):
+        """A crash between two events looks like its end."""
+
+        async def respond(request, stream):
+            head = forward_rig.encode_stream_head(request).replace(
+                b'Transfer-Encoding: chunked\r\n', b''
+            )
+            await stream.send(head + b'id: 1\ndata: w1\n\n')
+            return False
+
+        async with forward_rig.start() as rig:
+            await rig.add_server(respond, 'pool')
+            response = await call(rig, 1, ['class'])
+            assert response.is_complete
+            evidence = rig.gateway.prompt_guard._evidence
+            part = crash_evidence.hash_part('class')
+            assert evidence.list_suspects((part,)) == (part,)
+
+
 def make_key(part):
     """Returns the store key of a finding."""
     return f'{harmful_prompts.PREFIX}{crash_evidence.hash_part(part):016x}'
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -536,3 +536,32 @@
             if halted_at is None and is_halted(gateways[number]):
                 halted_at = at
         assert compute_exposure(halted_at - 4, 15) <= MAX_EXPOSURE
+
+
+class TestBrokenStreams:
+    """Guards against a first event that counts as a success."""
+
+    def test_stream_that_breaks_off_is_one_failure(self, now):
+        moves = make_open_moves(now)
+        for _ in range(9):
+            moves.record('pool', 'v1', True)
+        for _ in range(3):
+            begun = moves.record('pool', 'v2', True, 1.0)
+            now.value += version_moves.WINDOW_SECONDS + 1
+            moves.record_failure('pool', 'v2', begun)
+        assert moves._results['pool', 'v2'].count() == (1, 1)
+
+    def test_version_that_breaks_its_streams_is_halted(self, now):
+        """One in four streams breaks off: more than a fifth."""
+        moves = make_open_moves(now)
+        for number in range(40):
+            moves.record('pool', 'v1', True)
+            begun = moves.record('pool', 'v2', True, 1.0)
+            if number % 4 == 3:
+                moves.record_failure('pool', 'v2', begun)
+        assert moves._moves['pool'].is_halted
+
+    def test_attempt_that_is_given_up_is_no_success(self, now):
+        moves = make_open_moves(now)
+        moves.record('pool', 'v2', None, 1.0)
+        assert moves._results['pool', 'v2'].count() == (0, 0)
