Report all parts of a prompt that was in progress at a crash

Cause: a report named the last six parts without a recent success only, so that the harmful one was never among them. Ruled out: that the rare parts were found in its place (no finding at all).

Change: reports name up to 48 parts, 12 in each; of more, parts that earlier reports name stay, then those without success for longest, and ties are drawn, so that a part cannot stay hidden.

Seen failing before: TestManyParts (three), TestTooManyParts (three).

--- a/chivejunction/coordination/bulletins.py
+++ b/chivejunction/coordination/bulletins.py
@@ -39,7 +39,7 @@
 # below this does not make one of two bulletins the later one.
 AGE_TOLERANCE_SECONDS = 0.25
 MAX_VALIDITY_SECONDS = 900.0
-MAX_BULLETINS_PER_KIND = 256
+MAX_BULLETINS_PER_KIND = 768
 MAX_DATAGRAM_BYTES = 1200
 # Datagrams of one round to one gateway; the rest follows in later rounds.
 MAX_DATAGRAMS_PER_ROUND = 4
@@ -272,14 +272,16 @@
         fanout: int,
         max_datagrams: int,
     ) -> None:
-        packed = self._pack(bulletins)[:max_datagrams]
+        packed = self._pack(bulletins, max_datagrams)
         for address in self._sample_peers(fanout):
             with containment.contain(PART, address=str(address)):
                 for data in packed:
                     await sender.send(data, address)
 
-    def _pack(self, bulletins: list[Bulletin]) -> list[bytes]:
-        """Returns datagrams with the bulletins, in their order."""
+    def _pack(
+        self, bulletins: list[Bulletin], max_datagrams: float = math.inf
+    ) -> list[bytes]:
+        """Returns datagrams with the first bulletins, in their order."""
         header = FIRST_BYTE + msgpack.packb(self._name)
         packed, rows, size = [], [], 0
         for bulletin in bulletins:
@@ -293,6 +295,8 @@
             if rows and len(header) + 3 + size + len(row) > MAX_DATAGRAM_BYTES:
                 packed.append(self._join(header, rows))
                 rows, size = [], 0
+                if len(packed) == max_datagrams:
+                    return packed
             rows.append(row)
             size += len(row)
         if rows:
--- a/chivejunction/coordination/harmful_prompts.py
+++ b/chivejunction/coordination/harmful_prompts.py
@@ -259,22 +259,28 @@
         # The cause is among those that have begun last.
         attempts.sort(key=lambda attempt: -attempt.begun_at)
         for attempt in attempts[:MAX_REQUESTS_PER_CRASH]:
-            report = attempt.report
-            self._add_report(report)
-            self._board.publish(
-                CRASH_KIND,
-                report.server ^ report.request,
-                (
-                    report.server,
-                    report.request,
-                    int(report.has_begun),
-                    *report.parts,
-                ),
-                crash_evidence.REPORT_TTL_SECONDS,
-            )
+            for report in attempt.report.split():
+                self._add_report(report)
+                self._publish_crash(report)
+
+    def _publish_crash(self, report: crash_evidence.CrashReport) -> None:
+        self._board.publish(
+            CRASH_KIND,
+            report.server ^ report.request ^ report.first_position,
+            (
+                report.server,
+                report.request,
+                report.has_begun + 2 * report.first_position,
+                *report.parts,
+            ),
+            crash_evidence.REPORT_TTL_SECONDS,
+        )
 
     def _read_crash(self, bulletin: bulletins.Bulletin) -> None:
-        server, request, has_begun, *parts = bulletin.value
+        server, request, position_and_begun, *parts = bulletin.value
+        first_position, has_begun = divmod(_check_hash(position_and_begun), 2)
+        if first_position >= crash_evidence.MAX_PARTS:
+            raise ValueError(f'a prompt part at position {first_position}')
         self._add_report(
             crash_evidence.CrashReport(
                 _check_hash(server),
@@ -282,6 +288,7 @@
                 tuple(_check_hash(part) for part in parts),
                 bool(has_begun),
                 bulletin.issued_at,
+                first_position,
             )
         )
 
--- a/chivejunction/state/crash_evidence.py
+++ b/chivejunction/state/crash_evidence.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import math
+import random
 
 import xxhash
 
@@ -18,11 +19,12 @@
 
 # Reports count for this long.
 REPORT_TTL_SECONDS = 300.0
-MAX_REPORTS = 256
+MAX_REPORTS = 768
 # Requests and prompt parts whose latest success is remembered.
 MAX_SUCCESSES = 8192
-# Parts that one report may name; the last ones are the most specific.
-MAX_PARTS = 6
+# Parts of one prompt that are reported, and those that one report names.
+MAX_PARTS = 48
+PARTS_PER_REPORT = 12
 # Time after the first event within which a response has only just begun.
 BEGINNING_SECONDS = 1.0
 # Weight of a crash for a part of a request whose response had just begun, and
@@ -85,6 +87,8 @@
         parts: Hashes of the other parts that may be the cause, in order.
         has_begun: Whether the response had just begun.
         crashed_at: Monotonic time of the crash.
+        first_position: Position of the first one of these parts among all
+            that may be the cause; the others are in reports of their own.
     """
 
     server: int
@@ -92,6 +96,18 @@
     parts: tuple[int, ...]
     has_begun: bool
     crashed_at: float
+    first_position: int = 0
+
+    def split(self) -> 'list[CrashReport]':
+        """Returns reports of which none names too many parts."""
+        return [
+            dataclasses.replace(
+                self,
+                parts=self.parts[start : start + PARTS_PER_REPORT],
+                first_position=start,
+            )
+            for start in range(0, len(self.parts), PARTS_PER_REPORT)
+        ]
 
 
 def share_request(first: list[CrashReport], second: list[CrashReport]) -> bool:
@@ -105,7 +121,7 @@
 
     def __init__(self):
         self._reports: collections.OrderedDict[
-            tuple[int, int], CrashReport
+            tuple[int, int, int], CrashReport
         ] = collections.OrderedDict()
         self._succeeded_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -118,7 +134,8 @@
 
     def add(self, report: CrashReport) -> None:
         """Adds a report; a later one of the same crash replaces it."""
-        self._reports[report.server, report.request] = report
+        key = report.server, report.request, report.first_position
+        self._reports[key] = report
         while len(self._reports) > MAX_REPORTS:
             self._reports.popitem(last=False)
 
@@ -147,10 +164,27 @@
         )
 
     def list_suspects(self, parts: tuple[int, ...]) -> tuple[int, ...]:
-        """Returns the parts that had no success lately."""
+        """Returns the parts that had no success lately.
+
+        Of too many, those stay that earlier reports name or that had no
+        success for longest. Any of the others may be the cause, so these are
+        drawn.
+        """
         since = clock.now() - RECENT_SUCCESS_SECONDS
         suspects = [p for p in parts if self._get_success(p) < since]
-        return tuple(suspects[-MAX_PARTS:])
+        if len(suspects) > MAX_PARTS:
+            named = {p for r in self._reports.values() for p in r.parts}
+            ranked = sorted(
+                suspects,
+                key=lambda part: (
+                    part not in named,
+                    self._get_success(part),
+                    random.random(),
+                ),
+            )
+            kept = set(ranked[:MAX_PARTS])
+            suspects = [part for part in suspects if part in kept]
+        return tuple(suspects)
 
     def _get_success(self, part: int) -> float:
         return self._succeeded_at.get(part, -math.inf)
@@ -167,6 +201,7 @@
             for report in self._reports.values()
             if report.request == own_part
             and report.has_begun
+            and not report.first_position
             and report.crashed_at > succeeded_at
         ]
         return len(crashes) >= MAX_CRASHES_PER_REQUEST
@@ -246,7 +281,9 @@
             crash_weights: dict[int, float] = {}
             for report in crash:
                 weight = BEGUN_WEIGHT if report.has_begun else OTHER_WEIGHT
-                for position, part in enumerate(report.parts):
+                for position, part in enumerate(
+                    report.parts, report.first_position
+                ):
                     if self._get_success(part) >= report.crashed_at:
                         continue
                     crash_weights[part] = max(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -170,3 +170,37 @@
         assert known == {harmful_part}
         # The users allow 4 s (contact_ms) after the fifth crash.
         assert found_at <= sorted(crashed_at.values())[4] + 4
+
+
+class TestTooManyParts:
+    """Guards against a bound that drops the same part each time."""
+
+    def test_part_named_before_is_kept(self, virtual_time):
+        evidence = Evidence(virtual_time)
+        evidence.add_crash(1, 91, (SUBJECT,))
+        parts = (SUBJECT, *range(100, 300))
+        for _ in range(20):
+            suspects = evidence.list_suspects(parts)
+            assert len(suspects) == crash_evidence.MAX_PARTS
+            assert suspects[0] == SUBJECT
+
+    def test_each_part_has_a_chance(self, virtual_time):
+        evidence = Evidence(virtual_time)
+        parts = tuple(range(100, 200))
+        named = set()
+        for _ in range(50):
+            suspects = evidence.list_suspects(parts)
+            assert list(suspects) == sorted(suspects)
+            named.update(suspects)
+        assert named == set(parts)
+
+    def test_split_reports_are_one_crash(self, virtual_time):
+        """A request in progress at one crash is not a suspect request."""
+        evidence = Evidence(virtual_time)
+        report = crash_evidence.CrashReport(
+            1, 91, tuple(range(100, 140)), True, virtual_time.now
+        )
+        for part_report in report.split():
+            evidence.add(part_report)
+        assert not evidence.is_suspect_request(91)
+        assert evidence.judge() == []
--- a/tests/test_harmful_prompts.py
+++ b/tests/test_harmful_prompts.py
@@ -174,6 +174,52 @@
             assert evidence.list_suspects((part,)) == (part,)
 
 
+class TestManyParts:
+    """Guards against a harmful part that hides behind many rare ones."""
+
+    @pytest.mark.parametrize('count', [12, 40])
+    def test_part_ahead_of_rare_parts_is_found(self, count):
+        @run_async
+        async def check(_):
+            async with forward_rig.start() as rig:
+                rig._group.start_soon(rig.keep_config_fresh)
+                pool = Pool()
+                await pool.start(rig)
+                for number in range(12):
+                    rare = [f'doc{number}-{n}' for n in range(count)]
+                    await call(rig, number, ['class', HARMFUL_PART, *rare])
+                    await anyio.sleep(0.3)
+                assert len(pool.harmful_requests) <= 8
+                await anyio.sleep(forward_rig.RESTART_SECONDS)
+                response = await call(rig, 99, ['class', 'doc0-0', 'good'])
+                assert response.is_complete and response.status == 200
+
+        check(None)
+
+    @run_async
+    async def test_all_parts_of_a_crash_reach_other_gateways(self):
+        """Guards against reports of which only a part arrives."""
+        async with anyio.create_task_group() as group:
+            first, second = (forward_rig.Rig(group).gateway for _ in range(2))
+            report = crash_evidence.CrashReport(
+                1, 2, tuple(range(100, 140)), True, clock.now()
+            )
+            for part_report in report.split():
+                first.prompt_guard._add_report(part_report)
+                first.prompt_guard._publish_crash(part_report)
+            second._board._name = 'gw-2'
+            for datagram in first._board.export():
+                second._board.handle_datagram(datagram, ('127.0.0.1', 1))
+            reports = second.prompt_guard._evidence._reports.values()
+            positions = {
+                part: position
+                for r in reports
+                for position, part in enumerate(r.parts, r.first_position)
+            }
+            group.cancel_scope.cancel()
+        assert positions == {100 + n: n for n in range(40)}
+
+
 def make_key(part):
     """Returns the store key of a finding."""
     return f'{harmful_prompts.PREFIX}{crash_evidence.hash_part(part):016x}'
