Cut an attempt only if another server can take over

Callers of a plain service with two servers left got 502 for each repeatable request: it was cut at both after 0.55 of the objective while they were at work, with most of its time left.

Cause: the cut looked at the number of attempts only, and servers that were tried are left out, so that with fewer servers than attempts no attempt was the last one. Ruled out: the retry budget (the reason in the log is 'silent') and paused servers (the second attempt was sent).

Change: an attempt is cut only where a retry is allowed and a server that was not tried can take it, checked again each 0.1 s. A request that was sent and finds no other server goes to one that failed it once more, within twice the objective, the number of attempts and the budget. Agents' calls follow the same two rules: the first was the budget alone, the second was missing.

FixedSelector, a double in test_attempts, got the new method of the selector.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -20,6 +20,10 @@
 # Longest wait for a server with free capacity, as a share of the route's
 # objective.
 MAX_CAPACITY_WAIT_SHARE = 1 / 8
+# Time from the receipt of a request in which it may be sent once more to a
+# server that has failed it, as a share of the objective, and the delay before.
+REPEAT_SHARE = 2.0
+REPEAT_DELAY_SECONDS = 0.1
 # Capacity that returns with time, such as that of a cold or paused server, is
 # noticed at this interval; all other capacity wakes the requests that wait.
 CAPACITY_CHECK_SECONDS = 0.05
@@ -130,9 +134,13 @@
     ) -> backend_selection.Choice | None:
         """Waits for a backend server with free capacity.
 
+        A request that was sent goes to a server again that has failed it, if
+        there is no other one.
+
         Returns:
             The chosen server; None if none had capacity within
-            MAX_CAPACITY_WAIT_SHARE of the route's objective.
+            MAX_CAPACITY_WAIT_SHARE of the route's objective, or in the time
+            for repeats.
 
         Raises:
             RefusalError: No server can respond before the deadline.
@@ -141,6 +149,24 @@
             context, context.tier.model or context.request.model
         )
         context.requirements = requirements
+        wait_until = clock.make_deadline(
+            MAX_CAPACITY_WAIT_SHARE * context.route.objective
+        )
+        if (
+            context.sent_attempts
+            and context.failed_instances
+            and not self._selector.has_server(requirements, wait_until)
+        ):
+            requirements.tried = frozenset()
+            wait_until = min(
+                context.deadline,
+                context.request.received_at
+                + REPEAT_SHARE * context.route.objective,
+            )
+            if not self._selector.has_server(requirements, wait_until):
+                context.reason = context.reason or 'no server left'
+                return None
+            await anyio.sleep(clock.jitter(REPEAT_DELAY_SECONDS))
         # Requests that wait already go first.
         if not self._waiting_line.list_waiting(
             context.service.name, clock.now()
@@ -149,7 +175,7 @@
             if choice is not None:
                 return self._check_servable(context, choice)
         self._check_refusals(context)
-        choice = await self._wait_in_line(context)
+        choice = await self._wait_in_line(context, wait_until)
         if choice is None:
             context.reason = context.reason or 'no server with room'
             return None
@@ -179,10 +205,9 @@
             )
 
     async def _wait_in_line(
-        self, context: request_context.RequestContext
+        self, context: request_context.RequestContext, deadline: float
     ) -> backend_selection.Choice | None:
         service, now = context.service.name, clock.now()
-        deadline = now + MAX_CAPACITY_WAIT_SHARE * context.route.objective
         ticket = self._waiting_line.add(
             service,
             context.urgency,
@@ -247,10 +272,12 @@
         Args:
             context: The request, with an attempt in progress.
         """
-        budget = self.get_retry_budget(context.service.name)
+        service = context.service.name
         if (
-            context.sent_attempts >= context.route.max_attempts
-            or budget.remaining < 1
+            not context.can_retry
+            or self.get_retry_budget(service).remaining < 1
+            # Those that wait would go first.
+            or self._waiting_line.list_waiting(service, clock.now())
         ):
             return False
         requirements = self._make_requirements(
--- a/chivejunction/coordination/attempt_streams.py
+++ b/chivejunction/coordination/attempt_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import math
 
 from chivejunction import clock
@@ -57,8 +58,9 @@
         started: Monotonic time in seconds at which the attempt was sent.
         verdict: Whether the attempt has run, as far as is known.
         ended: Whether the attempt is over; it needs no Cancel any more.
-        is_replaceable: Whether the attempt fails at once if the agent does
-            not reply to its start, so that another server is tried.
+        is_replaceable: Returns whether another server can be tried. The
+            attempt fails at once then if the agent does not reply to its
+            start.
         closed: Whether frames of the attempt are no longer received.
     """
 
@@ -77,7 +79,7 @@
         self.started = clock.now()
         self.verdict = verdicts.Verdict.NOT_RUN
         self.ended = False
-        self.is_replaceable = False
+        self.is_replaceable: Callable[[], bool] = lambda: False
         self._has_agent_replied = False
         self._has_head = False
         self.closed = False
@@ -213,7 +215,7 @@
         if self._has_agent_replied:
             return
         self.peer.server.is_suspect = True
-        if self.is_replaceable:
+        if self.is_replaceable():
             raise errors.RefusalError(
                 'server_failed',
                 f'{self.peer.name} does not answer',
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -32,6 +32,8 @@
 # The same for responses that are not streamed, which an idle server sends at
 # once. Liveness is not checked for them.
 PLAIN_FIRST_BYTE_TIMEOUT_SHARE = 0.55
+# Interval at which it is checked whether another server can take over.
+TAKEOVER_CHECK_SECONDS = 0.1
 # Time between two events, as a share of the longest gap that is on time,
 # after which a stream is resumed at another server. The longer limit applies
 # while the server is alive but busy.
@@ -429,8 +431,13 @@
         objective = context.route.objective
         if not context.route.is_stream:
             timeout_at = sent_at + PLAIN_FIRST_BYTE_TIMEOUT_SHARE * objective
-            with anyio.move_on_at(timeout_at):
-                return await read()
+            while True:
+                # A cancelled read loses no data; the next one continues it.
+                with anyio.move_on_at(timeout_at):
+                    return await read()
+                if self._chooser.can_retry_elsewhere(context):
+                    break
+                timeout_at = clock.make_deadline(TAKEOVER_CHECK_SECONDS)
             raise request_context.AttemptFailed(
                 'silent', request_context.MAY_HAVE_RUN
             )
--- a/chivejunction/coordination/dispatch.py
+++ b/chivejunction/coordination/dispatch.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 import uuid
 
@@ -24,6 +25,8 @@
 from chivejunction.state import views
 
 MAX_ATTEMPTS = 4
+# Delay before a call is sent again to a server that has failed it.
+REPEAT_DELAY_SECONDS = 0.1
 # An idempotent call of which no byte has been relayed can run again, so it
 # does not wait long to learn whether the attempt has run.
 IDEMPOTENT_RESOLVE_TIMEOUT_SECONDS = 0.7
@@ -370,6 +373,8 @@
         refusal = None
         for retry_count in range(MAX_ATTEMPTS):
             server = self._choose_server(execution)
+            if server is None and refusal is not None:
+                server = await self._choose_again(execution)
             if server is None or (retry_count and not self.budget.take()):
                 break
             try:
@@ -387,6 +392,22 @@
             f'no server of {execution.pool} takes the request',
         )
 
+    def _can_replace(self, execution: CallExecution) -> bool:
+        """Returns whether another server can take over from an attempt."""
+        return self.budget.tokens >= 1 and self._selector.has_server(
+            execution.pool,
+            execution.version,
+            frozenset(execution.excluded_hosts),
+        )
+
+    async def _choose_again(
+        self, execution: CallExecution
+    ) -> servers.Server | None:
+        """Returns a server that failed the call, as there is no other one."""
+        await anyio.sleep(clock.jitter(REPEAT_DELAY_SECONDS))
+        execution.excluded_hosts = set(execution.interrupted_hosts)
+        return self._choose_server(execution)
+
     def _choose_server(
         self, execution: CallExecution
     ) -> servers.Server | None:
@@ -566,7 +587,9 @@
         stream = attempt_streams.AttemptStream(peer, attempt, incarnation)
         if call.idempotent:
             stream.resolve_timeout = IDEMPOTENT_RESOLVE_TIMEOUT_SECONDS
-            stream.is_replaceable = self.budget.tokens >= 1
+            stream.is_replaceable = functools.partial(
+                self._can_replace, execution
+            )
         execution.add(stream)
         # Frames of a response hold only the attempt id. This line maps it to
         # the request, under which the other decisions are logged.
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -18,13 +18,10 @@
 from chivejunction.protocol import refusals
 from chivejunction.scheduling import admission
 from chivejunction.scheduling import tier_choice
-from chivejunction.state import crash_evidence
 from chivejunction.state import freshness
 from chivejunction.state import route_tables
 from chivejunction.transport import caller_connections
 
-# An attempt cannot complete in less remaining time than this.
-MIN_REMAINING_SECONDS = 0.02
 # Parts of a prompt that the line of a request names.
 MAX_LOGGED_PARTS = 12
 REQUESTS = metrics.make_counter(
@@ -235,7 +232,7 @@
             action = await self._attempts.run(context, choice)
             if (
                 action is request_context.NextAction.RETRY
-                and not self._can_retry(context)
+                and not context.can_retry
             ):
                 break
         return action is request_context.NextAction.DONE
@@ -258,16 +255,6 @@
         context.reason = reason
         return False
 
-    @staticmethod
-    def _can_retry(context: request_context.RequestContext) -> bool:
-        return (
-            context.is_retry_safe
-            and context.sent_attempts < context.route.max_attempts
-            and context.broken_starts < crash_evidence.MAX_CRASHES_PER_REQUEST
-            and clock.remaining(context.deadline) > MIN_REMAINING_SECONDS
-            and not clock.has_passed(context.last_attempt_at)
-        )
-
     async def _send_failure(
         self, context: request_context.RequestContext
     ) -> None:
@@ -290,7 +277,10 @@
             )
         elif clock.has_passed(context.stop_at):
             code = 'server_failed'
-        elif clock.remaining(context.deadline) <= MIN_REMAINING_SECONDS:
+        elif (
+            clock.remaining(context.deadline)
+            <= request_context.MIN_REMAINING_SECONDS
+        ):
             code = 'deadline'
         else:
             code = 'server_failed'
--- a/chivejunction/coordination/request_context.py
+++ b/chivejunction/coordination/request_context.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from chivejunction import clock
 from chivejunction import errors
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import forwarding
@@ -13,6 +14,8 @@
 from chivejunction.state import crash_evidence
 from chivejunction.transport import caller_connections
 
+# An attempt cannot complete in less remaining time than this.
+MIN_REMAINING_SECONDS = 0.02
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 RAN = verdicts.Verdict.RAN
@@ -163,6 +166,17 @@
             return self.stop_at - self.route.objective
         return self.admit_until
 
+    @property
+    def can_retry(self) -> bool:
+        """Whether the request may be sent again after the attempts so far."""
+        return (
+            self.is_retry_safe
+            and self.sent_attempts < self.route.max_attempts
+            and self.broken_starts < crash_evidence.MAX_CRASHES_PER_REQUEST
+            and clock.remaining(self.deadline) > MIN_REMAINING_SECONDS
+            and not clock.has_passed(self.last_attempt_at)
+        )
+
     @property
     def is_retry_safe(self) -> bool:
         """Whether the request may run again after the attempts so far."""
--- a/chivejunction/coordination/selection.py
+++ b/chivejunction/coordination/selection.py
@@ -137,6 +137,19 @@
         chosen.server.sent_since_report += 1
         return chosen.server
 
+    def has_server(
+        self, pool: str, version: str, exclude: frozenset[str]
+    ) -> bool:
+        """Returns whether a server that responds is eligible.
+
+        Args:
+            pool: Pool of the server.
+            version: Model version that must be loaded, empty for a service.
+            exclude: Hosts that were already tried.
+        """
+        eligible, _ = self._filter_servers(pool, version, exclude, clock.now())
+        return any(not server.is_suspect for server in eligible)
+
     def describe_decision(self) -> dict:
         """Returns the log fields of the latest decision.
 
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -241,6 +241,22 @@
             default=0.0,
         )
 
+    def has_server(self, requirements: BackendRequirements, by: float) -> bool:
+        """Returns whether a server may take an attempt, whatever its load.
+
+        Args:
+            requirements: What the attempt needs from its server.
+            by: Monotonic time until which it can wait for a server that is
+                paused or asked for time.
+        """
+        return any(
+            self._may_serve(requirements, backend)
+            and backend.instance not in requirements.tried
+            and requirements.is_version_allowed(backend.version)
+            and max(backend.paused_until, backend.refused_until) <= by
+            for backend in self._table.list_backends(requirements.service)
+        )
+
     def has_warm_server(
         self, requirements: BackendRequirements, version: str
     ) -> bool:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -74,6 +74,12 @@
                 return peer.server
         return None
 
+    def has_server(self, pool, version, exclude):
+        return any(
+            peer.name not in exclude and not peer.server.is_suspect
+            for peer in self.peers
+        )
+
     def make_outcome(self):
         return servers.Outcome()
 
