Keep a reverted version withdrawn while the next move runs

Cause: sessions on the old side of a move could use any version but the new target. Ruled out: that the servers are gone by then; nothing promises it.

Change: the versions of reverted moves are remembered, in the record in the store too, and are used again only if they are ordered again.

Seen failing before: TestWithdrawnVersions (300 of 300 sessions could use the bad version after the next order; three of four fail, one for a new constant).

--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -114,6 +114,8 @@
 # a write reaches all gateways within about a second.
 STAGE_WRITE_DELAY_SECONDS = 0.6
 REVERT_WRITE_JITTER_SECONDS = 0.05
+# Versions of a service that are remembered after their move was reverted.
+MAX_WITHDRAWN_VERSIONS = 8
 # A gateway that claims more results is not believed.
 MAX_PEER_RESULTS = 2**32
 # A record with a larger elapsed share of the ordered time is invalid.
@@ -158,6 +160,8 @@
         stage: Index into ``STAGES``.
         state: State of the move.
         elapsed: Elapsed share of the ordered time.
+        withdrawn: Versions to which earlier moves were reverted, and the
+            target of this one if it is.
     """
 
     model_config = pydantic.ConfigDict(strict=True, allow_inf_nan=False)
@@ -166,6 +170,9 @@
     stage: int = pydantic.Field(ge=0)
     state: State
     elapsed: float = pydantic.Field(ge=0, le=MAX_ELAPSED_SHARE)
+    withdrawn: list[str] = pydantic.Field(
+        default_factory=list, max_length=MAX_WITHDRAWN_VERSIONS
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -443,6 +450,9 @@
         self._make_status_entries = make_status_entries
         self._moves: dict[str, Move] = {}
         self._records: dict[str, stores.Entry] = {}
+        # By service, versions whose move was reverted, as sets that keep
+        # their order. Their servers may still be listed.
+        self._withdrawn: dict[str, dict[str, None]] = {}
         self._results: dict[tuple[str, str], VersionResults] = {}
         self._announce_session = announce_session
         self._find_rank = find_rank
@@ -459,6 +469,9 @@
         if current is not None and current.order.revision >= order.revision:
             return
         now = clock.now()
+        if current is not None and current.share == 0.0:
+            self._withdraw(order.service, current.order.target)
+        self._withdrawn.get(order.service, {}).pop(order.target, None)
         self._moves[order.service] = Move(order, now)
         for session_hash, session in self._sessions.items():
             if session.service != order.service:
@@ -481,6 +494,14 @@
     def remove_order(self, service: str) -> None:
         """Removes the order of a service that the operator withdrew."""
         self._moves.pop(service, None)
+        self._withdrawn.pop(service, None)
+
+    def _withdraw(self, service: str, version: str) -> None:
+        """Lets no sessions of later moves use a version that was found bad."""
+        versions = self._withdrawn.setdefault(service, {})
+        versions[version] = None
+        while len(versions) > MAX_WITHDRAWN_VERSIONS:
+            del versions[next(iter(versions))]
 
     def apply_record(self, entry: stores.Entry) -> None:
         """Applies the record of a move from the store.
@@ -507,6 +528,9 @@
         if move is None or entry.revision <= move.revision:
             return
         move.revision = entry.revision
+        for version in record.withdrawn:
+            if version != move.order.target:
+                self._withdraw(service, version)
         if record.order != move.order.revision:
             return
         move.is_recorded = True
@@ -550,7 +574,7 @@
             # the next move starts.
             if is_in_first_share(session_hash):
                 self._keep_session(session_hash, service, False)
-            return allow_all
+            return self._allow_unless_withdrawn(service)
         target = move.order.target
         is_new = self._assign_session(move, session_hash, is_usable)
         self._keep_session(session_hash, service, is_new)
@@ -561,7 +585,16 @@
             and is_in_first_share(session_hash)
         ):
             self._announce_session(session_hash)
-        return lambda version: (version == target) is is_new
+        withdrawn = self._withdrawn.get(service, ())
+        return lambda version: (
+            (version == target) is is_new and version not in withdrawn
+        )
+
+    def _allow_unless_withdrawn(self, service: str) -> Callable[[str], bool]:
+        withdrawn = self._withdrawn.get(service)
+        if not withdrawn:
+            return allow_all
+        return lambda version: version not in withdrawn
 
     def _assign_session(
         self, move: Move, session_hash: int, is_usable: Callable[[str], bool]
@@ -878,6 +911,7 @@
             'stage': stage,
             'state': state.value,
             'elapsed': round(move.find_elapsed_share(), 4),
+            'withdrawn': self._list_withdrawn(move, state),
         }
         try:
             revision = await self._store.swap(
@@ -904,6 +938,13 @@
             stores.Entry(key, json.dumps(value).encode(), revision, 0)
         )
 
+    def _list_withdrawn(self, move: Move, state: State) -> list[str]:
+        """Returns the versions that the record of a move is to name."""
+        versions = list(self._withdrawn.get(move.order.service, ()))
+        if state is State.REVERTED:
+            versions.append(move.order.target)
+        return versions[-MAX_WITHDRAWN_VERSIONS:]
+
     async def _read_record(self, move: Move, key: str) -> None:
         """Applies the store's record after a conflict or a lost response."""
         try:
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -565,3 +565,76 @@
         moves = make_open_moves(now)
         moves.record('pool', 'v2', None, 1.0)
         assert moves._results['pool', 'v2'].count() == (0, 0)
+
+
+class TestWithdrawnVersions:
+    """Guards against a bad version whose servers the next move uses again.
+
+    They may still be listed when another version is ordered.
+    """
+
+    SESSIONS = [f's{n}' for n in range(300)]
+
+    def count_bad(self, moves):
+        """Returns the number of sessions that may use the bad version."""
+        return sum(
+            moves.make_version_filter('pool', s)('v2') for s in self.SESSIONS
+        )
+
+    def make_reverted_moves(self, now, store=None):
+        moves = make_moves(store)
+        now.value += version_moves.SETTLE_SECONDS
+        for _ in range(4):
+            moves.record('pool', 'v2', False)
+        assert self.count_bad(moves) == 0
+        return moves
+
+    def test_next_move_does_not_use_it(self, now):
+        moves = self.make_reverted_moves(now)
+        moves.set_order(version_moves.Order('pool', 'v3', 20.0, 7))
+        assert self.count_bad(moves) == 0
+        now.value += version_moves.SETTLE_SECONDS
+        assert self.count_bad(moves) == 0
+        assert count_new(moves, self.SESSIONS) == 0
+        assert all(
+            moves.make_version_filter('pool', s)('v1')
+            or moves.make_version_filter('pool', s)('v3')
+            for s in self.SESSIONS
+        )
+        set_stage(moves, 3, 'complete', order=7)
+        now.value += version_moves.OLD_SERVERS_REMOVED_SECONDS + 1
+        assert self.count_bad(moves) == 0
+
+    def test_it_may_be_ordered_again(self, now):
+        moves = self.make_reverted_moves(now)
+        moves.set_order(version_moves.Order('pool', 'v3', 20.0, 7))
+        moves.set_order(version_moves.Order('pool', 'v2', 20.0, 8))
+        now.value += version_moves.SESSION_TTL_SECONDS
+        assert self.count_bad(moves)
+
+    @run_async
+    async def test_gateway_that_starts_later_reads_it_from_the_record(self):
+        store = stores.MemoryStore()
+        moves = make_moves(store)
+        for _ in range(4):
+            moves.record('pool', 'v2', False)
+        await advance(moves)
+        moves.set_order(version_moves.Order('pool', 'v3', 20.0, 7))
+        for has_next_record in (False, True):
+            if has_next_record:
+                moves.apply_record(store.entries['chivejunction/moves/pool'])
+                await advance(moves)
+            newcomer = version_moves.VersionMoves(
+                store, configuration.encode_move_status
+            )
+            newcomer.apply_record(store.entries['chivejunction/moves/pool'])
+            newcomer.set_order(version_moves.Order('pool', 'v3', 20.0, 7))
+            assert self.count_bad(newcomer) == 0
+
+    def test_number_of_versions_is_limited(self, now):
+        moves = make_moves()
+        for number in range(3 * version_moves.MAX_WITHDRAWN_VERSIONS):
+            moves._withdraw('pool', f'w{number}')
+        assert len(moves._withdrawn['pool']) == (
+            version_moves.MAX_WITHDRAWN_VERSIONS
+        )
