Count a broken stream whose result has left the bounded list

It counts as a new failure then. Seen failing before: test_failure_counts_after_many_other_results.

Tasks are checked for progress only after they had a turn since a stall.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -272,12 +272,9 @@
         Args:
             context: The request, with an attempt in progress.
         """
-        service = context.service.name
         if (
             not context.can_retry
-            or self.get_retry_budget(service).remaining < 1
-            # Those that wait would go first.
-            or self._waiting_line.list_waiting(service, clock.now())
+            or self.get_retry_budget(context.service.name).remaining < 1
         ):
             return False
         requirements = self._make_requirements(
--- a/chivejunction/coordination/version_moves.py
+++ b/chivejunction/coordination/version_moves.py
@@ -175,7 +175,7 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class VersionResult:
     """Result of an attempt at a server of a version.
 
@@ -722,7 +722,9 @@
             begun: Result recorded as the response began, which the failure
                 replaces; None without one.
         """
-        if begun is None:
+        results = self._results.get((service, version))
+        # The result may have left the bounded list meanwhile.
+        if results is None or begun not in results.results:
             self.record(service, version, False)
             return
         begun.is_success, begun.recorded_at = False, clock.now()
--- a/chivejunction/loop_monitor.py
+++ b/chivejunction/loop_monitor.py
@@ -56,7 +56,9 @@
             seconds = clock.now() - started_at - INTERVAL_SECONDS
             if seconds >= STALL_SECONDS:
                 self._report_stall(seconds, time.process_time() - used_before)
-            self._check_tasks()
+            else:
+                # After a stall, the tasks must have a turn first.
+                self._check_tasks()
 
     def _report_stall(self, seconds: float, used_seconds: float) -> None:
         is_blocked = used_seconds >= BLOCKED_SHARE * seconds
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -561,6 +561,18 @@
                 moves.record_failure('pool', 'v2', begun)
         assert moves._moves['pool'].is_halted
 
+    def test_failure_counts_after_many_other_results(self, now):
+        """Guards against failures that leave the bounded list of results."""
+        moves = make_open_moves(now)
+        for _ in range(9):
+            moves.record('pool', 'v1', True)
+        begun = [moves.record('pool', 'v2', True, 1.0) for _ in range(10)]
+        for _ in range(version_moves.MAX_WINDOW_RESULTS):
+            moves.record('pool', 'v2', True, 1.0)
+        for result in begun:
+            moves.record_failure('pool', 'v2', result)
+        assert moves._moves['pool'].is_halted
+
     def test_attempt_that_is_given_up_is_no_success(self, now):
         moves = make_open_moves(now)
         moves.record('pool', 'v2', None, 1.0)
