Add a switch for optional features and sections to load hints

Parts that answer uneven and scarce capacity need to be switched on by a deployment's settings, and gateways must tell each other more than backlogs. CHIVEJUNCTION_FEATURES names the parts; an unknown name ends the program with status 2. A hint has a fifth item with the rows of each part; gateways of the version before skip it, and a section that is malformed or too long leaves the rest of the hint in force. Nothing is switched on yet.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -27,6 +27,7 @@
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import state_transfer
 from chivejunction.coordination import version_moves
+from chivejunction.protocol import features as protocol_features
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
 from chivejunction.state import backends
@@ -96,6 +97,8 @@
             requests, over all gateways.
         retry_window_seconds: Seconds over which extra attempts are counted.
         capacity: Number of CPU cores of this host.
+        failure_domain: Failure domain of this host.
+        features: Optional features that are switched on.
     """
 
     name: str
@@ -110,6 +113,8 @@
     retry_allowance: float
     retry_window_seconds: float
     capacity: float = 1.0
+    failure_domain: str = ''
+    features: frozenset[protocol_features.Feature] = frozenset()
 
 
 class ForwardGateway:
@@ -232,6 +237,7 @@
         self.caller_listener = caller_connections.Listener(
             self._forwarder.handle, self._get_limits
         )
+        logs.log_decision('features', enabled=sorted(options.features))
         self._read_options: Callable = lambda: None
         self._is_stopping = False
         self._removed_instances: list[str] = []
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -8,11 +8,12 @@
 expensive. The hints use UDP directly: pynng has no datagrams, and a
 connection would deliver outdated hints after a stall.
 
-A hint is a MessagePack array of four items: the name of the sender, its
+A hint is a MessagePack array of five items: the name of the sender, its
 backlogs as triples of a server's id hash, milliseconds and the number of
 attempts in progress, prefixes as triples of a server's id hash, the prefix key
-and the tokens of its last part, and hashes of sessions that stay on the old
-version of their service. Backlogs are None in a datagram with sessions.
+and the tokens of its last part, hashes of sessions that stay on the old
+version of their service, and a mapping with the rows of each section.
+Backlogs are None in a datagram with sessions.
 """
 
 from collections.abc import Callable
@@ -92,6 +93,39 @@
     return max(0.0, min(maximum, number)) if number == number else 0.0
 
 
+class HintSection:
+    """Rows that a part of the gateway adds to its hints.
+
+    Rows are sent with hints that are due for another reason, and at least
+    every ``REPEAT_INTERVAL_SECONDS`` while there are any.
+
+    Attributes:
+        name: Short name on the wire.
+    """
+
+    name = ''
+
+    def collect_rows(self, region: str) -> list:
+        """Returns the current rows for the gateways of a region.
+
+        Each row is a list of numbers and short texts. All rows together take
+        at most a few hundred bytes; a hint that is too long leaves them out.
+        """
+        raise NotImplementedError
+
+    def apply_rows(self, gateway: str, rows: list) -> None:
+        """Applies the rows of another gateway.
+
+        Args:
+            gateway: Name of the gateway.
+            rows: Decoded but unchecked rows.
+
+        Raises:
+            ValueError, TypeError, OverflowError: A row is malformed.
+        """
+        raise NotImplementedError
+
+
 @dataclasses.dataclass(slots=True)
 class RegionState:
     """Send state for the gateways of one region, which get the same hints.
@@ -158,6 +192,7 @@
         self._get_cache_tokens = get_cache_tokens
         self._receive_session = receive_session
         self._board = board
+        self._sections: dict[str, HintSection] = {}
         # Used as a set that keeps its order.
         self._pending_sessions: dict[int, None] = {}
         self._region_states: dict[str, RegionState] = {}
@@ -198,6 +233,10 @@
             del self._pending_sessions[next(iter(self._pending_sessions))]
         self._changed.set()
 
+    def add_section(self, section: HintSection) -> None:
+        """Adds a section to all later hints."""
+        self._sections[section.name] = section
+
     def schedule_send(self) -> None:
         """Schedules a hint after a backlog of this gateway has changed."""
         self._changed.set()
@@ -246,9 +285,12 @@
         """
         try:
             # Later versions may append items.
-            gateway, backlog_items, prefix_items, session_items, *_ = (
+            gateway, backlog_items, prefix_items, session_items, *more = (
                 msgpack.unpackb(data)
             )
+            section_rows = more[0] if more else {}
+            if not isinstance(section_rows, dict):
+                section_rows = {}
             if not isinstance(gateway, str):
                 raise TypeError('the name of the sender is no text')
             backlog_rows = [
@@ -263,6 +305,7 @@
             self._receive_session(session_hash)
         if backlog_items is None:
             return
+        self._apply_sections(gateway, section_rows)
         # Servers that are not in the local table yet are skipped.
         find_backend = self._backend_table.find_by_id_hash
         server_seconds, attempt_counts = {}, {}
@@ -291,6 +334,27 @@
                     instance, server_prefixes, cache_tokens
                 )
 
+    def _apply_sections(self, gateway: str, section_rows: dict) -> None:
+        """Applies sections; a malformed one leaves the others in force."""
+        for name, rows in section_rows.items():
+            section = self._sections.get(name)
+            if section is None:
+                continue
+            try:
+                section.apply_rows(gateway, rows)
+            except errors.MALFORMED_DOCUMENT_ERRORS as exc:
+                logs.LOG.warning('section %s of a hint ignored: %r', name, exc)
+
+    def _collect_sections(self, region: str) -> dict[str, list]:
+        """Returns the rows of all sections that have any."""
+        collected = {}
+        for name, section in self._sections.items():
+            with containment.contain(PART, section=name):
+                rows = section.collect_rows(region)
+                if rows:
+                    collected[name] = rows
+        return collected
+
     async def _send_all(self, sender) -> None:
         while True:
             containment.expect_progress()
@@ -327,6 +391,7 @@
                 local_backlogs
                 or region_state.sent_backlogs
                 or self._running_attempts.sum_local()
+                or self._collect_sections(region_state.region)
             )
         ):
             return True
@@ -373,10 +438,16 @@
         prefix_rows = [
             (hash_id(i), key, tokens) for i, key, tokens in prefixes
         ]
-        data = msgpack.packb([self._name, backlog_rows, prefix_rows, []])
-        if len(data) > MAX_DATAGRAM_BYTES:
-            # The prefixes do not fit.
-            data = msgpack.packb([self._name, backlog_rows, [], []])
+        sections = self._collect_sections(region_state.region)
+        # What does not fit is left out, sections first.
+        for items in (
+            [prefix_rows, [], sections],
+            [prefix_rows, [], {}],
+            [[], [], {}],
+        ):
+            data = msgpack.packb([self._name, backlog_rows, *items])
+            if len(data) <= MAX_DATAGRAM_BYTES:
+                break
         await self._send_datagram(
             sender,
             data,
@@ -390,7 +461,7 @@
         sessions, self._pending_sessions = list(self._pending_sessions), {}
         for start in range(0, len(sessions), MAX_SESSIONS_PER_HINT):
             batch = sessions[start : start + MAX_SESSIONS_PER_HINT]
-            data = msgpack.packb([self._name, None, [], batch])
+            data = msgpack.packb([self._name, None, [], batch, {}])
             for region in self._peers.list_regions():
                 await self._send_datagram(
                     sender, data, self._peers.list_addresses(region)
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -37,7 +37,8 @@
     """Returns the gateway options for the settings of this process.
 
     Raises:
-        SettingError: An address is not of the form ``IP:PORT``.
+        SettingError: An address is not of the form ``IP:PORT``, or a feature
+            is unknown.
     """
     bounds = node_settings.bounds
     return forward_gateway.GatewayOptions(
@@ -53,6 +54,8 @@
         retry_allowance=RETRY_ALLOWANCE_SHARE * bounds.retry_slack,
         retry_window_seconds=bounds.retry_window_s,
         capacity=node_settings.limits.cpu_share * node_settings.limits.cores,
+        failure_domain=node_settings.zone,
+        features=settings.read_features(),
     )
 
 
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -10,8 +10,10 @@
 
 from chivejunction import clock
 from chivejunction import errors
+from chivejunction.protocol import features
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
+FEATURES_VARIABLE = 'CHIVEJUNCTION_FEATURES'
 MAX_PORT = 65535
 MAX_NESTING = 32
 # Text of a wrong value; aliases can make that of a short file very long.
@@ -237,6 +239,18 @@
         raise errors.SettingError(_describe_errors(path, exc)) from exc
 
 
+def read_features() -> frozenset[features.Feature]:
+    """Returns the features that ``FEATURES_VARIABLE`` switches on.
+
+    Raises:
+        SettingError: A name is not that of a feature.
+    """
+    try:
+        return features.parse_features(os.environ.get(FEATURES_VARIABLE, ''))
+    except ValueError as exc:
+        raise errors.SettingError(f'{FEATURES_VARIABLE}: {exc}') from exc
+
+
 def _describe_errors(path: str, exc: pydantic.ValidationError) -> str:
     """Returns one line with each wrong field, its value and the reason."""
     descriptions = [
