Keep long prompts away from servers where they would stall streams

Cause: an engine reads a prompt in chunks between the tokens of its streams. On a slow engine a chunk of a large model takes long enough that events, of several tokens each, come later than callers tolerate.

Only where the settings ask for stream_pauses and routes name the longest pause.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -9,6 +9,7 @@
 from chivejunction.coordination import hints
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
+from chivejunction.protocol import features
 from chivejunction.scheduling import admission
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import tier_choice
@@ -44,6 +45,7 @@
         running_attempts: Attempts in progress at backend servers.
         prefix_cache_index: Prompt prefixes that backend servers have cached.
         hint_exchange: Sends hints about load to the other gateways.
+        enabled_features: Optional features that are switched on.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         running_attempts: backlogs.Backlogs,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
         hint_exchange: hints.HintExchange,
+        enabled_features: frozenset[features.Feature] = frozenset(),
     ):
+        self._features = enabled_features
         self._selector = selector
         self._make_budget = make_budget
         self._budgets: dict[str, budgets.WindowedBudget] = {}
@@ -117,6 +121,13 @@
             events=(
                 context.request.expected_tokens / context.service.event_tokens
             ),
+            event_tokens=context.service.event_tokens,
+            tolerated_pause=(
+                context.route.event_gap
+                if features.Feature.STREAM_PAUSES in self._features
+                else 0.0
+            ),
+            objective=context.route.objective,
             seconds_left=clock.remaining(context.deadline),
             tried=frozenset(context.failed_instances),
         )
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -59,6 +59,11 @@
 ATTEMPTS = metrics.make_counter(
     'forward_attempts', 'Attempts at backend servers.', 'service', 'outcome'
 )
+DISTURBING_PREFILLS = metrics.make_counter(
+    'disturbing_prefills',
+    'Prompts that delayed streams of their server beyond the target.',
+    'service',
+)
 
 
 class DirectAttempts:
@@ -196,6 +201,8 @@
     @staticmethod
     def _record_attempt(context, choice, outcome, started_at) -> None:
         backend = choice.backend
+        if choice.disturbed_streams:
+            DISTURBING_PREFILLS.labels(context.service.name).inc()
         ATTEMPTS.labels(context.service.name, outcome.split(':')[0]).inc()
         logs.log_decision(
             'attempt',
@@ -206,6 +213,7 @@
             version=backend.version,
             model=choice.model,
             running=round(choice.running_attempts),
+            disturbed_streams=round(choice.disturbed_streams),
             estimated_wait=round(choice.wait, 3),
             estimated_work=round(choice.seconds, 3),
             busy_seconds=round(choice.busy_seconds, 3),
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -214,6 +214,7 @@
             self._running_attempts,
             self._prefix_cache_index,
             self._hint_exchange,
+            options.features,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
--- a/chivejunction/protocol/features.py
+++ b/chivejunction/protocol/features.py
@@ -12,12 +12,15 @@
             rate of use and what a copy costs.
         FAIR_SHARES: Scarce capacity is divided among organisations.
         DOMAIN_SHARES: Work stays in its failure domain while that pays.
+        STREAM_PAUSES: Long prompts avoid servers where reading them would
+            delay the events of other streams beyond the routes' targets.
     """
 
     SERVER_PACES = 'server_paces'
     PREFIX_PLACEMENT = 'prefix_placement'
     FAIR_SHARES = 'fair_shares'
     DOMAIN_SHARES = 'domain_shares'
+    STREAM_PAUSES = 'stream_pauses'
 
 
 def parse_features(text: str) -> frozenset[Feature]:
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -10,6 +10,7 @@
 from chivejunction import clock
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import server_limits
+from chivejunction.scheduling import stream_pauses
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
@@ -71,6 +72,10 @@
             ``prefix_caches.list_prefixes``.
         tokens: Length of the whole prompt in tokens.
         events: Expected number of events in the response.
+        event_tokens: Number of tokens in one event.
+        tolerated_pause: Longest pause in seconds between two events of the
+            streams of the service; 0 if any is tolerated.
+        objective: Target of the time to the first event in seconds.
         seconds_left: Time in seconds until the response must be complete.
         tried: Instances that are excluded because they were tried before.
         is_version_allowed: Returns whether a software version may be used.
@@ -82,6 +87,9 @@
     prefixes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
     tokens: int = 0
     events: float = 0.0
+    event_tokens: int = 1
+    tolerated_pause: float = 0.0
+    objective: float = 1.0
     seconds_left: float = math.inf
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
@@ -107,6 +115,8 @@
             that stopped responding has a long one, which says nothing.
         server_count: Number of candidates.
         running_attempts: Attempts of all gateways in progress at the server.
+        disturbed_streams: Attempts there whose events the prefill delays
+            beyond the tolerated pause.
     """
 
     backend: backends.Backend
@@ -121,6 +131,7 @@
     busy_seconds: float = 0.0
     server_count: int = 1
     running_attempts: float = 0.0
+    disturbed_streams: float = 0.0
 
     @property
     def copy_from(self) -> str:
@@ -442,6 +453,7 @@
         is_other_region = backend.region != self._region
         if requirements.model:
             cost += RUNNING_ATTEMPT_PENALTY_SECONDS * choice.running_attempts
+            cost += self._estimate_pause_penalty(requirements, choice)
             cost += STREAM_TIME_WEIGHT * choice.stream_seconds
             lateness = choice.total_seconds - requirements.seconds_left
             cost += LATENESS_WEIGHT * max(0.0, lateness)
@@ -459,6 +471,24 @@
             + compute_rendezvous_score(self._region, backend.instance) / 2**74
         )
 
+    @staticmethod
+    def _estimate_pause_penalty(
+        requirements: BackendRequirements, choice: Choice
+    ) -> float:
+        """Returns the cost of the streams that a choice would disturb."""
+        tokens = max(0, requirements.tokens - choice.held_tokens)
+        pause = stream_pauses.estimate_pause(
+            choice.seconds, tokens, requirements.event_tokens
+        )
+        if not stream_pauses.is_disturbing(
+            pause, requirements.tolerated_pause
+        ):
+            return 0.0
+        choice.disturbed_streams = choice.running_attempts
+        return stream_pauses.estimate_penalty(
+            choice.disturbed_streams, requirements.objective
+        )
+
     def _has_free_connection(self, backend, service) -> bool:
         """Returns whether this gateway's share of connections is not used up.
 
