Learn the pace of each server from the samples of all gateways

Cause: servers of one service differ up to 2.4-fold, and one that turns slow is known only through its queue; one estimate for each model sends as much to slow servers as to fast ones and counts their backlogs in seconds that are those of neither.

Change: with the feature server_paces, prefill and event intervals are estimated for each server process, from the samples of all gateways (hint section pace). A low quantile, because samples contain queues that the gateway did not know of; shrunk to the model's pace while samples are few; a server that turns slow is found by the samples of one second, and tried again by one gateway after the other. Absurd paces in hints are bounded and counted. Without the feature decisions are as before.

--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -17,6 +17,7 @@
 from chivejunction.protocol import forwarding
 from chivejunction.protocol import sse
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import server_paces
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import freshness
@@ -74,6 +75,7 @@
         chooser: Decides on escalation and tracks queued work.
         prompt_guard: Watches for prompts that crash servers.
         notices: Applies what servers say of themselves.
+        paces: Records the pace of each server; None if it is not needed.
     """
 
     def __init__(
@@ -87,8 +89,10 @@
         chooser: attempt_choice.AttemptChooser,
         prompt_guard: harmful_prompts.HarmfulPromptGuard,
         notices: server_notices.ServerNotices,
+        paces: server_paces.PaceEstimator | None = None,
     ):
         self._notices = notices
+        self._paces = paces
         self._prompt_guard = prompt_guard
         self._table = table
         self._pool = pool
@@ -209,6 +213,7 @@
             estimated_wait=round(choice.wait, 3),
             estimated_work=round(choice.seconds, 3),
             busy_seconds=round(choice.busy_seconds, 3),
+            pace=round(choice.pace, 3),
             held_tokens=choice.held_tokens,
             copied_tokens=choice.copied_tokens,
             copy_from=choice.copy_from,
@@ -539,6 +544,8 @@
             return
         seconds = (sum(intervals) - max(intervals)) / (len(intervals) - 1)
         context.event_interval = round(seconds, 4)
+        if self._paces is not None:
+            self._paces.record_interval(backend, seconds)
         self._moves.record_interval(
             context.service.name,
             backend.version,
@@ -636,6 +643,14 @@
         if is_prefill_measurable(choice):
             tokens = context.request.input_tokens - choice.held_tokens
             self._prefill_times.record(choice.model, tokens, seconds)
+        if self._paces is not None and is_prefill_measurable(choice):
+            self._paces.record_first_byte(
+                backend,
+                seconds,
+                choice.seconds,
+                choice.wait,
+                choice.pace,
+            )
         context.version_result = self._moves.record(
             context.service.name,
             backend.version,
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -23,6 +23,7 @@
 from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import hints
 from chivejunction.coordination import mirrors
+from chivejunction.coordination import pace_hints
 from chivejunction.coordination import relays
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import state_transfer
@@ -30,12 +31,14 @@
 from chivejunction.protocol import features as protocol_features
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import budgets
 from chivejunction.state import freshness
 from chivejunction.state import prefix_caches
 from chivejunction.state import route_tables
+from chivejunction.state import server_paces
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
 from chivejunction.transport import http_client
@@ -196,6 +199,8 @@
             self.members, self.moves, self._board, client
         )
         self._pool = backend_connections.ConnectionPool()
+        self._server_paces = server_paces.ServerPaces()
+        pace_estimator = self._make_pace_estimator()
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -205,6 +210,7 @@
             self._running_attempts,
             self._prefill_times,
             self._prefix_cache_index,
+            pace_estimator,
         )
         self._chooser = attempt_choice.AttemptChooser(
             selector,
@@ -225,6 +231,7 @@
             self._chooser,
             self.prompt_guard,
             self._notices,
+            pace_estimator,
         )
         self._forwarder = forwarding.Forwarder(
             lambda: self.route_table,
@@ -244,6 +251,24 @@
         self._tasks: containment.Supervisor | None = None
         self._caller_socket: socket.socket | None = None
 
+    def _make_pace_estimator(self) -> pace_scheduling.PaceEstimator | None:
+        """Returns the estimator of server paces, None if it is off."""
+        if protocol_features.Feature.SERVER_PACES not in (
+            self._options.features
+        ):
+            return None
+        estimator = pace_scheduling.PaceEstimator(
+            self._options.name,
+            self._options.region,
+            self._server_paces,
+            self.members.count,
+            pace_hints.report_change,
+        )
+        self._hint_exchange.add_section(
+            pace_hints.PaceSection(self._server_paces, estimator)
+        )
+        return estimator
+
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
         self._board.publish(
@@ -422,6 +447,11 @@
             'Tasks that make no progress.',
             lambda: len(self._tasks.list_hung()) if self._tasks else 0,
         )
+        metrics.make_gauge(
+            'slow_servers',
+            'Servers found slow that have not recovered.',
+            self._server_paces.count_slow,
+        )
 
     def _handle_stall(self, seconds: float) -> None:
         """Makes up for datagrams that a long stall has let the kernel drop."""
@@ -516,6 +546,7 @@
         removed, self._removed_instances = self._removed_instances, []
         for instance in removed:
             self._prefix_cache_index.remove_server(instance)
+            self._server_paces.remove(instance)
             await self._pool.close_instance(instance)
 
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -10,6 +10,7 @@
 from chivejunction import clock
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import server_limits
+from chivejunction.scheduling import server_paces
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
@@ -107,6 +108,9 @@
             that stopped responding has a long one, which says nothing.
         server_count: Number of candidates.
         running_attempts: Attempts of all gateways in progress at the server.
+        pace_ratio: Prefill time of the server compared with that of all
+            servers with the model.
+        pace: Pace of the server that the estimates assume.
     """
 
     backend: backends.Backend
@@ -121,6 +125,8 @@
     busy_seconds: float = 0.0
     server_count: int = 1
     running_attempts: float = 0.0
+    pace_ratio: float = 1.0
+    pace: float = 1.0
 
     @property
     def copy_from(self) -> str:
@@ -172,6 +178,8 @@
         prefill_times: Estimator of prefill times.
         prefix_cache_index: Index of the prompt prefixes that servers have
             cached.
+        paces: Estimator of the pace of each server; None if all servers of a
+            model count as equal.
     """
 
     def __init__(
@@ -184,6 +192,7 @@
         running_attempts: backlogs.Backlogs,
         prefill_times: backlogs.PrefillTimeEstimator,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
+        paces: server_paces.PaceEstimator | None = None,
     ):
         self._limiter = server_limits.ServerLimiter(count_sharing_gateways)
         self._table = table
@@ -194,6 +203,7 @@
         self._running_attempts = running_attempts
         self._prefill_times = prefill_times
         self._prefix_cache_index = prefix_cache_index
+        self._paces = paces
 
     def list_candidates(
         self,
@@ -306,8 +316,11 @@
         rendezvous_backend, rendezvous_bonus = self._find_rendezvous(
             requirements, candidates
         )
+        model_pace = self._prefill_times.compute_pace(requirements.model)
         choices = [
-            self._make_choice(requirements, b, waits, running_attempts)
+            self._make_choice(
+                requirements, b, waits, running_attempts, model_pace
+            )
             for b in candidates
         ]
         copy_sources = find_copy_sources(choices)
@@ -332,6 +345,8 @@
                 best, best_cost = choice, cost
         self._consume_cold_token(best.backend)
         self._limiter.record_send(best.backend)
+        if self._paces is not None and best.model:
+            self._paces.start_trial(best.backend)
         best.busy_seconds = statistics.median(c.wait for c in choices)
         best.server_count = len(choices)
         return best
@@ -369,7 +384,7 @@
         return backend, max(MIN_RENDEZVOUS_BONUS_SECONDS, bonus)
 
     def _make_choice(
-        self, requirements, backend, waits, running_attempts
+        self, requirements, backend, waits, running_attempts, model_pace
     ) -> Choice:
         wait = waits.get(backend.instance, 0.0)
         if not requirements.model:
@@ -379,7 +394,13 @@
         )
         tokens = max(0, requirements.tokens - cached_tokens)
         seconds = self._prefill_times.estimate(requirements.model, tokens)
+        ratio = pace = 1.0
         event_interval = backend.find_event_interval()
+        if self._paces is not None:
+            ratio = self._paces.find_ratio(backend, seconds, model_pace)
+            pace = model_pace * ratio
+            seconds = server_paces.scale_prefill(seconds, ratio)
+            event_interval = self._paces.find_interval(backend, event_interval)
         if event_interval is None:
             event_interval = DEFAULT_EVENT_INTERVAL_SECONDS
         return Choice(
@@ -390,6 +411,8 @@
             requirements.model,
             requirements.events * event_interval,
             running_attempts=running_attempts.get(backend.instance, 0.0),
+            pace_ratio=ratio,
+            pace=pace,
         )
 
     def _plan_copy(
@@ -426,6 +449,7 @@
         copied_bytes = copied_tokens * service.cache_token_bytes
         tokens = max(0, requirements.tokens - source.held_tokens)
         seconds = self._prefill_times.estimate(requirements.model, tokens)
+        seconds = server_paces.scale_prefill(seconds, choice.pace_ratio)
         seconds += COPY_SETUP_SECONDS + copied_bytes / bytes_per_second
         penalty_seconds = COPY_PENALTY_SECONDS_PER_GB * copied_bytes / 1e9
         if seconds + penalty_seconds < choice.seconds + choice.penalty_seconds:
--- a/chivejunction/state/backlogs.py
+++ b/chivejunction/state/backlogs.py
@@ -54,6 +54,13 @@
         pace = self._default_paces.get(model, 1.0)
         return DEFAULT_PREFILL_SECONDS_PER_TOKEN * pace
 
+    def compute_pace(self, model: str) -> float:
+        """Returns the estimate as a multiple of the default of the model."""
+        seconds_per_token = self._seconds_per_token.get(model)
+        if seconds_per_token is None:
+            return 1.0
+        return seconds_per_token / self._get_default(model)
+
     def record(self, model: str, tokens: int, seconds: float) -> None:
         """Adds the time to the first byte of an attempt.
 
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -3,7 +3,8 @@
 A record holds the requests of a played day as the gateways logged them. The
 replay runs the real selector, tier choice and estimators of several gateways
 in virtual time; only the engines are modelled: each processes prompts one
-after the other and keeps the shared parts that were used last.
+after the other, at a speed of its own, and keeps the shared parts that were
+used last.
 """
 
 import collections
@@ -14,12 +15,16 @@
 import pathlib
 
 from chivejunction import clock
+from chivejunction.coordination import direct_attempts
+from chivejunction.coordination import pace_hints
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.scheduling import tier_choice
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
+from chivejunction.state import server_paces
 
 TIERS = ('small', 'medium', 'large')
 # Prompt tokens per second of the engines on the users' data sheets, by model.
@@ -75,6 +80,8 @@
         free_at: Time at which the prompts in its queue are processed.
         parts: Cached parts by model, the least recently used first.
         responds: Whether it responds at all.
+        speed: Speed compared with the data sheets.
+        arrivals: Times at which it got a request.
     """
 
     cache_tokens: int
@@ -83,6 +90,8 @@
         default_factory=collections.OrderedDict
     )
     responds: bool = True
+    speed: float = 1.0
+    arrivals: list[float] = dataclasses.field(default_factory=list)
 
     def read(self, model: str, request: RecordedRequest, now: float):
         """Processes a prompt.
@@ -98,7 +107,8 @@
             while sum(self.parts.values()) > self.cache_tokens:
                 self.parts.popitem(last=False)
         tokens = request.input_tokens - request.shared_tokens + read_tokens
-        seconds = tokens / TOKENS_PER_SECOND[model]
+        seconds = tokens / TOKENS_PER_SECOND[model] / self.speed
+        self.arrivals.append(now)
         self.free_at = max(now, self.free_at) + seconds
         return self.free_at, read_tokens
 
@@ -137,6 +147,13 @@
         self.prefill_times.set_tiers(TIERS)
         self.index = prefix_caches.PrefixCacheIndex()
         self.confidence_gains = tier_choice.ConfidenceGains()
+        self.paces = self.pace_section = None
+        if replay.has_paces:
+            records = server_paces.ServerPaces()
+            self.paces = pace_scheduling.PaceEstimator(
+                self.name, self.region, records, lambda: replay.gateway_count
+            )
+            self.pace_section = pace_hints.PaceSection(records, self.paces)
         self.selector = backend_selection.BackendSelector(
             replay.table,
             self.region,
@@ -146,6 +163,7 @@
             self.running_attempts,
             self.prefill_times,
             self.index,
+            self.paces,
         )
 
 
@@ -157,6 +175,9 @@
         engine_count: Number of engines, spread over the regions.
         gateway_count: Number of gateways.
         cache_tokens: Memory of an engine for shared parts.
+        speeds: Speeds of the engines in turn. Gateways learn from their
+            attempts only where they are given.
+        has_paces: Whether the gateways learn the pace of each server.
     """
 
     def __init__(
@@ -165,7 +186,12 @@
         engine_count=17,
         gateway_count=17,
         cache_tokens=300_000,
+        speeds=(),
+        has_paces=False,
     ):
+        self.has_paces = has_paces
+        self._is_learning = bool(speeds)
+        speeds = speeds or (1.0,)
         self.now = 1000.0
         self.gateway_count = gateway_count
         monkeypatch.setattr(clock, 'now', lambda: self.now)
@@ -178,7 +204,9 @@
         self.engines = {}
         for number in range(engine_count):
             instance = f'i-{number}'
-            self.engines[instance] = Engine(cache_tokens)
+            self.engines[instance] = Engine(
+                cache_tokens, speed=speeds[number % len(speeds)]
+            )
             region = REGIONS[number % len(REGIONS)]
             self.table.update(
                 backends.Backend(
@@ -213,11 +241,33 @@
     def _send_hints(self):
         for gateway in self.gateways:
             report = gateway.server_backlogs.sum_local()
+            rows = (
+                gateway.pace_section.collect_rows('') if self.has_paces else []
+            )
             for other in self.gateways:
-                if other is not gateway:
-                    other.server_backlogs.set_peer_backlogs(
-                        gateway.name, report
-                    )
+                if other is gateway:
+                    continue
+                other.server_backlogs.set_peer_backlogs(gateway.name, report)
+                if rows and not self.loses_hint():
+                    other.pace_section.apply_rows(gateway.name, rows)
+
+    def loses_hint(self) -> bool:
+        """Returns whether the paces in a hint are lost."""
+        return False
+
+    def _record_first_byte(self, gateway, choice, sent_at, tokens):
+        # The engines take no time for an empty prompt.
+        seconds = self.now - sent_at + backlogs.BASE_FIRST_BYTE_SECONDS
+        if direct_attempts.is_prefill_measurable(choice):
+            gateway.prefill_times.record(choice.model, tokens, seconds)
+        if gateway.paces is not None:
+            gateway.paces.record_first_byte(
+                choice.backend,
+                seconds,
+                choice.seconds,
+                choice.wait,
+                choice.pace,
+            )
 
     def _choose(self, gateway, request, model):
         prompt = (
@@ -277,6 +327,16 @@
         self.engine_seconds += (
             request.input_tokens - request.shared_tokens
         ) / TOKENS_PER_SECOND[tier.model]
+        if self._is_learning:
+            uncached = request.input_tokens - choice.held_tokens
+            self.schedule(
+                at,
+                self._record_first_byte,
+                gateway,
+                choice,
+                self.now,
+                uncached,
+            )
         self.schedule(
             at, self._answer, gateway, request, tier, received_at, work, tokens
         )
