--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -10,8 +10,8 @@
 from chivejunction import clock
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import server_limits
-from chivejunction.scheduling import stream_pauses
 from chivejunction.scheduling import server_paces
+from chivejunction.scheduling import stream_pauses
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import prefix_caches
