Keep work in its failure domain unless leaving it pays

Inside a region all failure domains counted alike, so that half of the requests left theirs for nothing, and a domain with too few servers had no rule but the shortest queue that each gateway happened to know.

With the feature domain_shares, gateways tell one another the demand of their callers (section "domains" of the hints). From demand, capacity and backlogs they derive the same shares by water-filling over marginal wait plus link; a request leaves beside its share only for a prefix that saves more than the link costs, or for a load that is lighter by more than views can miss. Costs of links are settings. Without the feature costs are as before.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -6,6 +6,7 @@
 
 from chivejunction import clock
 from chivejunction import errors
+from chivejunction.coordination import departures
 from chivejunction.coordination import hints
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
@@ -44,6 +45,8 @@
         running_attempts: Attempts in progress at backend servers.
         prefix_cache_index: Prompt prefixes that backend servers have cached.
         hint_exchange: Sends hints about load to the other gateways.
+        domain_departures: Counts what leaves the failure domain; None if only
+            regions matter.
     """
 
     def __init__(
@@ -55,7 +58,9 @@
         running_attempts: backlogs.Backlogs,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
         hint_exchange: hints.HintExchange,
+        domain_departures: departures.Departures | None = None,
     ):
+        self._departures = domain_departures
         self._selector = selector
         self._make_budget = make_budget
         self._budgets: dict[str, budgets.WindowedBudget] = {}
@@ -119,6 +124,7 @@
             ),
             seconds_left=clock.remaining(context.deadline),
             tried=frozenset(context.failed_instances),
+            body_bytes=len(context.request.body),
         )
         requirements.is_version_allowed = self._moves.make_version_filter(
             context.service.name,
@@ -348,6 +354,8 @@
             model.
         """
         requirements, instance = context.requirements, choice.backend.instance
+        if self._departures is not None:
+            self._departures.record(requirements.service, choice)
         if not requirements.model:
             return 0
         if requirements.prefixes and context.service.cache_tokens:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -17,6 +17,7 @@
 from chivejunction import rendezvous
 from chivejunction.coordination import attempt_choice
 from chivejunction.coordination import bulletins
+from chivejunction.coordination import departures
 from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import forwarding
 from chivejunction.coordination import gateway_membership
@@ -30,6 +31,7 @@
 from chivejunction.protocol import features as protocol_features
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import domain_shares
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import budgets
@@ -99,6 +101,8 @@
         capacity: Number of CPU cores of this host.
         failure_domain: Failure domain of this host.
         features: Optional features that are switched on.
+        domain_regions: Region of each failure domain.
+        link_costs: Costs of links between failure domains and regions.
     """
 
     name: str
@@ -115,6 +119,8 @@
     capacity: float = 1.0
     failure_domain: str = ''
     features: frozenset[protocol_features.Feature] = frozenset()
+    domain_regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    link_costs: domain_shares.LinkCosts = domain_shares.LinkCosts()
 
 
 class ForwardGateway:
@@ -196,6 +202,7 @@
             self.members, self.moves, self._board, client
         )
         self._pool = backend_connections.ConnectionPool()
+        self._departures = self._make_departures()
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -205,6 +212,7 @@
             self._running_attempts,
             self._prefill_times,
             self._prefix_cache_index,
+            self._departures.shares if self._departures else None,
         )
         self._chooser = attempt_choice.AttemptChooser(
             selector,
@@ -214,6 +222,7 @@
             self._running_attempts,
             self._prefix_cache_index,
             self._hint_exchange,
+            self._departures,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
@@ -244,6 +253,26 @@
         self._tasks: containment.Supervisor | None = None
         self._caller_socket: socket.socket | None = None
 
+    def _make_departures(self) -> departures.Departures | None:
+        """Creates the shares of failure domains where there are several."""
+        options = self._options
+        regions = dict(options.domain_regions)
+        regions[options.failure_domain] = options.region
+        if (
+            protocol_features.Feature.DOMAIN_SHARES not in options.features
+            or len(regions) < 2
+        ):
+            return None
+        domain_departures = departures.Departures(
+            options.failure_domain,
+            regions,
+            options.link_costs,
+            self.backends,
+            self._server_backlogs,
+        )
+        self._hint_exchange.add_section(domain_departures.section)
+        return domain_departures
+
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
         self._board.publish(
@@ -423,6 +452,13 @@
             lambda: len(self._tasks.list_hung()) if self._tasks else 0,
         )
 
+        if self._departures is not None:
+            metrics.make_gauge(
+                'domain_away_share',
+                'Largest share of a service that is to leave the domain.',
+                self._departures.shares.get_max_away_share,
+            )
+
     def _handle_stall(self, seconds: float) -> None:
         """Makes up for datagrams that a long stall has let the kernel drop."""
         if seconds >= LOST_DATAGRAMS_STALL_SECONDS:
--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -37,8 +37,8 @@
     """Returns the gateway options for the settings of this process.
 
     Raises:
-        SettingError: An address is not of the form ``IP:PORT``, or a feature
-            is unknown.
+        SettingError: An address is not of the form ``IP:PORT``, a feature is
+            unknown, or the cost of a link is not valid.
     """
     bounds = node_settings.bounds
     return forward_gateway.GatewayOptions(
@@ -56,6 +56,8 @@
         capacity=node_settings.limits.cpu_share * node_settings.limits.cores,
         failure_domain=node_settings.zone,
         features=settings.read_features(),
+        domain_regions=node_settings.zones,
+        link_costs=settings.read_link_costs(),
     )
 
 
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file that the platform writes for each gateway process."""
 
+import dataclasses
 import ipaddress
 import os
 import reprlib
@@ -11,9 +12,13 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.protocol import features
+from chivejunction.scheduling import domain_shares
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
 FEATURES_VARIABLE = 'CHIVEJUNCTION_FEATURES'
+DOMAIN_LINK_COST_VARIABLE = 'CHIVEJUNCTION_DOMAIN_LINK_COST'
+REGION_LINK_COST_VARIABLE = 'CHIVEJUNCTION_REGION_LINK_COST'
+MAX_LINK_COST = 10_000.0
 MAX_PORT = 65535
 MAX_NESTING = 32
 # Text of a wrong value; aliases can make that of a short file very long.
@@ -251,6 +256,42 @@
         raise errors.SettingError(f'{FEATURES_VARIABLE}: {exc}') from exc
 
 
+def _read_link_cost(variable: str) -> float | None:
+    """Returns a cost in seconds per MB, None if it is not declared.
+
+    Raises:
+        SettingError: The value is not a number from 0 to ``MAX_LINK_COST``.
+    """
+    text = os.environ.get(variable, '').strip()
+    if not text:
+        return None
+    try:
+        cost = float(text)
+    except ValueError:
+        cost = -1.0
+    if not 0 <= cost <= MAX_LINK_COST:
+        raise errors.SettingError(
+            f'{variable}: {text!r} is not a cost; accepted are seconds per '
+            f'MB from 0 to {MAX_LINK_COST:.0f}'
+        )
+    return cost
+
+
+def read_link_costs() -> domain_shares.LinkCosts:
+    """Returns the declared costs of links, defaults for the others.
+
+    Raises:
+        SettingError: A cost is not valid.
+    """
+    costs = domain_shares.LinkCosts(
+        region_seconds_per_mb=_read_link_cost(REGION_LINK_COST_VARIABLE)
+    )
+    domain_cost = _read_link_cost(DOMAIN_LINK_COST_VARIABLE)
+    if domain_cost is None:
+        return costs
+    return dataclasses.replace(costs, domain_seconds_per_mb=domain_cost)
+
+
 def _describe_errors(path: str, exc: pydantic.ValidationError) -> str:
     """Returns one line with each wrong field, its value and the reason."""
     descriptions = [
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -9,6 +9,7 @@
 
 from chivejunction import clock
 from chivejunction.protocol import forwarding
+from chivejunction.scheduling import domain_shares
 from chivejunction.scheduling import server_limits
 from chivejunction.state import backends
 from chivejunction.state import backlogs
@@ -29,6 +30,8 @@
 # which runs one request per slot.
 OCCUPIED_SLOTS_PENALTY_SECONDS = 0.06
 ERROR_SHARE_PENALTY_SECONDS = 1.0
+# Servers at home whose share of errors is higher by this are left for it.
+FAULT_SHARE = 0.05
 # Prefill of tokens that another server has cached is charged in addition to
 # the engine time: 13,300 tokens cost about as much as inter-region traffic.
 CACHE_MISS_PENALTY_SECONDS_PER_TOKEN = 0.2 / 13_300
@@ -74,6 +77,7 @@
         seconds_left: Time in seconds until the response must be complete.
         tried: Instances that are excluded because they were tried before.
         is_version_allowed: Returns whether a software version may be used.
+        body_bytes: Length of the request body.
     """
 
     service: str
@@ -85,6 +89,7 @@
     seconds_left: float = math.inf
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,6 +112,11 @@
             that stopped responding has a long one, which says nothing.
         server_count: Number of candidates.
         running_attempts: Attempts of all gateways in progress at the server.
+        left_reason: Why the attempt leaves the failure domain; empty if it
+            stays or domains do not matter.
+        away_share: Share of the service that was to leave at that time.
+        size: Expected bytes of the request and its response; 0 if domains do
+            not matter.
     """
 
     backend: backends.Backend
@@ -121,6 +131,9 @@
     busy_seconds: float = 0.0
     server_count: int = 1
     running_attempts: float = 0.0
+    left_reason: str = ''
+    away_share: float = 0.0
+    size: float = 0.0
 
     @property
     def copy_from(self) -> str:
@@ -129,12 +142,34 @@
             return ''
         return f'{self.source.address}:{self.source.port}'
 
+    @property
+    def work_seconds(self) -> float:
+        """Estimated seconds of the server's work, 0 for a plain service."""
+        return max(0.0, self.seconds - backlogs.BASE_FIRST_BYTE_SECONDS)
+
     @property
     def total_seconds(self) -> float:
         """Estimated time in seconds until the response is complete."""
         return self.wait + self.seconds + self.stream_seconds
 
 
+def estimate_occupancy(
+    requirements: BackendRequirements,
+    backend: backends.Backend,
+    running_attempts: float,
+) -> float:
+    """Returns the penalty in seconds for attempts in progress at a server.
+
+    Args:
+        requirements: What the attempt needs from its server.
+        backend: The server.
+        running_attempts: Attempts of all gateways in progress at an engine.
+    """
+    if requirements.model:
+        return RUNNING_ATTEMPT_PENALTY_SECONDS * running_attempts
+    return OCCUPIED_SLOTS_PENALTY_SECONDS * backend.running / backend.slots
+
+
 def compute_rendezvous_score(key: str | int, instance: str) -> int:
     """Returns the rendezvous hashing score of an instance for a key."""
     return xxhash.xxh3_64_intdigest(f'{key}|{instance}'.encode())
@@ -172,6 +207,7 @@
         prefill_times: Estimator of prefill times.
         prefix_cache_index: Index of the prompt prefixes that servers have
             cached.
+        shares: Shares of the failure domains; None if only regions matter.
     """
 
     def __init__(
@@ -184,7 +220,9 @@
         running_attempts: backlogs.Backlogs,
         prefill_times: backlogs.PrefillTimeEstimator,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
+        shares: domain_shares.DomainShares | None = None,
     ):
+        self._shares = shares
         self._limiter = server_limits.ServerLimiter(count_sharing_gateways)
         self._table = table
         self._region = region
@@ -303,8 +341,12 @@
         mean_error_share = sum(b.error_share for b in candidates) / len(
             candidates
         )
+        location = self._locate(
+            requirements, candidates, waits, running_attempts
+        )
         rendezvous_backend, rendezvous_bonus = self._find_rendezvous(
-            requirements, candidates
+            requirements,
+            self._list_near_candidates(requirements, candidates, location),
         )
         choices = [
             self._make_choice(requirements, b, waits, running_attempts)
@@ -322,7 +364,7 @@
                 copy_sources[backend.version],
                 max_held_tokens,
             )
-            cost = self._estimate_cost(requirements, choice)
+            cost = self._estimate_cost(requirements, choice, location)
             cost += ERROR_SHARE_PENALTY_SECONDS * max(
                 0.0, backend.error_share - mean_error_share
             )
@@ -334,8 +376,108 @@
         self._limiter.record_send(best.backend)
         best.busy_seconds = statistics.median(c.wait for c in choices)
         best.server_count = len(choices)
+        if location is not None:
+            self._record_departure(requirements, best, choices, location)
         return best
 
+    def _locate(
+        self,
+        requirements: BackendRequirements,
+        candidates: list[backends.Backend],
+        waits: dict[str, float],
+        running_attempts: dict[str, float],
+    ) -> domain_shares.Location | None:
+        """Returns the costs of places; None if only regions matter."""
+        if self._shares is None:
+            return None
+        home_loads = [
+            waits.get(b.instance, 0.0)
+            + estimate_occupancy(
+                requirements, b, running_attempts.get(b.instance, 0.0)
+            )
+            for b in candidates
+            if b.failure_domain == self._shares.home
+        ]
+        return self._shares.locate(
+            requirements.service,
+            bool(requirements.model),
+            domain_shares.estimate_bytes(
+                requirements.body_bytes, requirements.events
+            ),
+            min(home_loads, default=0.0),
+            {b.failure_domain for b in candidates},
+        )
+
+    def _list_near_candidates(
+        self,
+        requirements: BackendRequirements,
+        candidates: list[backends.Backend],
+        location: domain_shares.Location | None,
+    ) -> list[backends.Backend]:
+        """Returns the servers among which a prompt is placed.
+
+        The failure domains of a region share one server for a prompt only
+        where its prefill takes longer than another domain costs.
+        """
+        if location is None or not requirements.prefixes:
+            return candidates
+        seconds = RENDEZVOUS_BONUS_SHARE * self._prefill_times.estimate(
+            requirements.model, requirements.prefixes[-1][1]
+        )
+        if seconds > location.near_seconds:
+            return candidates
+        near = [b for b in candidates if b.failure_domain == location.target]
+        return near or candidates
+
+    def _record_departure(
+        self,
+        requirements: BackendRequirements,
+        best: Choice,
+        choices: list[Choice],
+        location: domain_shares.Location,
+    ) -> None:
+        """Counts a choice for its failure domain, and why it leaves."""
+        service, domain = requirements.service, best.backend.failure_domain
+        best.size = location.size
+        best.away_share = self._shares.get_away_share(service)
+        best.left_reason = self._find_left_reason(
+            requirements, best, choices, location
+        )
+        self._shares.settle(service, domain, best.work_seconds, best.size)
+
+    def _find_left_reason(
+        self,
+        requirements: BackendRequirements,
+        best: Choice,
+        choices: list[Choice],
+        location: domain_shares.Location,
+    ) -> str:
+        """Returns why a choice leaves the failure domain, empty if not."""
+        domain = best.backend.failure_domain
+        if domain == location.home:
+            return ''
+        at_home = [
+            c for c in choices if c.backend.failure_domain == location.home
+        ]
+        if not at_home:
+            has_server = any(
+                b.failure_domain == location.home
+                and self._may_serve(requirements, b)
+                for b in self._table.list_backends(requirements.service)
+            )
+            return 'no room' if has_server else 'no server'
+        if domain == location.target:
+            return 'share'
+        if best.held_tokens - best.copied_tokens > max(
+            c.held_tokens - c.copied_tokens for c in at_home
+        ):
+            return 'prefix'
+        if best.backend.error_share + FAULT_SHARE < min(
+            c.backend.error_share for c in at_home
+        ):
+            return 'faults'
+        return 'wait'
+
     def _find_rendezvous(
         self,
         requirements: BackendRequirements,
@@ -434,25 +576,33 @@
             choice.copied_tokens, choice.source = copied_tokens, source.backend
 
     def _estimate_cost(
-        self, requirements: BackendRequirements, choice: Choice
+        self,
+        requirements: BackendRequirements,
+        choice: Choice,
+        location: domain_shares.Location | None,
     ) -> float:
         """Returns the cost of a choice in seconds, without error penalty."""
         backend = choice.backend
         cost = choice.wait + choice.seconds + choice.penalty_seconds
-        is_other_region = backend.region != self._region
+        occupancy = estimate_occupancy(
+            requirements, backend, choice.running_attempts
+        )
+        cost += occupancy
         if requirements.model:
-            cost += RUNNING_ATTEMPT_PENALTY_SECONDS * choice.running_attempts
             cost += STREAM_TIME_WEIGHT * choice.stream_seconds
             lateness = choice.total_seconds - requirements.seconds_left
             cost += LATENESS_WEIGHT * max(0.0, lateness)
-            cost += REMOTE_REGION_PENALTY_SECONDS * is_other_region
+            region_penalty = REMOTE_REGION_PENALTY_SECONDS
         else:
-            cost += (
-                OCCUPIED_SLOTS_PENALTY_SECONDS
-                * backend.running
-                / backend.slots
+            region_penalty = REMOTE_REGION_PENALTY_SECONDS_PLAIN
+        if location is not None:
+            cost += location.estimate(
+                backend.failure_domain,
+                backend.region,
+                choice.wait + occupancy,
             )
-            cost += REMOTE_REGION_PENALTY_SECONDS_PLAIN * is_other_region
+        else:
+            cost += region_penalty * (backend.region != self._region)
         # Breaks ties in an order that depends on the gateway's region.
         return (
             cost
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -14,8 +14,10 @@
 import pathlib
 
 from chivejunction import clock
+from chivejunction.coordination import departures
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import domain_shares
 from chivejunction.scheduling import tier_choice
 from chivejunction.state import backends
 from chivejunction.state import backlogs
@@ -50,6 +52,7 @@
         shared_tokens: Length of the shared part.
         input_tokens: Length of the prompt.
         confidence: Confidence of the small model in its answer.
+        home: Failure domain of its caller; empty for any.
     """
 
     at: float
@@ -59,6 +62,7 @@
     shared_tokens: int
     input_tokens: int
     confidence: float
+    home: str = ''
 
 
 def read_record(name: str) -> list[RecordedRequest]:
@@ -128,15 +132,24 @@
 class Gateway:
     """Decisions of one gateway."""
 
-    def __init__(self, replay, number):
+    def __init__(self, replay, number, domain, regions):
         self.name = f'gw-{number}'
-        self.region = REGIONS[number % len(REGIONS)]
+        self.domain, self.region = domain, domain[:3]
         self.server_backlogs = backlogs.Backlogs()
         self.running_attempts = backlogs.Backlogs()
         self.prefill_times = backlogs.PrefillTimeEstimator()
         self.prefill_times.set_tiers(TIERS)
         self.index = prefix_caches.PrefixCacheIndex()
         self.confidence_gains = tier_choice.ConfidenceGains()
+        self.departures = None
+        if regions:
+            self.departures = departures.Departures(
+                domain,
+                regions,
+                domain_shares.LinkCosts(),
+                replay.table,
+                self.server_backlogs,
+            )
         self.selector = backend_selection.BackendSelector(
             replay.table,
             self.region,
@@ -146,6 +159,7 @@
             self.running_attempts,
             self.prefill_times,
             self.index,
+            self.departures and self.departures.shares,
         )
 
 
@@ -157,6 +171,10 @@
         engine_count: Number of engines, spread over the regions.
         gateway_count: Number of gateways.
         cache_tokens: Memory of an engine for shared parts.
+        engine_domains: Failure domain of each engine; None to spread them.
+        gateway_domains: The same for the gateways.
+        hint_seconds: Interval of the hints between gateways.
+        has_shares: Whether the gateways know of failure domains.
     """
 
     def __init__(
@@ -165,9 +183,24 @@
         engine_count=17,
         gateway_count=17,
         cache_tokens=300_000,
+        engine_domains=None,
+        gateway_domains=None,
+        hint_seconds=HINT_SECONDS,
+        has_shares=False,
     ):
+        domains = [f'{region}-a' for region in REGIONS]
+        engine_domains = engine_domains or [
+            domains[n % len(domains)] for n in range(engine_count)
+        ]
+        gateway_domains = gateway_domains or [
+            domains[n % len(domains)] for n in range(gateway_count)
+        ]
+        regions = {d: d[:3] for d in gateway_domains} if has_shares else None
+        self.hint_seconds = hint_seconds
+        # Time, home, failure domain and reason of each attempt.
+        self.sent = []
         self.now = 1000.0
-        self.gateway_count = gateway_count
+        self.gateway_count = len(gateway_domains)
         monkeypatch.setattr(clock, 'now', lambda: self.now)
         monkeypatch.setattr(clock, 'has_passed', lambda at: self.now >= at)
         monkeypatch.setattr(clock, 'make_deadline', lambda s: self.now + s)
@@ -176,16 +209,18 @@
         )
         self.table = backends.BackendTable()
         self.engines = {}
-        for number in range(engine_count):
+        for number, domain in enumerate(engine_domains):
             instance = f'i-{number}'
             self.engines[instance] = Engine(cache_tokens)
-            region = REGIONS[number % len(REGIONS)]
             self.table.update(
                 backends.Backend(
-                    instance, 'pool', '', 1, f'{region}-a', region, 'v1', 64
+                    instance, 'pool', '', 1, domain, domain[:3], 'v1', 64
                 )
             )
-        self.gateways = [Gateway(self, n) for n in range(gateway_count)]
+        self.gateways = [
+            Gateway(self, n, domain, regions)
+            for n, domain in enumerate(gateway_domains)
+        ]
         self._events = []
         self._order = itertools.count()
         self.results = []
@@ -199,12 +234,13 @@
         """Replays the requests; returns their results."""
         start = self.now
         for number, request in enumerate(record):
-            gateway = self.gateways[number % len(self.gateways)]
+            near = [g for g in self.gateways if request.home in ('', g.domain)]
+            gateway = near[number % len(near)]
             self.schedule(start + request.at, self._begin, gateway, request)
         end = start + record[-1].at + 5
-        ticks = int((end - start) / HINT_SECONDS)
+        ticks = int((end - start) / self.hint_seconds)
         for tick in range(ticks):
-            self.schedule(start + tick * HINT_SECONDS, self._send_hints)
+            self.schedule(start + tick * self.hint_seconds, self._send_hints)
         while self._events:
             self.now, _, action, args = heapq.heappop(self._events)
             action(*args)
@@ -218,6 +254,11 @@
                     other.server_backlogs.set_peer_backlogs(
                         gateway.name, report
                     )
+            if gateway.departures:
+                rows = gateway.departures.section.collect_rows(gateway.region)
+                for other in self.gateways if rows else ():
+                    if other is not gateway:
+                        other.departures.section.apply_rows(gateway.name, rows)
 
     def _choose(self, gateway, request, model):
         prompt = (
@@ -247,6 +288,16 @@
                         requirements.prefixes,
                         self.service.cache_tokens,
                     )
+        if gateway.departures:
+            gateway.departures.record('pool', choice)
+        self.sent.append(
+            (
+                self.now,
+                gateway.domain,
+                choice.backend.failure_domain,
+                choice.left_reason,
+            )
+        )
         work = gateway.server_backlogs.start(instance, choice.seconds)
         remote = REMOTE_SECONDS * (choice.backend.region != gateway.region)
         first_byte_at, read_tokens = self.engines[instance].read(
