--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -17,6 +17,7 @@
 from chivejunction import rendezvous
 from chivejunction.coordination import attempt_choice
 from chivejunction.coordination import bulletins
+from chivejunction.coordination import departures
 from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import forwarding
 from chivejunction.coordination import gateway_membership
@@ -31,6 +32,7 @@
 from chivejunction.protocol import features as protocol_features
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import domain_shares
 from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.state import backends
 from chivejunction.state import backlogs
@@ -102,6 +104,8 @@
         capacity: Number of CPU cores of this host.
         failure_domain: Failure domain of this host.
         features: Optional features that are switched on.
+        domain_regions: Region of each failure domain.
+        link_costs: Costs of links between failure domains and regions.
     """
 
     name: str
@@ -118,6 +122,8 @@
     capacity: float = 1.0
     failure_domain: str = ''
     features: frozenset[protocol_features.Feature] = frozenset()
+    domain_regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    link_costs: domain_shares.LinkCosts = domain_shares.LinkCosts()
 
 
 class ForwardGateway:
@@ -201,6 +207,7 @@
         self._pool = backend_connections.ConnectionPool()
         self._server_paces = server_paces.ServerPaces()
         pace_estimator = self._make_pace_estimator()
+        self._departures = self._make_departures()
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -210,7 +217,8 @@
             self._running_attempts,
             self._prefill_times,
             self._prefix_cache_index,
-            pace_estimator,
+            paces=pace_estimator,
+            shares=self._departures.shares if self._departures else None,
         )
         self._chooser = attempt_choice.AttemptChooser(
             selector,
@@ -220,7 +228,8 @@
             self._running_attempts,
             self._prefix_cache_index,
             self._hint_exchange,
-            options.features,
+            enabled_features=options.features,
+            domain_departures=self._departures,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
@@ -270,6 +279,26 @@
         )
         return estimator
 
+    def _make_departures(self) -> departures.Departures | None:
+        """Creates the shares of failure domains where there are several."""
+        options = self._options
+        regions = dict(options.domain_regions)
+        regions[options.failure_domain] = options.region
+        if (
+            protocol_features.Feature.DOMAIN_SHARES not in options.features
+            or len(regions) < 2
+        ):
+            return None
+        domain_departures = departures.Departures(
+            options.failure_domain,
+            regions,
+            options.link_costs,
+            self.backends,
+            self._server_backlogs,
+        )
+        self._hint_exchange.add_section(domain_departures.section)
+        return domain_departures
+
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
         self._board.publish(
@@ -454,6 +483,13 @@
             self._server_paces.count_slow,
         )
 
+        if self._departures is not None:
+            metrics.make_gauge(
+                'domain_away_share',
+                'Largest share of a service that is to leave the domain.',
+                self._departures.shares.get_max_away_share,
+            )
+
     def _handle_stall(self, seconds: float) -> None:
         """Makes up for datagrams that a long stall has let the kernel drop."""
         if seconds >= LOST_DATAGRAMS_STALL_SECONDS:
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -15,10 +15,12 @@
 import pathlib
 
 from chivejunction import clock
+from chivejunction.coordination import departures
 from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import pace_hints
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import domain_shares
 from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.scheduling import tier_choice
 from chivejunction.state import backends
@@ -55,6 +57,7 @@
         shared_tokens: Length of the shared part.
         input_tokens: Length of the prompt.
         confidence: Confidence of the small model in its answer.
+        home: Failure domain of its caller; empty for any.
     """
 
     at: float
@@ -64,6 +67,7 @@
     shared_tokens: int
     input_tokens: int
     confidence: float
+    home: str = ''
 
 
 def read_record(name: str) -> list[RecordedRequest]:
@@ -138,9 +142,9 @@
 class Gateway:
     """Decisions of one gateway."""
 
-    def __init__(self, replay, number):
+    def __init__(self, replay, number, domain, regions):
         self.name = f'gw-{number}'
-        self.region = REGIONS[number % len(REGIONS)]
+        self.domain, self.region = domain, domain[:3]
         self.server_backlogs = backlogs.Backlogs()
         self.running_attempts = backlogs.Backlogs()
         self.prefill_times = backlogs.PrefillTimeEstimator()
@@ -154,6 +158,15 @@
                 self.name, self.region, records, lambda: replay.gateway_count
             )
             self.pace_section = pace_hints.PaceSection(records, self.paces)
+        self.departures = None
+        if regions:
+            self.departures = departures.Departures(
+                domain,
+                regions,
+                domain_shares.LinkCosts(),
+                replay.table,
+                self.server_backlogs,
+            )
         self.selector = backend_selection.BackendSelector(
             replay.table,
             self.region,
@@ -163,7 +176,8 @@
             self.running_attempts,
             self.prefill_times,
             self.index,
-            self.paces,
+            paces=self.paces,
+            shares=self.departures and self.departures.shares,
         )
 
 
@@ -178,6 +192,10 @@
         speeds: Speeds of the engines in turn. Gateways learn from their
             attempts only where they are given.
         has_paces: Whether the gateways learn the pace of each server.
+        engine_domains: Failure domain of each engine; None to spread them.
+        gateway_domains: The same for the gateways.
+        hint_seconds: Interval of the hints between gateways.
+        has_shares: Whether the gateways know of failure domains.
     """
 
     def __init__(
@@ -188,12 +206,27 @@
         cache_tokens=300_000,
         speeds=(),
         has_paces=False,
+        engine_domains=None,
+        gateway_domains=None,
+        hint_seconds=HINT_SECONDS,
+        has_shares=False,
     ):
         self.has_paces = has_paces
         self._is_learning = bool(speeds)
         speeds = speeds or (1.0,)
+        domains = [f'{region}-a' for region in REGIONS]
+        engine_domains = engine_domains or [
+            domains[n % len(domains)] for n in range(engine_count)
+        ]
+        gateway_domains = gateway_domains or [
+            domains[n % len(domains)] for n in range(gateway_count)
+        ]
+        regions = {d: d[:3] for d in gateway_domains} if has_shares else None
+        self.hint_seconds = hint_seconds
+        # Time, home, failure domain and reason of each attempt.
+        self.sent = []
         self.now = 1000.0
-        self.gateway_count = gateway_count
+        self.gateway_count = len(gateway_domains)
         monkeypatch.setattr(clock, 'now', lambda: self.now)
         monkeypatch.setattr(clock, 'has_passed', lambda at: self.now >= at)
         monkeypatch.setattr(clock, 'make_deadline', lambda s: self.now + s)
@@ -202,18 +235,20 @@
         )
         self.table = backends.BackendTable()
         self.engines = {}
-        for number in range(engine_count):
+        for number, domain in enumerate(engine_domains):
             instance = f'i-{number}'
             self.engines[instance] = Engine(
                 cache_tokens, speed=speeds[number % len(speeds)]
             )
-            region = REGIONS[number % len(REGIONS)]
             self.table.update(
                 backends.Backend(
-                    instance, 'pool', '', 1, f'{region}-a', region, 'v1', 64
+                    instance, 'pool', '', 1, domain, domain[:3], 'v1', 64
                 )
             )
-        self.gateways = [Gateway(self, n) for n in range(gateway_count)]
+        self.gateways = [
+            Gateway(self, n, domain, regions)
+            for n, domain in enumerate(gateway_domains)
+        ]
         self._events = []
         self._order = itertools.count()
         self.results = []
@@ -227,12 +262,13 @@
         """Replays the requests; returns their results."""
         start = self.now
         for number, request in enumerate(record):
-            gateway = self.gateways[number % len(self.gateways)]
+            near = [g for g in self.gateways if request.home in ('', g.domain)]
+            gateway = near[number % len(near)]
             self.schedule(start + request.at, self._begin, gateway, request)
         end = start + record[-1].at + 5
-        ticks = int((end - start) / HINT_SECONDS)
+        ticks = int((end - start) / self.hint_seconds)
         for tick in range(ticks):
-            self.schedule(start + tick * HINT_SECONDS, self._send_hints)
+            self.schedule(start + tick * self.hint_seconds, self._send_hints)
         while self._events:
             self.now, _, action, args = heapq.heappop(self._events)
             action(*args)
@@ -250,6 +286,11 @@
                 other.server_backlogs.set_peer_backlogs(gateway.name, report)
                 if rows and not self.loses_hint():
                     other.pace_section.apply_rows(gateway.name, rows)
+            if gateway.departures:
+                rows = gateway.departures.section.collect_rows(gateway.region)
+                for other in self.gateways if rows else ():
+                    if other is not gateway:
+                        other.departures.section.apply_rows(gateway.name, rows)
 
     def loses_hint(self) -> bool:
         """Returns whether the paces in a hint are lost."""
@@ -297,6 +338,16 @@
                         requirements.prefixes,
                         self.service.cache_tokens,
                     )
+        if gateway.departures:
+            gateway.departures.record('pool', choice)
+        self.sent.append(
+            (
+                self.now,
+                gateway.domain,
+                choice.backend.failure_domain,
+                choice.left_reason,
+            )
+        )
         work = gateway.server_backlogs.start(instance, choice.seconds)
         remote = REMOTE_SECONDS * (choice.backend.region != gateway.region)
         first_byte_at, read_tokens = self.engines[instance].read(
