Divide scarce capacity among organisations

Organisations had no part in any decision on the forwarding path: one that sends 7 times its usual took the room of all others.

Gateways count the work that organisations ask for and get in a window of 2 s and tell each other by a section of the hints. While the less loaded servers of a service have a backlog of 0.3 of its shortest objective, first attempts beyond the organisation's max-min fair share wait or are refused (429 over_share) with the time at which the share is free again as Retry-After. Limits follow urgency and whether the caller was refused before; no organisation and no route gets under 0.35 of what all get. On with CHIVEJUNCTION_FEATURES=fair_shares and two organisations.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -5,12 +5,15 @@
 import anyio
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction.coordination import hints
+from chivejunction.coordination import organisation_shares
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
 from chivejunction.scheduling import admission
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import fair_shares
 from chivejunction.scheduling import tier_choice
 from chivejunction.scheduling import waiting
 from chivejunction.state import backlogs
@@ -44,6 +47,7 @@
         running_attempts: Attempts in progress at backend servers.
         prefix_cache_index: Prompt prefixes that backend servers have cached.
         hint_exchange: Sends hints about load to the other gateways.
+        has_shares: Whether scarce capacity is divided among organisations.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         running_attempts: backlogs.Backlogs,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
         hint_exchange: hints.HintExchange,
+        has_shares: bool = False,
     ):
         self._selector = selector
         self._make_budget = make_budget
@@ -68,6 +73,24 @@
         self._hint_exchange = hint_exchange
         self._waiting_line = waiting.WaitingLine()
         self._wake_events: dict[int, anyio.Event] = {}
+        self.shares: organisation_shares.OrganisationShares | None = None
+        self._share_work: dict[int, tuple[str, float, float]] = {}
+        if has_shares:
+            self.shares = organisation_shares.OrganisationShares(
+                self._list_backlogs,
+                lambda service: self._waiting_line.find_longest_wait(
+                    service, clock.now()
+                ),
+            )
+            hint_exchange.add_section(self.shares.make_section())
+
+    def _list_backlogs(self, service: str) -> list[float]:
+        """Returns the backlog in seconds of each server of a service."""
+        seconds = self._server_backlogs.estimate()
+        return [
+            seconds.get(instance, 0.0)
+            for instance in self._selector.list_open_servers(service)
+        ]
 
     def set_retry_limits(
         self, share: float, allowance: float, window_seconds: float
@@ -143,12 +166,14 @@
             for repeats.
 
         Raises:
-            RefusalError: No server can respond before the deadline.
+            RefusalError: No server can respond before the deadline, or the
+                caller's organisation exceeds its share of scarce capacity.
         """
         requirements = self._make_requirements(
             context, context.tier.model or context.request.model
         )
         context.requirements = requirements
+        await self._apply_shares(context)
         wait_until = clock.make_deadline(
             MAX_CAPACITY_WAIT_SHARE * context.route.objective
         )
@@ -181,6 +206,62 @@
             return None
         return self._check_servable(context, choice)
 
+    async def _apply_shares(
+        self, context: request_context.RequestContext
+    ) -> None:
+        """Refuses or delays a first attempt beyond its organisation's share.
+
+        Raises:
+            RefusalError: The organisation's share is in use for longer than
+                the request may wait here.
+        """
+        if (
+            not self._has_share(context)
+            or context.sent_attempts
+            or context.failed_instances
+            or context.resume_after is not None
+        ):
+            return
+        organisation, service = context.organisation, context.service.name
+        request = context.request
+        decision = fair_shares.Decision(fair_shares.Action.ADMIT)
+        with containment.contain('shares'):
+            decision = self.shares.decide(
+                service,
+                organisation,
+                context.route,
+                context.urgency,
+                clock.remaining(request.deadline),
+                MAX_CAPACITY_WAIT_SHARE * context.route.objective,
+                organisation_shares.hash_request(organisation.name, request),
+            )
+        if decision.action is fair_shares.Action.REFUSE:
+            raise organisation_shares.make_refusal(
+                service,
+                organisation.name,
+                decision,
+                self.shares.find_share_used(service, organisation),
+                clock.remaining(request.deadline),
+                context.urgency,
+            )
+        if decision.action is fair_shares.Action.WAIT:
+            await anyio.sleep(decision.seconds)
+
+    def _has_share(self, context: request_context.RequestContext) -> bool:
+        """Returns whether a request counts for its organisation's share."""
+        return bool(
+            self.shares and self.shares.is_active and context.organisation
+        )
+
+    def record_unserved(self, context: request_context.RequestContext) -> None:
+        """Remembers a request without an answer, which may come again."""
+        if self._has_share(context):
+            self.shares.demand.record_failure(
+                organisation_shares.hash_request(
+                    context.organisation.name, context.request
+                )
+            )
+
     def _check_refusals(self, context: request_context.RequestContext) -> None:
         """Refuses a request for which all servers asked for time.
 
@@ -213,6 +294,8 @@
             context.urgency,
             context.request.received_at + context.route.objective,
             now,
+            self._has_share(context)
+            and self.shares.find_share_used(service, context.organisation) > 1,
         )
         try:
             while not clock.has_passed(min(deadline, context.last_attempt_at)):
@@ -348,6 +431,14 @@
             model.
         """
         requirements, instance = context.requirements, choice.backend.instance
+        has_share = self._has_share(context)
+        if has_share:
+            self.shares.start_work(
+                context.service.name,
+                context.organisation.name,
+                context.route.name,
+                choice.seconds if requirements.model else None,
+            )
         if not requirements.model:
             return 0
         if requirements.prefixes and context.service.cache_tokens:
@@ -361,18 +452,35 @@
             )
         work_id = self._server_backlogs.start(instance, choice.seconds)
         self._running_ids[work_id] = self._running_attempts.start(instance, 1)
+        if has_share:
+            self._share_work[work_id] = (
+                context.service.name,
+                choice.seconds,
+                clock.now(),
+            )
         self._hint_exchange.schedule_send()
         return work_id
 
-    def end_attempt(self, work_id: int) -> None:
+    def end_attempt(
+        self,
+        work_id: int,
+        context: request_context.RequestContext,
+        seconds: float,
+    ) -> None:
         """Removes an attempt that has ended from the load of its server.
 
         Args:
             work_id: Return value of ``start_work``.
+            context: The request.
+            seconds: Time in seconds that the attempt took.
         """
         if work_id:
             self._running_attempts.end(self._running_ids.pop(work_id))
             self.end_work(work_id)
+        elif self._has_share(context):
+            self.shares.end_slot(
+                context.service.name, context.route.name, seconds
+            )
 
     def end_work(self, work_id: int) -> None:
         """Removes an attempt from the backlog of its server.
@@ -385,3 +493,5 @@
         if work_id:
             self._server_backlogs.end(work_id)
             self._hint_exchange.schedule_send()
+        if work_id in self._share_work:
+            self.shares.end_work(*self._share_work.pop(work_id))
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -184,7 +184,9 @@
         finally:
             backend.running -= 1
             with containment.contain('attempt'):
-                self._chooser.end_attempt(work_id)
+                self._chooser.end_attempt(
+                    work_id, context, clock.now() - started_at
+                )
             with containment.contain('attempt'):
                 self._chooser.wake_waiting(backend.service)
             if connection is not None and not is_released:
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -214,6 +214,7 @@
             self._running_attempts,
             self._prefix_cache_index,
             self._hint_exchange,
+            protocol_features.Feature.FAIR_SHARES in options.features,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
@@ -288,6 +289,8 @@
         self.route_table = table
         for tiers in {r.tiers for rows in table.routes.values() for r in rows}:
             self._prefill_times.set_tiers(tiers)
+        if self._chooser.shares:
+            self._chooser.shares.set_table(table)
         logs.log_decision(
             'configuration in force',
             version=table.version,
@@ -397,6 +400,8 @@
         logs.LOG.info('stopped', extra={'fields': {'event': 'stop'}})
 
     def _register_gauges(self) -> None:
+        if self._chooser.shares:
+            self._chooser.shares.register_gauges()
         metrics.make_gauge(
             'forward_active_requests',
             'Requests in progress.',
--- a/chivejunction/coordination/forwarding.py
+++ b/chivejunction/coordination/forwarding.py
@@ -133,6 +133,8 @@
                 await self._refuse(reply, request, refusal)
             elif not is_done:
                 await self._send_failure(context)
+            if not is_done:
+                self._chooser.record_unserved(context)
         except anyio.get_cancelled_exc_class():
             context.reason = 'the caller left'
             raise
@@ -308,6 +310,7 @@
             verdict=error.verdict.label,
             status=status,
             retry_after=retry_after,
+            share_used=(error.share_used and round(error.share_used, 2)),
             configuration_age=round(min(self._config_freshness.age, 1e6), 3),
         )
         headers = self._wire_format.make_refusal_headers(
--- a/chivejunction/errors.py
+++ b/chivejunction/errors.py
@@ -108,6 +108,7 @@
         verdict: Whether a backend server may have executed the request.
         retry_after: Seconds that the caller should wait before a retry, or
             None.
+        share_used: Work of the caller's organisation over its share, or None.
     """
 
     def __init__(
@@ -116,9 +117,11 @@
         detail: str,
         verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
         retry_after: float | None = None,
+        share_used: float | None = None,
     ):
         super().__init__(f'{code}: {detail}')
         self.code = code
         self.detail = detail
         self.verdict = verdict
         self.retry_after = retry_after
+        self.share_used = share_used
--- a/chivejunction/platform/configuration.py
+++ b/chivejunction/platform/configuration.py
@@ -124,12 +124,17 @@
 
 
 class OrganisationConfig(ConfigModel):
-    """An organisation with its API keys."""
+    """An organisation with its API keys.
+
+    Attributes:
+        weight: Weight of its share of scarce capacity.
+    """
 
     name: settings.HeaderValue
     api_keys: list[str] = []
     priority: settings.Count | None = None
     allowed_regions: list[str] = []
+    weight: settings.PositiveAmount = 1.0
 
 
 class ConfigDocument(ConfigModel):
@@ -224,7 +229,10 @@
     organisations = {}
     for tenant in document.tenants or []:
         organisation = forwarding.ForwardOrganisation(
-            tenant.name, tenant.priority, frozenset(tenant.allowed_regions)
+            tenant.name,
+            tenant.priority,
+            frozenset(tenant.allowed_regions),
+            tenant.weight,
         )
         # A request without a key has an empty one.
         keys = filter(None, tenant.api_keys)
--- a/chivejunction/protocol/forwarding.py
+++ b/chivejunction/protocol/forwarding.py
@@ -126,11 +126,13 @@
         name: Name that is sent to backend servers.
         urgency: Priority that overrides that of the route, or None.
         regions: Regions that may serve the organisation; empty for all.
+        weight: Weight of its share of scarce capacity.
     """
 
     name: str
     urgency: int | None = None
     regions: frozenset[str] = frozenset()
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/chivejunction/protocol/refusals.py
+++ b/chivejunction/protocol/refusals.py
@@ -39,6 +39,7 @@
     'key_reused': Refusal(422),
     'headers_too_large': Refusal(431),
     'rate_limited': Refusal(429, 1),
+    'over_share': Refusal(429, 1),
     'overloaded': Refusal(503, 1),
     'no_server': Refusal(503, 1),
     'leaving': Refusal(503, 1),
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -241,6 +241,17 @@
             default=0.0,
         )
 
+    def list_open_servers(self, service: str) -> list[str]:
+        """Returns the instance ids of the servers that take requests."""
+        now = clock.now()
+        return [
+            backend.instance
+            for backend in self._table.list_backends(service)
+            if not backend.is_leaving
+            and backend.failure_domain not in self._table.closed_domains
+            and max(backend.paused_until, backend.refused_until) <= now
+        ]
+
     def has_server(self, requirements: BackendRequirements, by: float) -> bool:
         """Returns whether a server may take an attempt, whatever its load.
 
--- a/chivejunction/scheduling/waiting.py
+++ b/chivejunction/scheduling/waiting.py
@@ -20,6 +20,7 @@
     """Place of a waiting request.
 
     Attributes:
+        is_excess: Whether its organisation uses more than its share.
         urgency: Rank of the request; 0 is the most urgent.
         start_by: Monotonic time by which it must start to meet its objective.
         number: Order of arrival.
@@ -27,6 +28,7 @@
         service: Service that it waits for.
     """
 
+    is_excess: bool
     urgency: int
     start_by: float
     number: int
@@ -45,7 +47,12 @@
         return len(self._tickets)
 
     def add(
-        self, service: str, urgency: int, start_by: float, now: float
+        self,
+        service: str,
+        urgency: int,
+        start_by: float,
+        now: float,
+        is_excess: bool = False,
     ) -> Ticket:
         """Adds a request and returns its ticket.
 
@@ -54,8 +61,12 @@
             urgency: Rank of the request; 0 is the most urgent.
             start_by: Monotonic time by which it must start.
             now: Monotonic time.
+            is_excess: Whether its organisation uses more than its share of
+                scarce capacity.
         """
-        ticket = Ticket(urgency, start_by, next(self._numbers), now, service)
+        ticket = Ticket(
+            is_excess, urgency, start_by, next(self._numbers), now, service
+        )
         bisect.insort(self._tickets, ticket)
         return ticket
 
@@ -73,3 +84,19 @@
         waiting = [t for t in self._tickets if t.service == service]
         waiting.sort(key=lambda t: now - t.waits_since <= MAX_WAIT_SECONDS)
         return waiting
+
+    def find_longest_wait(self, service: str, now: float) -> float:
+        """Returns the seconds for which a request has waited for a service.
+
+        Args:
+            service: Service that the requests need.
+            now: Monotonic time.
+        """
+        return max(
+            (
+                now - t.waits_since
+                for t in self._tickets
+                if t.service == service
+            ),
+            default=0.0,
+        )
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -50,6 +50,7 @@
         shared_tokens: Length of the shared part.
         input_tokens: Length of the prompt.
         confidence: Confidence of the small model in its answer.
+        organisation: Organisation of the caller.
     """
 
     at: float
@@ -59,6 +60,7 @@
     shared_tokens: int
     input_tokens: int
     confidence: float
+    organisation: str = ''
 
 
 def read_record(name: str) -> list[RecordedRequest]:
