Measure shares by the peak of finished work, off the request path

Capacity is now the most that a server has finished in 2 s of the last minute, and an episode begins at half of the shortest objective. Rows are sent every 0.2 s, and none in calm.

--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -393,6 +393,8 @@
             tasks.start('version moves', self.moves.run)
             tasks.start('hints', self._hint_exchange.run)
             tasks.start('prompt guard', self.prompt_guard.run)
+            if self._chooser.shares:
+                tasks.start('shares', self._chooser.shares.run)
             tasks.start('maintenance', self._run_maintenance)
             tasks.start('readiness', self._serve_readiness)
             tasks.start('metrics', self._serve_metrics)
--- a/chivejunction/coordination/organisation_shares.py
+++ b/chivejunction/coordination/organisation_shares.py
@@ -3,10 +3,13 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 
+import anyio
 import xxhash
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction import errors
 from chivejunction import logs
 from chivejunction import metrics
@@ -17,8 +20,16 @@
 from chivejunction.state import organisation_demand
 from chivejunction.state import route_tables
 
-# Shares and backlogs are computed again at this interval; hints are older.
-UPDATE_SECONDS = 0.05
+# Backlogs and shares are measured at this interval; hints are older. Requests
+# measure themselves only where that is overdue.
+UPDATE_SECONDS = 0.1
+MAX_UPDATE_AGE_SECONDS = 0.5
+# A service without requests for longer needs no measurements.
+IDLE_SECONDS = 5.0
+# Rows of demand are sent at this interval; they are sums over seconds.
+ROWS_INTERVAL_SECONDS = 0.2
+# Rows are the same for the check whether a hint is due and for the hint.
+SAME_HINT_SECONDS = 0.005
 # Period over which organisations and routes are compared by what they get.
 SERVED_WINDOW_SECONDS = 8.0
 # Weight of one attempt in the mean work of a route's attempts.
@@ -97,8 +108,10 @@
         demand: Demand at all gateways, as summed last.
         share: Share for a weight of 1; infinite if capacity suffices.
         updated_at: Monotonic time of the latest update.
+        asked_at: Monotonic time of the latest request.
         refused: Requests that were refused in the episode.
         served: Requests and admitted requests at this gateway.
+        peak: Most work that a server has finished in a window, of late.
         waits: Expiry and wait in seconds of recent attempts.
     """
 
@@ -110,10 +123,14 @@
     demand: organisation_demand.ServiceDemand = dataclasses.field(
         default_factory=organisation_demand.ServiceDemand
     )
-    share: float = float('inf')
-    updated_at: float = float('-inf')
+    share: float = math.inf
+    updated_at: float = -math.inf
+    asked_at: float = -math.inf
     refused: int = 0
     served: ServedCounts = dataclasses.field(default_factory=ServedCounts)
+    peak: fair_shares.PeakThroughput = dataclasses.field(
+        default_factory=fair_shares.PeakThroughput
+    )
     waits: collections.deque[tuple[float, float]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_WAITS)
     )
@@ -136,9 +153,16 @@
     ):
         self._demand = demand
         self._list_services = list_services
+        self._collected_at: dict[str, float] = {}
 
     def collect_rows(self, region: str) -> list:
-        """Returns the rows of the services under pressure."""
+        """Returns the rows of the services under pressure, if they are due."""
+        now = clock.now()
+        age = now - self._collected_at.get(region, -math.inf)
+        if SAME_HINT_SECONDS < age < ROWS_INTERVAL_SECONDS:
+            return []
+        if age >= ROWS_INTERVAL_SECONDS:
+            self._collected_at[region] = now
         return self._demand.encode_rows(self._list_services())
 
     def apply_rows(self, gateway: str, rows: list) -> None:
@@ -246,7 +270,9 @@
             request_hash: Identifies the same request of the same caller.
         """
         state = self._services.setdefault(service, ServiceState())
-        self._update(service, state)
+        state.asked_at = clock.now()
+        if state.asked_at - state.updated_at > MAX_UPDATE_AGE_SECONDS:
+            self._update(service, state)
         local = self.demand.get_local(service, organisation.name)
         seconds = self._work_seconds.get(route.name, DEFAULT_WORK_SECONDS)
         is_repeat = self.demand.is_repeat(request_hash)
@@ -320,24 +346,36 @@
             return False
         return seconds_left < longest.seconds - fair_shares.RETURN_SECONDS
 
-    def _update(self, service: str, state: ServiceState) -> None:
-        """Measures scarcity and divides capacity, if that was long ago."""
+    async def run(self) -> None:
+        """Measures scarcity and divides capacity until cancelled."""
+        while True:
+            containment.expect_progress()
+            await anyio.sleep(UPDATE_SECONDS)
+            with containment.contain('shares'):
+                self.update()
+
+    def update(self) -> None:
+        """Measures the services that had requests of late."""
         now = clock.now()
-        if now - state.updated_at < UPDATE_SECONDS:
-            return
-        state.updated_at = now
+        for service, state in self._services.items():
+            if self.is_active and now - state.asked_at < IDLE_SECONDS:
+                self._update(service, state)
+
+    def _update(self, service: str, state: ServiceState) -> None:
+        """Measures scarcity and divides capacity."""
+        now = state.updated_at = clock.now()
+        seconds = self._list_backlogs(service)
         if state.is_plain:
             # A request waits for up to an eighth of its objective.
             pressure = 8 * self._find_longest_wait(service) / state.objective
         else:
-            pressure = fair_shares.measure_backlog(
-                self._list_backlogs(service), state.objective
-            )
+            pressure = fair_shares.measure_backlog(seconds, state.objective)
             if not self.demand.has_peers():
                 pressure = max(pressure, self._measure_waits(state))
         has_changed = state.scarcity.update(pressure, now)
-        if state.scarcity.is_scarce or has_changed:
-            self._divide(service, state)
+        is_pressed = pressure >= fair_shares.END_BACKLOG_SHARE
+        if state.scarcity.is_scarce or has_changed or is_pressed:
+            self._divide(service, state, len(seconds))
         if has_changed:
             self._log_episode(service, state)
 
@@ -355,12 +393,12 @@
             [wait for _, wait in state.waits], state.objective
         )
 
-    def _divide(self, service: str, state: ServiceState) -> None:
+    def _divide(
+        self, service: str, state: ServiceState, server_count: int
+    ) -> None:
         state.demand = demand = self.demand.sum_service(service)
-        used = sum(d.used for d in demand.organisations.values())
         state.share = fair_shares.divide_capacity(
-            # Servers that stopped responding finish nothing.
-            max(demand.finished, used / 2),
+            state.peak.update(demand.finished, server_count, clock.now()),
             {
                 key: max(row.asked, row.used)
                 for key, row in demand.organisations.items()
@@ -440,7 +478,6 @@
         """Returns the services whose demand the others need to know."""
         pressed = []
         for name, state in self._services.items():
-            self._update(name, state)
             scarcity = state.scarcity
             if (
                 scarcity.is_scarce
--- a/chivejunction/scheduling/fair_shares.py
+++ b/chivejunction/scheduling/fair_shares.py
@@ -16,10 +16,10 @@
 import math
 
 # Backlog of the less loaded servers, as a share of the service's shortest
-# objective. A backlog of a third of it leaves time for the prompt itself and
-# for a second reading by a larger model; a tenth is noise between hints.
-BEGIN_BACKLOG_SHARE = 0.3
-END_BACKLOG_SHARE = 0.1
+# objective. With half of it, the other half is left for the prompt itself and
+# for a second reading by a larger model. A fifth is usual at peaks.
+BEGIN_BACKLOG_SHARE = 0.5
+END_BACKLOG_SHARE = 0.2
 # Hysteresis: bursts that servers work off by themselves begin nothing, and
 # the time between two bursts does not end an episode.
 BEGIN_SECONDS = 0.25
@@ -30,13 +30,14 @@
 # go to the servers with room, and because servers that stopped responding
 # keep their backlogs.
 BACKLOG_QUANTILE = 0.25
+# Longer than the time between two peaks of a day's traffic, shorter than an
+# operator takes to replace servers by slower ones.
+PEAK_SECONDS = 60.0
 # Work over the share up to which requests are admitted, by urgency, 0 being
-# the most urgent; the last value applies to all further ranks. Demand of a
-# window varies by a quarter where an organisation sends a few long prompts.
-LIMIT_FACTORS = (1.6, 1.4, 1.25)
-# From this backlog on, as a share of the objective, limits shrink in
-# proportion: callers are still in time, but the backlog must not grow.
-FULL_BACKLOG_SHARE = 0.45
+# the most urgent; the last value applies to all further ranks. Beyond the
+# backlog at which an episode begins, limits shrink in proportion: callers are
+# still in time there, but the backlog must not grow.
+LIMIT_FACTORS = (1.2, 1.05, 0.95)
 # Factor for callers that have been refused before: one that comes back and is
 # refused again has lost the time for any other attempt.
 RETURN_FACTOR = 2.0
@@ -83,6 +84,36 @@
     return math.inf
 
 
+@dataclasses.dataclass(slots=True)
+class PeakThroughput:
+    """Most work that a server has finished in a window, of late.
+
+    Servers finish no more than they are given. After an outage or a calm time
+    what they finished just now says less about their capacity than a peak.
+
+    Attributes:
+        per_server: Work of the peak for each server.
+        expires_at: Monotonic time at which the peak is forgotten.
+    """
+
+    per_server: float = 0.0
+    expires_at: float = -math.inf
+
+    def update(self, finished: float, server_count: int, now: float) -> float:
+        """Takes the work of a window; returns the capacity of the servers.
+
+        Args:
+            finished: Work that the servers finished in the window.
+            server_count: Number of servers that take requests.
+            now: Monotonic time.
+        """
+        per_server = finished / max(1, server_count)
+        if per_server >= self.per_server or now >= self.expires_at:
+            self.per_server = per_server
+            self.expires_at = now + PEAK_SECONDS
+        return self.per_server * max(1, server_count)
+
+
 def measure_backlog(seconds: list[float], objective: float) -> float:
     """Returns the backlog of the less loaded servers over the objective.
 
@@ -201,7 +232,7 @@
         factor *= RETURN_FACTOR
     elif request.is_repeat:
         factor = REPEAT_FACTOR
-    factor *= FULL_BACKLOG_SHARE / max(FULL_BACKLOG_SHARE, request.pressure)
+    factor *= BEGIN_BACKLOG_SHARE / max(BEGIN_BACKLOG_SHARE, request.pressure)
     limit = factor * request.share
     if request.used <= limit:
         return Decision(Action.ADMIT)
--- a/chivejunction/state/organisation_demand.py
+++ b/chivejunction/state/organisation_demand.py
@@ -24,11 +24,13 @@
 REPEAT_SECONDS = 0.25
 MAX_FAILED_REQUESTS = 2000
 MAX_SENT_FAILURES = 12
+# Key of the finished work among the rows of a service.
+FINISHED_KEY = 0
 
 
 def hash_name(name: str) -> int:
     """Returns the hash by which rows name a service or organisation."""
-    return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF
+    return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF or 1
 
 
 class WindowedSum:
@@ -80,12 +82,12 @@
     promised: float = 0.0
     repeated: float = 0.0
 
-    def add(self, other: 'Demand') -> None:
-        """Adds the work that another gateway reports."""
-        self.asked += other.asked
-        self.used += other.used
-        self.promised += other.promised
-        self.repeated += other.repeated
+    def add(self, milliseconds: list[int]) -> None:
+        """Adds the work that other gateways report."""
+        self.asked += milliseconds[0] / 1000
+        self.used += milliseconds[1] / 1000
+        self.promised += milliseconds[2] / 1000
+        self.repeated += milliseconds[3] / 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,11 +140,65 @@
 
     Attributes:
         expires_at: Monotonic time at which the report expires.
-        services: Demand by the hash of the service's name.
+        rows: Milliseconds by the hashes of service and organisation; finished
+            work of the service has 0 for the organisation.
     """
 
     expires_at: float
-    services: dict[int, ServiceDemand]
+    rows: dict[tuple[int, int], list[int]]
+
+
+class PeerTotals:
+    """Sum of the current reports of the other gateways.
+
+    Whole numbers are added and subtracted as reports come and expire, so that
+    a sum is at hand when a request needs it.
+    """
+
+    def __init__(self):
+        self._reports: dict[str, PeerReport] = {}
+        self._totals: dict[int, dict[int, list[int]]] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of gateways with current reports."""
+        self._remove_expired()
+        return len(self._reports)
+
+    def replace(
+        self, gateway: str, rows: dict[tuple[int, int], list[int]]
+    ) -> None:
+        """Replaces the report of a gateway."""
+        previous = self._reports.pop(gateway, None)
+        if previous is not None:
+            self._add(previous.rows, -1)
+        if rows and len(self) < MAX_PEERS:
+            self._add(rows, 1)
+            self._reports[gateway] = PeerReport(
+                clock.make_deadline(PEER_ROWS_TTL_SECONDS), rows
+            )
+
+    def _add(self, rows: dict[tuple[int, int], list[int]], sign: int) -> None:
+        for (service, organisation), numbers in rows.items():
+            totals = self._totals.setdefault(service, {})
+            sums = totals.setdefault(organisation, [0, 0, 0, 0])
+            for index, number in enumerate(numbers):
+                sums[index] += sign * number
+            if not any(sums):
+                del totals[organisation]
+
+    def _remove_expired(self) -> None:
+        # A replaced report moves to the end, so the oldest ones come first.
+        while self._reports:
+            gateway, report = next(iter(self._reports.items()))
+            if not clock.has_passed(report.expires_at):
+                break
+            del self._reports[gateway]
+            self._add(report.rows, -1)
+
+    def get_rows(self, service: int) -> dict[int, list[int]]:
+        """Returns the sums of a service in ms by organisation."""
+        self._remove_expired()
+        return self._totals.get(service, {})
 
 
 class OrganisationDemand:
@@ -155,7 +211,7 @@
     def __init__(self):
         self._local: dict[str, dict[str, LocalDemand]] = {}
         self._finished: dict[str, WindowedSum] = {}
-        self._peers: dict[str, PeerReport] = {}
+        self._peers = PeerTotals()
         # Expiry by the hash of the request; in the order of the failures.
         self._failed: dict[int, float] = {}
         self._sent_failures: collections.deque[int] = collections.deque(
@@ -195,27 +251,20 @@
 
     def has_peers(self) -> bool:
         """Returns whether there are current rows of another gateway."""
-        return any(
-            report.services and not clock.has_passed(report.expires_at)
-            for report in self._peers.values()
-        )
+        return len(self._peers) > 0
 
     def sum_service(self, service: str) -> ServiceDemand:
         """Returns the demand for a service at all gateways."""
         total = self._sum_local(service)
-        key = hash_name(service)
-        for name, report in list(self._peers.items()):
-            if clock.has_passed(report.expires_at):
-                del self._peers[name]
-                continue
-            part = report.services.get(key)
-            if part is None:
+        organisations = total.organisations
+        for key, sums in self._peers.get_rows(hash_name(service)).items():
+            if key == FINISHED_KEY:
+                total.finished += sums[0] / 1000
                 continue
-            total.finished += part.finished
-            for organisation, demand in part.organisations.items():
-                total.organisations.setdefault(organisation, Demand()).add(
-                    demand
-                )
+            demand = organisations.get(key)
+            if demand is None:
+                demand = organisations[key] = Demand()
+            demand.add(sums)
         return total
 
     def _sum_local(self, service: str) -> ServiceDemand:
@@ -256,6 +305,8 @@
                 ]
                 for organisation, demand in total.organisations.items()
             )
+        if not finished_rows:
+            return []
         rows.sort(key=lambda row: -max(row[2:]))
         failures = [
             key for key in self._sent_failures if key and self.is_repeat(key)
@@ -271,7 +322,7 @@
         """
         if not isinstance(rows, list) or len(rows) > MAX_ROWS:
             raise ValueError('rows of demand are no list or too many')
-        services: dict[int, ServiceDemand] = {}
+        by_key: dict[tuple[int, int], list[int]] = {}
         failures = []
         for row in rows:
             numbers = [_check_number(number) for number in row]
@@ -280,18 +331,12 @@
                 continue
             if len(numbers) not in (2, 6):
                 raise ValueError(f'a row has {len(numbers)} numbers')
-            service = services.setdefault(numbers[0], ServiceDemand())
-            if len(numbers) == 2:
-                service.finished = _decode_seconds(numbers[1])
-            else:
-                key, *values = numbers[1:]
-                service.organisations[key] = Demand(
-                    *(_decode_seconds(value) for value in values)
-                )
-        if gateway in self._peers or len(self._peers) < MAX_PEERS:
-            self._peers[gateway] = PeerReport(
-                clock.make_deadline(PEER_ROWS_TTL_SECONDS), services
-            )
+            service, *values = numbers
+            key = FINISHED_KEY if len(values) == 1 else values.pop(0)
+            by_key[service, key] = [
+                min(MAX_MILLISECONDS, value) for value in values
+            ]
+        self._peers.replace(gateway, by_key)
         for request_hash in failures:
             if request_hash not in self._failed:
                 self._remember(request_hash)
@@ -301,10 +346,6 @@
     return min(MAX_MILLISECONDS, int(1000 * seconds))
 
 
-def _decode_seconds(milliseconds: int) -> float:
-    return min(MAX_MILLISECONDS, milliseconds) / 1000
-
-
 def _check_number(value) -> int:
     """Returns a number of a row that fits into 32 bits."""
     if not isinstance(value, int) or not 0 <= value < 2**32:
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -109,6 +109,14 @@
         assert self.list_numbers(line, 0.2) == [1, 0]
         assert self.list_numbers(line, 0.3) == [0, 1]
 
+    def test_excess_of_an_organisation_goes_after_all_others(self):
+        line = waiting.WaitingLine()
+        line.add('desk', 0, 1.0, 0.0, is_excess=True)
+        line.add('desk', 5, 9.0, 0.0)
+        assert self.list_numbers(line, 0.1) == [1, 0]
+        assert line.find_longest_wait('desk', 0.1) == 0.1
+        assert line.find_longest_wait('pool', 0.1) == 0
+
     def test_removed_request_does_not_wait(self):
         line = waiting.WaitingLine()
         ticket = line.add('desk', 1, 9.0, 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -455,6 +455,12 @@
     def test_large_version(self):
         assert self.read(version=2**80).version == 2**80
 
+    def test_weight_of_an_organisation(self):
+        tenant = {'name': 'temple', 'api_keys': ['key-1']}
+        for document, weight in ((tenant, 1.0), ({**tenant, 'weight': 3}, 3)):
+            table = self.read(tenants=[document])
+            assert table.find_organisation('key-1').weight == weight
+
     def test_empty_key_is_no_key(self):
         tenants = [{'name': 'temple', 'api_keys': ['', 'key-1']}]
         table = self.read(tenants=tenants)
@@ -512,6 +518,11 @@
             (7, 'name', 'a\ud83d'),
             (7, 'api_keys', 'key-1'),
             (7, 'priority', -1),
+            (7, 'weight', 0),
+            (7, 'weight', -1.0),
+            (7, 'weight', float('inf')),
+            (7, 'weight', float('nan')),
+            (7, 'weight', '2'),
         ],
     )
     def test_invalid_value_is_a_protocol_error(self, number, field, value):
