--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -343,6 +343,8 @@
         self.route_table = table
         for tiers in {r.tiers for rows in table.routes.values() for r in rows}:
             self._prefill_times.set_tiers(tiers)
+        if self._chooser.shares:
+            self._chooser.shares.set_table(table)
         logs.log_decision(
             'configuration in force',
             version=table.version,
@@ -445,6 +447,8 @@
             tasks.start('version moves', self.moves.run)
             tasks.start('hints', self._hint_exchange.run)
             tasks.start('prompt guard', self.prompt_guard.run)
+            if self._chooser.shares:
+                tasks.start('shares', self._chooser.shares.run)
             tasks.start('maintenance', self._run_maintenance)
             tasks.start('readiness', self._serve_readiness)
             tasks.start('metrics', self._serve_metrics)
@@ -452,6 +456,8 @@
         logs.LOG.info('stopped', extra={'fields': {'event': 'stop'}})
 
     def _register_gauges(self) -> None:
+        if self._chooser.shares:
+            self._chooser.shares.register_gauges()
         metrics.make_gauge(
             'forward_active_requests',
             'Requests in progress.',
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -58,6 +58,7 @@
         input_tokens: Length of the prompt.
         confidence: Confidence of the small model in its answer.
         home: Failure domain of its caller; empty for any.
+        organisation: Organisation of the caller.
     """
 
     at: float
@@ -68,6 +69,7 @@
     input_tokens: int
     confidence: float
     home: str = ''
+    organisation: str = ''
 
 
 def read_record(name: str) -> list[RecordedRequest]:
