--- a/chivejunction/scheduling/memory_pressure.py
+++ b/chivejunction/scheduling/memory_pressure.py
@@ -35,10 +35,6 @@
 # that callers may use.
 FILE_DESCRIPTORS = 200
 CALLER_SHARE = 0.75
-# Kinds that give way only with their request.
-FIXED_KINDS = frozenset(
-    (held_memory.Kind.CONNECTION, held_memory.Kind.EXCHANGE)
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +91,8 @@
     match hold.phase:
         case held_memory.Phase.RUNNING:
             return hold.get(held_memory.Kind.AHEAD)
+        case held_memory.Phase.CLOSING:
+            return 0
         case _:
             return hold.total
 
--- a/chivejunction/state/held_memory.py
+++ b/chivejunction/state/held_memory.py
@@ -25,6 +25,7 @@
     READING = 'reading'
     RUNNING = 'running'
     WRITING = 'writing'
+    CLOSING = 'closing'
 
 
 class Hold:
--- a/chivejunction/transport/accepted_streams.py
+++ b/chivejunction/transport/accepted_streams.py
@@ -16,7 +16,7 @@
 
 # Data that the kernel holds for a caller that is not read. It counts toward
 # the memory of the host.
-RECEIVE_BUFFER_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 32_768
 
 
 class AcceptedStream(abc.ByteStream):
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -34,6 +34,8 @@
 from chivejunction.transport import sockets
 
 READ_BYTES = 65536
+# Chunks are taken one by one, while other callers get a turn.
+CHUNKED_READ_BYTES = 16384
 # Time from the accept of a connection to the first request, while stopping.
 FIRST_REQUEST_TIMEOUT_SECONDS = 1.0
 # Responses are passed on in parts, so that the memory of those which a caller
@@ -43,8 +45,12 @@
 # still being processed.
 MAX_PIPELINED_BYTES = 16384
 # Memory of an open connection, and of a request in progress besides its body.
-CONNECTION_BYTES = 20_000
-EXCHANGE_BYTES = 24_000
+CONNECTION_BYTES = 12_000
+EXCHANGE_BYTES = 20_000
+# Size at which received pieces of a body are joined to one part, and memory
+# of a part besides its data.
+JOINED_BYTES = 4096
+PART_BYTES = 64
 # Slowest mean rate of a caller that sends or reads; added to the idle timeout.
 MIN_BYTES_PER_SECOND = 16_384
 # Seconds after which a caller that was refused for lack of memory may return.
@@ -431,14 +437,17 @@
         kinds = [held_memory.Kind.AHEAD]
         match self._hold.phase:
             case held_memory.Phase.IDLE:
+                self._hold.phase = held_memory.Phase.CLOSING
                 self.close_if_idle()
             case held_memory.Phase.READING:
                 kinds += [held_memory.Kind.HEAD, held_memory.Kind.BODY]
                 self._body.clear()
+                self._hold.phase = held_memory.Phase.CLOSING
                 if self._read_scope is not None:
                     self._read_scope.cancel()
             case held_memory.Phase.WRITING:
                 kinds += [held_memory.Kind.BODY, held_memory.Kind.RESPONSE]
+                self._hold.phase = held_memory.Phase.CLOSING
                 if self._write_scope is not None:
                     self._write_scope.cancel()
         self._pipelined_data = b''
@@ -562,13 +571,18 @@
 
     async def _read_and_handle(self) -> bool:
         limits = self._listener.get_limits()
+        raw = rejection = None
         try:
             raw = await self._read_request(limits)
         except h11.RemoteProtocolError as exc:
-            await self._reject(exc.error_status_hint or 400, str(exc))
-            return False
+            rejection = exc.error_status_hint or 400, str(exc)
         except errors.RequestRejected as exc:
-            await self._reject(exc.status, str(exc))
+            rejection = exc.status, str(exc)
+        if rejection is not None:
+            # Not in the handlers: the traceback holds what was read.
+            self._hold.phase = held_memory.Phase.CLOSING
+            self._hold.release(held_memory.Kind.HEAD, held_memory.Kind.BODY)
+            await self._reject(*rejection)
             await self._discard_input()
             return False
         if raw is None:
@@ -656,7 +670,7 @@
             if not has_caller_left or not sockets.is_disconnect(exc):
                 containment.record_error('request', exc)
 
-    async def _receive(self) -> int:
+    async def _receive(self, max_bytes: int = READ_BYTES) -> int:
         """Receives data and returns its size in bytes, zero at the end."""
         if self._pipelined_data:
             data, self._pipelined_data = self._pipelined_data, b''
@@ -665,7 +679,7 @@
             data = b''
         else:
             try:
-                data = await self._stream.receive(READ_BYTES)
+                data = await self._stream.receive(max_bytes)
             except anyio.EndOfStream:
                 data = b''
         self._hold.record_progress()
@@ -698,7 +712,10 @@
         body = None
         with anyio.move_on_after(limits.idle_seconds) as scope:
             self._read_scope = scope
-            body = await self._read_body(limits, scope)
+            is_chunked = any(
+                k == b'transfer-encoding' for k, _ in head.headers
+            )
+            body = await self._read_body(limits, scope, is_chunked)
         self._read_scope = None
         if body is None:
             if self._is_released:
@@ -774,7 +791,9 @@
             self._hold.release(held_memory.Kind.BODY)
             raise self._make_shortage()
 
-    async def _read_body(self, limits, scope: anyio.CancelScope) -> bytes:
+    async def _read_body(
+        self, limits, scope: anyio.CancelScope, is_chunked: bool
+    ) -> bytes:
         """Reads a body.
 
         Its time limit grows with what was received, so that a steady caller
@@ -784,17 +803,19 @@
             await self.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        self._body, block, size = [], bytearray(), 0
+        self._body, size, joined_size = [], 0, 0
+        received: list[bytes] = []
         started_at = clock.now()
         counter = pieces.PieceCounter()
+        read_bytes = CHUNKED_READ_BYTES if is_chunked else READ_BYTES
         while True:
             event = self._conn.next_event()
             if event is h11.NEED_DATA:
-                if len(block) >= READ_BYTES:
-                    self._body.append(bytes(block))
-                    block = bytearray()
-                self._count_body(size)
-                await self._receive()
+                # The parser holds what was received until it is taken.
+                unparsed = await self._receive(read_bytes)
+                self._count_body(
+                    size + unparsed + PART_BYTES * len(self._body)
+                )
                 scope.deadline = (
                     started_at
                     + limits.idle_seconds
@@ -804,8 +825,15 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise errors.RequestRejected(413, 'the body is too large')
-                # Each piece as an object of its own would take more.
-                block += event.data
+                # Many pieces take several times the memory of their bytes.
+                received.append(event.data)
+                if (
+                    len(received) == pieces.PIECES_PER_TURN
+                    or size - joined_size >= JOINED_BYTES
+                ):
+                    self._body.append(b''.join(received))
+                    received.clear()
+                    joined_size = size
                 try:
                     await counter.take(len(event.data))
                 except errors.ProtocolError as exc:
@@ -817,7 +845,7 @@
                 self._hold.set(
                     held_memory.Kind.AHEAD, len(self._conn.trailing_data[0])
                 )
-                parts, self._body = [*self._body, bytes(block)], []
+                parts, self._body = [*self._body, *received], []
                 return b''.join(parts)
             else:
                 raise anyio.EndOfStream
@@ -832,7 +860,7 @@
             return
         self._conn = h11.Connection(h11.SERVER)
         self.is_reading = False
-        with anyio.move_on_after(DISCARD_SECONDS) as self._read_scope:
+        with anyio.move_on_after(DISCARD_SECONDS):
             await self._stream.send_eof()
             size = 0
             while size < MAX_DISCARDED_BYTES:
