--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -33,6 +33,7 @@
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import domain_shares
+from chivejunction.scheduling import memory_pressure
 from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.state import backends
 from chivejunction.state import backlogs
@@ -43,6 +44,7 @@
 from chivejunction.state import server_paces
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
+from chivejunction.transport import caller_memory
 from chivejunction.transport import http_client
 from chivejunction.transport import listening
 from chivejunction.transport import stores
@@ -106,6 +108,9 @@
         features: Optional features that are switched on.
         domain_regions: Region of each failure domain.
         link_costs: Costs of links between failure domains and regions.
+        memory_bytes: Memory of this host; None if it is not known.
+        max_descriptors: Descriptors of this process, those of files included;
+            None if only the kernel limits them.
     """
 
     name: str
@@ -124,6 +129,8 @@
     features: frozenset[protocol_features.Feature] = frozenset()
     domain_regions: dict[str, str] = dataclasses.field(default_factory=dict)
     link_costs: domain_shares.LinkCosts = domain_shares.LinkCosts()
+    memory_bytes: float | None = None
+    max_descriptors: int | None = None
 
 
 class ForwardGateway:
@@ -251,10 +258,16 @@
             attempts,
             self.prompt_guard,
         )
+        self.memory_guard = caller_memory.MemoryGuard(options.memory_bytes)
         self.caller_listener = caller_connections.Listener(
-            self._forwarder.handle, self._get_limits
+            self._forwarder.handle, self._get_limits, guard=self.memory_guard
         )
         logs.log_decision('features', enabled=sorted(options.features))
+        if options.max_descriptors is not None:
+            self.caller_listener.max_sockets = min(
+                self.caller_listener.max_sockets,
+                memory_pressure.compute_max_sockets(options.max_descriptors),
+            )
         self._read_options: Callable = lambda: None
         self._is_stopping = False
         self._removed_instances: list[str] = []
@@ -458,6 +471,7 @@
     def _register_gauges(self) -> None:
         if self._chooser.shares:
             self._chooser.shares.register_gauges()
+        self.memory_guard.register_gauge()
         metrics.make_gauge(
             'forward_active_requests',
             'Requests in progress.',
@@ -532,7 +546,7 @@
             else:
                 await relay.handle(raw, reply)
 
-        listener = caller_connections.Listener(handle)
+        listener = caller_connections.Listener(handle, guard=self.memory_guard)
         await listener.serve(*self._options.peer_address)
 
     async def _serve_readiness(self) -> None:
@@ -550,7 +564,7 @@
                 json.dumps(state).encode(),
             )
 
-        listener = caller_connections.Listener(handle)
+        listener = caller_connections.Listener(handle, guard=self.memory_guard)
         await listener.serve(*self._options.readiness_address)
 
     async def _serve_metrics(self) -> None:
@@ -560,7 +574,7 @@
                 200, [(b'content-type', kind.encode())], body
             )
 
-        listener = caller_connections.Listener(handle)
+        listener = caller_connections.Listener(handle, guard=self.memory_guard)
         await listener.serve(*self._options.metrics_address)
 
     async def _run_maintenance(self) -> None:
@@ -581,6 +595,8 @@
             # The settings file may also change without a SIGHUP.
             with containment.contain('reload'):
                 self._reload()
+            with containment.contain('held memory'):
+                self.memory_guard.account.check()
             self._chooser.set_retry_limits(*self._compute_retry_limits())
 
     async def _release_removed_servers(self) -> None:
@@ -625,6 +641,7 @@
         if options is None:
             return
         self._options = options
+        self.memory_guard.set_memory(options.memory_bytes)
         self.config_freshness.max_age_seconds = options.max_config_age_seconds
         self._chooser.set_retry_limits(*self._compute_retry_limits())
         logs.LOG.info(
