Count a choice as a trial only if it shows the server's pace

Cause: a short prompt, or one with a copy, put off this gateway's next trial of a slow server by 3 s although it gives no sample.

Change: only measurable choices do. A pace ratio of 1 leaves estimates as they were to the last bit. Tests with a gateway and scripted servers, with the feature and without.

Measured: tests/test_server_paces.py, 37 tests pass; those of the choice of servers, replays, hints, forwarding and load decisions pass (214).

--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -345,8 +345,8 @@
                 best, best_cost = choice, cost
         self._consume_cold_token(best.backend)
         self._limiter.record_send(best.backend)
-        if self._paces is not None and best.model:
-            self._paces.start_trial(best.backend)
+        if self._paces is not None and best.model and best.source is None:
+            self._paces.start_trial(best.backend, best.seconds)
         best.busy_seconds = statistics.median(c.wait for c in choices)
         best.server_count = len(choices)
         return best
--- a/chivejunction/scheduling/server_paces.py
+++ b/chivejunction/scheduling/server_paces.py
@@ -74,6 +74,8 @@
         seconds: Time at the pace of the model.
         ratio: Pace of the server.
     """
+    if ratio == 1:
+        return seconds
     base = backlogs.BASE_FIRST_BYTE_SECONDS
     return base + (seconds - base) * ratio
 
@@ -234,10 +236,20 @@
             pace = usual_pace
         return pace / model_pace
 
-    def start_trial(self, backend: backends.Backend) -> None:
-        """Keeps this gateway from a second trial of a chosen server soon."""
+    def start_trial(
+        self, backend: backends.Backend, prefill_seconds: float
+    ) -> None:
+        """Keeps this gateway from a second trial of a chosen server soon.
+
+        Args:
+            backend: The server.
+            prefill_seconds: Estimated prefill time of the attempt; a short
+                one is no trial.
+        """
         record = self._paces.get(backend)
-        if clock.has_passed(record.trial_at):
+        if clock.has_passed(record.trial_at) and is_measurable(
+            0.0, prefill_seconds, backend.region == self._region
+        ):
             record.trial_at = clock.make_deadline(HOLD_SECONDS)
 
     def find_interval(
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -282,9 +282,10 @@
         group: Task group that runs the gateway and the servers.
         config: Configuration document; None for the default one, False for
             a gateway without configuration.
+        features: Optional features of the gateway.
     """
 
-    def __init__(self, group, config=None):
+    def __init__(self, group, config=None, features=frozenset()):
         self._group = group
         self.gateway = forward_gateway.ForwardGateway(
             forward_gateway.GatewayOptions(
@@ -299,6 +300,7 @@
                 retry_share=0.7,
                 retry_allowance=80,
                 retry_window_seconds=10,
+                features=features,
             ),
             stores.MemoryStore(),
             None,
@@ -435,10 +437,10 @@
 
 
 @contextlib.asynccontextmanager
-async def start(config=None):
+async def start(config=None, features=frozenset()):
     """Yields a rig whose gateway serves callers."""
     async with anyio.create_task_group() as group:
-        rig = Rig(group, config)
+        rig = Rig(group, config, features)
         await rig.serve()
         yield rig
         group.cancel_scope.cancel()
--- a/tests/test_server_paces.py
+++ b/tests/test_server_paces.py
@@ -5,15 +5,20 @@
 import statistics
 import time
 
+import anyio
 import pytest
 
 from chivejunction import clock
 from chivejunction.coordination import pace_hints
+from chivejunction.protocol import features
+from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import server_paces as scheduling
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import server_paces
+from tests import forward_rig
 from tests import load_replay
+from tests.forward_rig import run_async
 
 SPEEDS = (0.7, 0.7, 1.7)
 OBJECTIVE_SECONDS = 0.35
@@ -364,6 +369,52 @@
         assert gateway.estimator.find_interval(other, None) == 0.05
 
 
+class TestGateway:
+    """A gateway with scripted servers, one of which is slow."""
+
+    FEATURES = frozenset([features.Feature.SERVER_PACES])
+
+    async def call(self, rig):
+        """Adds a slow server, calls, and adds a fast one."""
+        stream_events = forward_rig.make_event_stream(
+            6, confidence=90, pause=0.01
+        )
+
+        async def respond_slowly(request, stream):
+            await anyio.sleep(0.3)
+            await stream_events(request, stream)
+
+        await rig.add_server(respond_slowly, 'pool', 'i-1')
+        for _ in range(3):
+            await rig.call('/tiers/x', b'p', Model='*', Token_Count='9000,20')
+        await rig.add_server(stream_events, 'pool', 'i-2')
+
+    def choose(self, rig):
+        return rig.gateway._chooser._selector.choose(
+            backend_selection.BackendRequirements(
+                'pool', 'small', tokens=9000
+            ),
+            rig.gateway.route_table.services['pool'],
+        )
+
+    @run_async
+    async def test_learns_and_announces(self):
+        async with forward_rig.start(features=self.FEATURES) as rig:
+            await self.call(rig)
+            collected = rig.gateway._hint_exchange._collect_sections('bkk')
+            (row,) = collected['pace']
+            assert row[1] > 1000 and row[2] == 3 and row[4] >= 100
+            choice = self.choose(rig)
+            assert choice.backend.instance == 'i-2'
+
+    @run_async
+    async def test_without_the_feature_nothing_changes(self):
+        async with forward_rig.start() as rig:
+            await self.call(rig)
+            assert not rig.gateway._hint_exchange._collect_sections('bkk')
+            assert self.choose(rig).pace == 1
+
+
 class TestDecisionTime:
     """At 48 servers and 26 gateways."""
 
