--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -282,6 +282,7 @@
         group: Task group that runs the gateway and the servers.
         config: Configuration document; None for the default one, False for
             a gateway without configuration.
+        features: Optional features of the gateway.
     """
 
     def __init__(self, group, config=None, features=frozenset()):
