Correct the demand by the backlog, and place prompts by both links

Plain work was taken from all requests in progress, the one at hand included, so that a share for another region fed itself. The demand of engines came out near their capacity, since estimates of prefill time contain latency. Besides, most departures called "wait" were those of rendezvous placement, and engines in other regions got prompts whose reading costs as much as the region alone.

Reasons "placement" and "faults" are told apart.

--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -377,7 +377,13 @@
         best.busy_seconds = statistics.median(c.wait for c in choices)
         best.server_count = len(choices)
         if location is not None:
-            self._record_departure(requirements, best, choices, location)
+            self._record_departure(
+                requirements,
+                best,
+                choices,
+                location,
+                best.backend is rendezvous_backend,
+            )
         return best
 
     def _locate(
@@ -416,17 +422,23 @@
     ) -> list[backends.Backend]:
         """Returns the servers among which a prompt is placed.
 
-        The failure domains of a region share one server for a prompt only
-        where its prefill takes longer than another domain costs.
+        Failure domains share one server for a prompt only where its prefill
+        takes longer than another domain costs, and regions where it takes
+        longer than another domain and region.
         """
         if location is None or not requirements.prefixes:
             return candidates
         seconds = RENDEZVOUS_BONUS_SHARE * self._prefill_times.estimate(
             requirements.model, requirements.prefixes[-1][1]
         )
-        if seconds > location.near_seconds:
+        if seconds > location.near_seconds + location.far_seconds:
             return candidates
-        near = [b for b in candidates if b.failure_domain == location.target]
+        if seconds > location.near_seconds:
+            near = [b for b in candidates if b.region == self._region]
+        else:
+            near = [
+                b for b in candidates if b.failure_domain == location.target
+            ]
         return near or candidates
 
     def _record_departure(
@@ -435,15 +447,17 @@
         best: Choice,
         choices: list[Choice],
         location: domain_shares.Location,
+        is_placed: bool,
     ) -> None:
         """Counts a choice for its failure domain, and why it leaves."""
         service, domain = requirements.service, best.backend.failure_domain
         best.size = location.size
         best.away_share = self._shares.get_away_share(service)
         best.left_reason = self._find_left_reason(
-            requirements, best, choices, location
+            requirements, best, choices, location, is_placed
         )
-        self._shares.settle(service, domain, best.work_seconds, best.size)
+        seconds = best.work_seconds if requirements.model else 1.0
+        self._shares.settle(service, domain, seconds, best.size)
 
     def _find_left_reason(
         self,
@@ -451,6 +465,7 @@
         best: Choice,
         choices: list[Choice],
         location: domain_shares.Location,
+        is_placed: bool,
     ) -> str:
         """Returns why a choice leaves the failure domain, empty if not."""
         domain = best.backend.failure_domain
@@ -472,6 +487,8 @@
             c.held_tokens - c.copied_tokens for c in at_home
         ):
             return 'prefix'
+        if is_placed:
+            return 'placement'
         if best.backend.error_share + FAULT_SHARE < min(
             c.backend.error_share for c in at_home
         ):
--- a/chivejunction/scheduling/domain_shares.py
+++ b/chivejunction/scheduling/domain_shares.py
@@ -32,6 +32,11 @@
 WAIT_MARGIN_SECONDS = 0.05
 # Weight of a new value in the moving average of what reports do not tell.
 VIEW_WEIGHT = 0.3
+# The same for the backlog of an engine, which corrects the demand, what it is
+# taken for at first, and the least correction.
+BACKLOG_WEIGHT = 0.05
+FIRST_BACKLOG_SECONDS = 0.2
+MIN_CORRECTION = 0.25
 # Reports older than the first count less and less, and not at all from the
 # second on.
 FRESH_SECONDS = 1.0
@@ -155,6 +160,27 @@
     return WAIT_MARGIN_SECONDS + age * work / max(1, servers)
 
 
+def estimate_correction(
+    loads: dict[str, domain_loads.DomainLoad], backlog: float
+) -> float:
+    """Returns the factor by which the demand of engines is less than it seems.
+
+    Estimates of prefill time contain latency during which an engine does
+    other work. Its backlog in the long run shows how busy it is.
+
+    Args:
+        loads: Loads by failure domain.
+        backlog: Mean backlog of an engine in seconds.
+    """
+    requests = sum(load.requests for load in loads.values())
+    work = sum(load.demand for load in loads.values())
+    capacity = sum(load.capacity for load in loads.values())
+    if min(requests, work, capacity) <= 0:
+        return 1.0
+    utilisation = backlog / (backlog + work / requests)
+    return max(MIN_CORRECTION, min(1.0, utilisation * capacity / work))
+
+
 def compute_shares(
     loads: dict[str, domain_loads.DomainLoad],
     home: str,
@@ -237,6 +263,7 @@
         is_short: Whether an episode is in progress.
         ignored_gain: Seconds by which a wait abroad must be shorter than that
             at home before the rest of the difference counts.
+        backlog: Mean backlog of an engine in seconds.
     """
 
     shares: dict[str, float]
@@ -246,6 +273,7 @@
     planned_at: float = -math.inf
     is_short: bool = False
     ignored_gain: float = WAIT_MARGIN_SECONDS
+    backlog: float = FIRST_BACKLOG_SECONDS
 
 
 @dataclasses.dataclass(slots=True)
@@ -387,13 +415,12 @@
         Args:
             service: Its service.
             domain: Failure domain of its server.
-            seconds: Server seconds that it needs; 0 if unknown.
+            seconds: Server seconds that it needs; the same for all if unknown.
             size: Bytes of the request and the expected response.
         """
         split = self._splits.get(service)
         if split is None:
             return
-        seconds = seconds or 1.0
         split.request_seconds += 0.05 * (seconds - split.request_seconds)
         split.size += 0.05 * (size - split.size)
         limit = MAX_OWED_REQUESTS * max(split.request_seconds, seconds)
@@ -410,6 +437,8 @@
         fixed = self._far_seconds[0 if has_models else 1]
         far = self._costs.estimate_far(split.size, fixed)
         loads = self._loads.list_loads(service, has_models)
+        if has_models:
+            self._correct_demand(split, loads)
         shares = compute_shares(
             loads,
             self.home,
@@ -438,6 +467,20 @@
         )
         self._track_episode(service, split, loads[self.home])
 
+    @staticmethod
+    def _correct_demand(
+        split: Split, loads: dict[str, domain_loads.DomainLoad]
+    ) -> None:
+        """Reduces the demand to what the backlogs show in the long run."""
+        servers = sum(load.servers for load in loads.values())
+        backlog = sum(load.backlog for load in loads.values())
+        split.backlog += BACKLOG_WEIGHT * (
+            backlog / max(1, servers) - split.backlog
+        )
+        correction = estimate_correction(loads, split.backlog)
+        for load in loads.values():
+            load.demand *= correction
+
     def _track_episode(
         self, service: str, split: Split, load: domain_loads.DomainLoad
     ) -> None:
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -11,7 +11,11 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.coordination import departures
+from chivejunction.coordination import forward_gateway
+from chivejunction.platform import configuration
+from chivejunction.platform import headers
 from chivejunction.platform import settings
+from chivejunction.protocol import features
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import domain_shares
@@ -20,6 +24,7 @@
 from chivejunction.state import domain_loads
 from chivejunction.state import prefix_caches
 from tests import load_replay
+from tests import stores
 
 REGIONS = {'bkk-a': 'bkk', 'bkk-b': 'bkk', 'cnx-a': 'cnx', 'cnx-b': 'cnx'}
 SERVICE = forwarding.BackendService('pool', max_connections=1000)
@@ -304,6 +309,15 @@
         assert shares == sorted(shares, reverse=True)
         assert shares[0] > shares[-1] == 0
 
+    def test_demand_without_a_backlog_is_overestimated(self):
+        loads = {'bkk-a': make_load('bkk-a', 4)}
+        factors = [
+            domain_shares.estimate_correction(loads, backlog)
+            for backlog in (0.0, 0.05, 0.5, 5.0)
+        ]
+        assert factors[0] == domain_shares.MIN_CORRECTION
+        assert factors[1:] == pytest.approx([0.5, 0.91, 0.99], abs=0.01)
+
     def test_short_queue_counts_less_in_an_old_view(self):
         waits = [
             domain_shares.estimate_unseen_wait(
@@ -556,8 +570,10 @@
         shares._report = lambda *row: seen.append(row)
         hashed = backends.hash_instance_id('pool')
         for demand in (100, 5000, 100):
+            waits = dict.fromkeys(['bkk-a-0', 'bkk-a-1'], demand / 2000)
             for _ in range(30):
                 now[0] += 0.25
+                host.server_backlogs.set_peer_backlogs('bkk-a', waits)
                 for domain, work in ('bkk-a', demand), ('bkk-b', 100):
                     host.departures.section.apply_rows(
                         domain, [[domain], [hashed, 2000, work]]
@@ -568,6 +584,36 @@
         assert shares.get_max_away_share() < 0.01
 
 
+class TestGateway:
+    """The feature takes effect only where there are several domains."""
+
+    @pytest.mark.parametrize(
+        ('names', 'regions', 'is_on'),
+        [
+            ('domain_shares', REGIONS, True),
+            ('domain_shares', {'bkk-a': 'bkk'}, False),
+            ('', REGIONS, False),
+        ],
+    )
+    def test_when_it_is_on(self, names, regions, is_on):
+        options = forward_gateway.GatewayOptions(
+            *('gw-0', 'bkk', *[('127.0.0.1', 0)] * 4, 4.5, 8, 0.7, 80, 10),
+            failure_domain='bkk-a',
+            features=features.parse_features(names),
+            domain_regions=regions,
+        )
+        gateway = forward_gateway.ForwardGateway(
+            options,
+            stores.MemoryStore(),
+            None,
+            headers.PlatformFormat(),
+            configuration.encode_move_status,
+        )
+        assert (gateway._departures is not None) == is_on
+        sections = gateway._hint_exchange._sections
+        assert ('domains' in sections) == is_on
+
+
 class TestSettings:
     """Costs of links that a deployment declares."""
 
