Keep demand rows small and end episodes without requests

24 rows of demand, the backlogs of 48 servers and prefixes exceeded a datagram, which leaves all sections out when they are needed: 12 rows take under 400 bytes. An episode whose callers all left lasted until the next request. Counts of organisations and routes that left the configuration are dropped.

--- a/chivejunction/coordination/organisation_shares.py
+++ b/chivejunction/coordination/organisation_shares.py
@@ -71,6 +71,13 @@
     def __init__(self):
         self._counts: dict[tuple, tuple] = {}
 
+    def keep(self, organisations: set[str], routes: set[str]) -> None:
+        """Forgets organisations and routes that no longer exist."""
+        kept = {(), *(('organisation', name) for name in organisations)}
+        kept.update(('route', name) for name in routes)
+        for key in self._counts.keys() - kept:
+            del self._counts[key]
+
     def _get(self, key: tuple) -> tuple:
         counts = self._counts.get(key)
         if counts is None:
@@ -232,6 +239,8 @@
         for known in (self._caller_times, self._work_seconds):
             for name in known.keys() - routes:
                 del known[name]
+        for state in self._services.values():
+            state.served.keep(set(self._names.values()), routes)
         for route in (r for rows in table.routes.values() for r in rows):
             for share in route.shares:
                 objectives[share.service] = min(
@@ -358,7 +367,8 @@
         """Measures the services that had requests of late."""
         now = clock.now()
         for service, state in self._services.items():
-            if self.is_active and now - state.asked_at < IDLE_SECONDS:
+            is_in_use = now - state.asked_at < IDLE_SECONDS
+            if self.is_active and (is_in_use or state.scarcity.is_scarce):
                 self._update(service, state)
 
     def _update(self, service: str, state: ServiceState) -> None:
--- a/chivejunction/state/organisation_demand.py
+++ b/chivejunction/state/organisation_demand.py
@@ -15,8 +15,9 @@
 # Rows of another gateway expire after this time; they are repeated more often.
 PEER_ROWS_TTL_SECONDS = 1.9
 MAX_PEERS = 512
-# Rows of one gateway; those with the most work are sent.
-MAX_SENT_ROWS = 24
+# Rows of one gateway; those with the most work are sent. Together with the
+# backlogs of 48 servers they fit into a datagram.
+MAX_SENT_ROWS = 12
 MAX_ROWS = 64
 # More engine seconds in a window than any pool of servers has.
 MAX_MILLISECONDS = 10_000_000
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+import msgpack
 import pytest
 
 from chivejunction import clock
@@ -31,6 +32,7 @@
     for urgency, name in enumerate(('urgent', 'routine', 'bulk'))
 )
 SERVICE = forwarding.BackendService('pool', cache_tokens=1)
+PLAIN = forwarding.BackendService('pool')
 # As on the users' sheets: a few of them large.
 PORTIONS = (6, 5, 4) + (1,) * 21
 LARGE = 'org-0'
@@ -432,6 +434,7 @@
             demand.record_failure(number + 1)
         rows = demand.encode_rows(['pool'])
         assert len(rows) <= organisation_demand.MAX_SENT_ROWS + 2
+        assert len(msgpack.packb(rows)) < 400
         other = organisation_demand.OrganisationDemand()
         other.apply_rows('gw-1', rows)
         largest = organisation_demand.hash_name('org-199')
@@ -513,6 +516,33 @@
         assert not fair_shares.is_underserved(8, 4, 100, 90)
 
 
+class TestIdleSystem:
+    def test_episode_ends_without_requests(self, virtual_time):
+        waits = [1.0]
+        shares = organisation_shares.OrganisationShares(
+            lambda service: [], lambda service: waits[0]
+        )
+        shares.set_table(
+            dataclasses.replace(make_table(), services={'pool': PLAIN})
+        )
+        shares.decide(
+            'pool',
+            forwarding.ForwardOrganisation('org-1'),
+            ROUTES[0],
+            0,
+            6.0,
+            0.1,
+        )
+        changes = []
+        for tick in range(200):
+            virtual_time[0] += organisation_shares.UPDATE_SECONDS
+            shares.update()
+            changes.append(shares._services['pool'].scarcity.is_scarce)
+            waits[0] = 1.0 if tick < 60 else 0.0
+        assert changes[30] and not changes[-1]
+        assert shares.make_section().collect_rows('') == []
+
+
 class TestRepeats:
     def test_same_request_at_once_counts_apart(self, virtual_time):
         shares = organisation_shares.OrganisationShares(
