Divide nothing before a gateway knows a window of work

A new gateway now waits for a window, engines count with half of their time at least, and a gateway without rows of the others keeps a peak of its own part.

--- a/chivejunction/coordination/organisation_shares.py
+++ b/chivejunction/coordination/organisation_shares.py
@@ -116,9 +116,11 @@
         share: Share for a weight of 1; infinite if capacity suffices.
         updated_at: Monotonic time of the latest update.
         asked_at: Monotonic time of the latest request.
+        known_from: Monotonic time from which a window of work is known.
         refused: Requests that were refused in the episode.
         served: Requests and admitted requests at this gateway.
-        peak: Most work that a server has finished in a window, of late.
+        peaks: Most work that a server has finished in a window, of late, by
+            whether other gateways are known.
         waits: Expiry and wait in seconds of recent attempts.
     """
 
@@ -133,10 +135,14 @@
     share: float = math.inf
     updated_at: float = -math.inf
     asked_at: float = -math.inf
+    known_from: float = 0.0
     refused: int = 0
     served: ServedCounts = dataclasses.field(default_factory=ServedCounts)
-    peak: fair_shares.PeakThroughput = dataclasses.field(
-        default_factory=fair_shares.PeakThroughput
+    peaks: dict[bool, fair_shares.PeakThroughput] = dataclasses.field(
+        default_factory=lambda: {
+            has_peers: fair_shares.PeakThroughput()
+            for has_peers in (False, True)
+        }
     )
     waits: collections.deque[tuple[float, float]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_WAITS)
@@ -279,6 +285,10 @@
             request_hash: Identifies the same request of the same caller.
         """
         state = self._services.setdefault(service, ServiceState())
+        if clock.now() - state.asked_at > IDLE_SECONDS:
+            state.known_from = clock.make_deadline(
+                organisation_demand.WINDOW_SECONDS
+            )
         state.asked_at = clock.now()
         if state.asked_at - state.updated_at > MAX_UPDATE_AGE_SECONDS:
             self._update(service, state)
@@ -382,6 +392,9 @@
             pressure = fair_shares.measure_backlog(seconds, state.objective)
             if not self.demand.has_peers():
                 pressure = max(pressure, self._measure_waits(state))
+        if not clock.has_passed(state.known_from):
+            # After a restart, work that is not known would make shares small.
+            pressure = 0.0
         has_changed = state.scarcity.update(pressure, now)
         is_pressed = pressure >= fair_shares.END_BACKLOG_SHARE
         if state.scarcity.is_scarce or has_changed or is_pressed:
@@ -407,8 +420,20 @@
         self, service: str, state: ServiceState, server_count: int
     ) -> None:
         state.demand = demand = self.demand.sum_service(service)
+        # Without rows of others, all figures are those of this gateway's part.
+        has_peers = self.demand.has_peers()
+        capacity = state.peaks[has_peers].update(
+            demand.finished, server_count, clock.now()
+        )
+        if has_peers and not state.is_plain:
+            capacity = max(
+                capacity,
+                fair_shares.MIN_ENGINE_TIME_SHARE
+                * server_count
+                * organisation_demand.WINDOW_SECONDS,
+            )
         state.share = fair_shares.divide_capacity(
-            state.peak.update(demand.finished, server_count, clock.now()),
+            capacity,
             {
                 key: max(row.asked, row.used)
                 for key, row in demand.organisations.items()
--- a/chivejunction/scheduling/fair_shares.py
+++ b/chivejunction/scheduling/fair_shares.py
@@ -33,6 +33,9 @@
 # Longer than the time between two peaks of a day's traffic, shorter than an
 # operator takes to replace servers by slower ones.
 PEAK_SECONDS = 60.0
+# Part of an engine's time in which it reads prompts, at least; it reads them
+# between the tokens of its streams.
+MIN_ENGINE_TIME_SHARE = 0.5
 # Work over the share up to which requests are admitted, by urgency, 0 being
 # the most urgent; the last value applies to all further ranks. Beyond the
 # backlog at which an episode begins, limits shrink in proportion: callers are
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -543,6 +543,31 @@
         assert shares.make_section().collect_rows('') == []
 
 
+class TestRestart:
+    def test_new_gateway_divides_nothing_before_it_knows_a_window(
+        self, virtual_time
+    ):
+        shares = organisation_shares.OrganisationShares(
+            lambda service: [5.0], lambda service: 0.0
+        )
+        shares.set_table(make_table())
+        organisation = forwarding.ForwardOrganisation('org-1')
+        refused_at = []
+        for _ in range(50):
+            virtual_time[0] += organisation_shares.UPDATE_SECONDS
+            shares.start_work('pool', 'org-1', 'urgent', 0.9)
+            shares.start_work('pool', 'org-2', 'urgent', 0.1)
+            shares.update()
+            decision = shares.decide(
+                'pool', organisation, ROUTES[0], 0, 6.0, 0.1
+            )
+            if decision.action is ACTION.REFUSE:
+                refused_at.append(virtual_time[0] - 100.0)
+        assert (
+            refused_at and refused_at[0] > organisation_demand.WINDOW_SECONDS
+        )
+
+
 class TestRepeats:
     def test_same_request_at_once_counts_apart(self, virtual_time):
         shares = organisation_shares.OrganisationShares(
@@ -590,6 +615,7 @@
         if shares is None:
             return
         now = clock.now()
+        shares._services['pool'].asked_at = now
         scarcity = shares._services['pool'].scarcity
         scarcity.update(1.0, now - 0.4)
         scarcity.update(1.0, now)
