--- a/chivejunction/coordination/organisation_shares.py
+++ b/chivejunction/coordination/organisation_shares.py
@@ -41,6 +41,8 @@
 WAIT_TTL_SECONDS = 0.5
 MIN_WAITS = 4
 MAX_WAITS = 32
+# Beginning of a body by which the same request is recognised.
+MAX_HASHED_BYTES = 4096
 # Services whose demand is told to the other gateways.
 MAX_SENT_SERVICES = 4
 MAX_LOGGED_ORGANISATIONS = 5
@@ -536,9 +538,9 @@
 def hash_request(organisation: str, request: forwarding.ForwardRequest) -> int:
     """Returns a 32-bit hash of what a caller asks for, without its id."""
     parts = '|'.join(part.id for part in request.prompt)
-    key = f'{organisation}|{request.target}|{parts}'
+    key = f'{organisation}|{request.target}|{parts}|{len(request.body)}'
     digest = xxhash.xxh3_64(key.encode())
-    digest.update(request.body)
+    digest.update(request.body[:MAX_HASHED_BYTES])
     return digest.intdigest() & 0xFFFFFFFF or 1
 
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -511,6 +511,20 @@
         ]
         assert waits == pytest.approx([0.5, 1.5, 2.5])
 
+    def test_share_is_free_at_the_retry_after(self, virtual_time):
+        demand = organisation_demand.OrganisationDemand()
+        local = demand.get_local('pool', 'org-1')
+        rng = random.Random(1)
+        for _ in range(30):
+            while self.decide(local.read().used).action is ACTION.ADMIT:
+                local.used.add(rng.uniform(0.05, 0.2))
+            virtual_time[0] += rng.uniform(0.0, 0.3)
+            decision = self.decide(local.read().used)
+            if decision.action is ACTION.REFUSE:
+                virtual_time[0] += decision.seconds
+                returned = self.decide(local.read().used, is_returning=True)
+                assert returned.action is ACTION.ADMIT
+
     def test_underserved_kinds_are_admitted(self):
         assert fair_shares.is_underserved(8, 2, 100, 90)
         assert not fair_shares.is_underserved(8, 4, 100, 90)
