--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -516,8 +516,10 @@
             # The settings file may also change without a SIGHUP.
             with containment.contain('reload'):
                 self._reload()
-            with containment.contain('held memory'):
+            try:
                 self.memory_guard.account.check()
+            except errors.InvariantViolation as exc:
+                metrics.count_violation(exc)
             self._chooser.set_retry_limits(*self._compute_retry_limits())
 
     async def _release_removed_servers(self) -> None:
--- a/chivejunction/state/held_memory.py
+++ b/chivejunction/state/held_memory.py
@@ -130,5 +130,5 @@
             self.amounts[kind] != sums[kind] or sums[kind] < 0 for kind in Kind
         ):
             raise errors.InvariantViolation(
-                'held-memory', f'{self.amounts} of {sums}'
+                'held_memory', f'{self.amounts} of {sums}'
             )
--- a/chivejunction/transport/accepted_streams.py
+++ b/chivejunction/transport/accepted_streams.py
@@ -60,6 +60,18 @@
                 raise anyio.EndOfStream
             return data
 
+    def send_available(self, item: bytes) -> int:
+        """Sends what the kernel takes at once.
+
+        Returns:
+            The number of bytes; zero as well if the connection is lost, which
+            the next call of ``send`` reports.
+        """
+        try:
+            return self._socket.send(item)
+        except OSError:
+            return 0
+
     async def send(self, item: bytes) -> None:
         """Sends all bytes; a cancelled call may have sent a part.
 
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -477,7 +477,8 @@
 
     def get_connection_headers(self) -> forwarding.Headers:
         """Returns the response headers that apply to this connection."""
-        return [(b'connection', b'close')] if self._listener.is_closing else []
+        is_closing = self._listener.is_closing or self._is_released
+        return [(b'connection', b'close')] if is_closing else []
 
     def start_buffering(self) -> None:
         """Buffers sent data until ``flush`` is called."""
@@ -492,7 +493,7 @@
         else:
             await self._write(b''.join(buffered))
 
-    async def _write(self, *parts: bytes) -> None:
+    async def _write(self, *parts: bytes | memoryview) -> None:
         """Sends data, as fast as the caller reads it.
 
         Raises:
@@ -501,7 +502,12 @@
         # A cancellation here leaves nothing written, a later one all of it.
         await lowlevel.checkpoint_if_cancelled()
         self.has_written = True
+        if isinstance(self._stream, accepted_streams.AcceptedStream):
+            sent = self._stream.send_available(parts[0])
+            parts = (memoryview(parts[0])[sent:], *parts[1:])
         remaining = sum(map(len, parts))
+        if not remaining:
+            return
         limits = self._listener.get_limits()
         phase, hold = self._hold.phase, self._hold
         hold.phase = held_memory.Phase.WRITING
