Place prompt prefixes by their rate of use

Cause: a copy of cached tokens was planned for any server whose reading was slower than the copy, with a penalty fitted to one engine's pace.

Change: with the feature prefix_placement the number of servers that are to have a prefix follows its load at all gateways (section 'rates' of the hints), with hysteresis, in rendezvous order. A copy draws requests only to these, or while the servers with the prefix are busy, and elsewhere only replaces reading. It must gain a part of the objective and a multiple of its time on the link, and all copies use at most 1% of the links.

--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -7,6 +7,7 @@
 from chivejunction import clock
 from chivejunction import errors
 from chivejunction.coordination import hints
+from chivejunction.coordination import prefix_usage
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
 from chivejunction.scheduling import admission
@@ -44,6 +45,8 @@
         running_attempts: Attempts in progress at backend servers.
         prefix_cache_index: Prompt prefixes that backend servers have cached.
         hint_exchange: Sends hints about load to the other gateways.
+        prefix_usage: Counts uses and copies of prefixes; None if prefixes
+            are not placed by their rates.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         running_attempts: backlogs.Backlogs,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
         hint_exchange: hints.HintExchange,
+        prefix_usage: prefix_usage.PrefixUsage | None = None,
     ):
         self._selector = selector
         self._make_budget = make_budget
@@ -66,6 +70,7 @@
         self._confidence_gains = tier_choice.ConfidenceGains()
         self._prefix_cache_index = prefix_cache_index
         self._hint_exchange = hint_exchange
+        self._prefix_usage = prefix_usage
         self._waiting_line = waiting.WaitingLine()
         self._wake_events: dict[int, anyio.Event] = {}
 
@@ -119,6 +124,7 @@
             ),
             seconds_left=clock.remaining(context.deadline),
             tried=frozenset(context.failed_instances),
+            objective=context.route.objective,
         )
         requirements.is_version_allowed = self._moves.make_version_filter(
             context.service.name,
@@ -359,6 +365,8 @@
             self._prefix_cache_index.add(
                 instance, requirements.prefixes, context.service.cache_tokens
             )
+        if self._prefix_usage is not None:
+            self._prefix_usage.record(context.service, choice)
         work_id = self._server_backlogs.start(instance, choice.seconds)
         self._running_ids[work_id] = self._running_attempts.start(instance, 1)
         self._hint_exchange.schedule_send()
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -212,6 +212,8 @@
             held_tokens=choice.held_tokens,
             copied_tokens=choice.copied_tokens,
             copy_from=choice.copy_from,
+            copy_verdict=choice.copy_verdict,
+            replicas=choice.replica_count,
             error_share=round(backend.error_share, 3),
             attempt=context.sent_attempts,
             outcome=outcome,
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -23,6 +23,7 @@
 from chivejunction.coordination import harmful_prompts
 from chivejunction.coordination import hints
 from chivejunction.coordination import mirrors
+from chivejunction.coordination import prefix_usage
 from chivejunction.coordination import relays
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import state_transfer
@@ -30,11 +31,14 @@
 from chivejunction.protocol import features as protocol_features
 from chivejunction.protocol import forwarding as protocol
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import prefix_placement
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import budgets
+from chivejunction.state import copy_links
 from chivejunction.state import freshness
 from chivejunction.state import prefix_caches
+from chivejunction.state import prefix_rates
 from chivejunction.state import route_tables
 from chivejunction.transport import backend_connections
 from chivejunction.transport import caller_connections
@@ -196,6 +200,16 @@
             self.members, self.moves, self._board, client
         )
         self._pool = backend_connections.ConnectionPool()
+        placer = self._make_prefix_placer()
+        usage = None
+        if placer is not None:
+            usage = prefix_usage.PrefixUsage(placer)
+            self._hint_exchange.add_section(usage)
+            metrics.make_gauge(
+                'prefixes_replicated',
+                'Prompt prefixes that more than one server is to have.',
+                usage.count_replicated,
+            )
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -205,6 +219,7 @@
             self._running_attempts,
             self._prefill_times,
             self._prefix_cache_index,
+            placer,
         )
         self._chooser = attempt_choice.AttemptChooser(
             selector,
@@ -214,6 +229,7 @@
             self._running_attempts,
             self._prefix_cache_index,
             self._hint_exchange,
+            usage,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
@@ -244,6 +260,15 @@
         self._tasks: containment.Supervisor | None = None
         self._caller_socket: socket.socket | None = None
 
+    def _make_prefix_placer(self) -> prefix_placement.PrefixPlacer | None:
+        feature = protocol_features.Feature.PREFIX_PLACEMENT
+        if feature not in self._options.features:
+            return None
+        return prefix_placement.PrefixPlacer(
+            prefix_rates.PrefixRates(),
+            copy_links.CopyLinks(self.members.count),
+        )
+
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
         self._board.publish(
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -9,6 +9,7 @@
 
 from chivejunction import clock
 from chivejunction.protocol import forwarding
+from chivejunction.scheduling import prefix_placement
 from chivejunction.scheduling import server_limits
 from chivejunction.state import backends
 from chivejunction.state import backlogs
@@ -74,6 +75,7 @@
         seconds_left: Time in seconds until the response must be complete.
         tried: Instances that are excluded because they were tried before.
         is_version_allowed: Returns whether a software version may be used.
+        objective: Latency objective of the route in seconds, 0 for none.
     """
 
     service: str
@@ -85,6 +87,7 @@
     seconds_left: float = math.inf
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
+    objective: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,6 +110,10 @@
             that stopped responding has a long one, which says nothing.
         server_count: Number of candidates.
         running_attempts: Attempts of all gateways in progress at the server.
+        placement: Servers that are to have the prompt's prefix, or None.
+        copy_verdict: Why a copy was planned or not; None without an offer.
+        copy_seconds: Time in seconds for which the copy uses the links.
+        copied_bytes: Size of the copy.
     """
 
     backend: backends.Backend
@@ -121,6 +128,10 @@
     busy_seconds: float = 0.0
     server_count: int = 1
     running_attempts: float = 0.0
+    placement: prefix_placement.Placement | None = None
+    copy_verdict: prefix_placement.CopyVerdict | None = None
+    copy_seconds: float = 0.0
+    copied_bytes: float = 0.0
 
     @property
     def copy_from(self) -> str:
@@ -129,6 +140,11 @@
             return ''
         return f'{self.source.address}:{self.source.port}'
 
+    @property
+    def replica_count(self) -> int:
+        """Number of servers that are to have the prefix, 0 if not placed."""
+        return len(self.placement.replicas) if self.placement else 0
+
     @property
     def total_seconds(self) -> float:
         """Estimated time in seconds until the response is complete."""
@@ -172,6 +188,8 @@
         prefill_times: Estimator of prefill times.
         prefix_cache_index: Index of the prompt prefixes that servers have
             cached.
+        prefix_placer: Places prefixes by their rates of use; None to give
+            each prefix one server and to judge copies by their size.
     """
 
     def __init__(
@@ -184,6 +202,7 @@
         running_attempts: backlogs.Backlogs,
         prefill_times: backlogs.PrefillTimeEstimator,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
+        prefix_placer: prefix_placement.PrefixPlacer | None = None,
     ):
         self._limiter = server_limits.ServerLimiter(count_sharing_gateways)
         self._table = table
@@ -194,6 +213,7 @@
         self._running_attempts = running_attempts
         self._prefill_times = prefill_times
         self._prefix_cache_index = prefix_cache_index
+        self._prefix_placer = prefix_placer
 
     def list_candidates(
         self,
@@ -303,8 +323,11 @@
         mean_error_share = sum(b.error_share for b in candidates) / len(
             candidates
         )
-        rendezvous_backend, rendezvous_bonus = self._find_rendezvous(
-            requirements, candidates
+        placement = self._place_prefix(requirements, service, candidates)
+        rendezvous_backend, rendezvous_bonus = (
+            self._find_rendezvous(requirements, candidates)
+            if placement is None
+            else (None, 0.0)
         )
         choices = [
             self._make_choice(requirements, b, waits, running_attempts)
@@ -312,9 +335,14 @@
         ]
         copy_sources = find_copy_sources(choices)
         max_held_tokens = max(choice.held_tokens for choice in choices)
+        if placement is not None:
+            placement.wait = min(
+                c.wait for c in choices if c.held_tokens == max_held_tokens
+            )
         best, best_cost = None, math.inf
         for choice in choices:
             backend = choice.backend
+            choice.placement = placement
             self._plan_copy(
                 requirements,
                 service,
@@ -328,8 +356,18 @@
             )
             if backend is rendezvous_backend:
                 cost -= rendezvous_bonus
+            if placement and backend.instance in placement.replicas:
+                cost -= self._compute_relief(requirements, choice)
             if cost < best_cost:
                 best, best_cost = choice, cost
+        if best.copy_verdict in prefix_placement.UNATTRACTIVE:
+            self._plan_placed_copy(
+                requirements,
+                service,
+                best,
+                copy_sources[best.backend.version],
+                prefix_placement.CopyVerdict.READ,
+            )
         self._consume_cold_token(best.backend)
         self._limiter.record_send(best.backend)
         best.busy_seconds = statistics.median(c.wait for c in choices)
@@ -368,6 +406,84 @@
         )
         return backend, max(MIN_RENDEZVOUS_BONUS_SECONDS, bonus)
 
+    def _place_prefix(
+        self,
+        requirements: BackendRequirements,
+        service: forwarding.BackendService,
+        candidates: list[backends.Backend],
+    ) -> prefix_placement.Placement | None:
+        """Returns the servers that are to have the prefix of a prompt.
+
+        A prefix is placed among all regions where a server that lacks it
+        costs more than another region, else among those of the own region.
+
+        Returns:
+            The placement; None for a prompt without a shared part, or if
+            prefixes are not placed by their rates.
+        """
+        if (
+            self._prefix_placer is None
+            or not requirements.prefixes
+            or not requirements.model
+            or not service.cache_tokens
+        ):
+            return None
+        key, shared_tokens = requirements.prefixes[-1]
+        eligible = candidates
+        if (
+            prefix_placement.RELIEF_SHARE
+            * self._estimate_missing(requirements.model, shared_tokens)
+            <= REMOTE_REGION_PENALTY_SECONDS
+        ):
+            local = [b for b in candidates if b.region == self._region]
+            eligible = local or candidates
+        return self._prefix_placer.place(
+            key,
+            [backend.instance for backend in eligible],
+            len(candidates),
+            self._estimate_read(
+                requirements.model, max(0, requirements.tokens - shared_tokens)
+            ),
+            requirements.objective,
+        )
+
+    def _estimate_read(self, model: str, tokens: int) -> float:
+        """Returns the engine time in seconds to read tokens of a prompt."""
+        return self._prefill_times.estimate(
+            model, tokens
+        ) - self._prefill_times.estimate(model, 0)
+
+    def _estimate_missing(self, model: str, tokens: int) -> float:
+        """Returns the cost in seconds of tokens that a server lacks."""
+        return (
+            self._estimate_read(model, tokens)
+            + CACHE_MISS_PENALTY_SECONDS_PER_TOKEN * tokens
+        )
+
+    def _compute_relief(
+        self, requirements: BackendRequirements, choice: Choice
+    ) -> float:
+        """Returns the advantage in seconds of a server in the placement.
+
+        The server will be asked for the prefix again, so this request bears
+        only a part of what it costs to read or copy it there.
+        """
+        if choice.copied_tokens:
+            cost = choice.copy_seconds + choice.penalty_seconds
+        else:
+            cost = self._estimate_missing(
+                requirements.model,
+                requirements.prefixes[-1][1] - choice.held_tokens,
+            )
+        return max(
+            MIN_RENDEZVOUS_BONUS_SECONDS,
+            min(
+                prefix_placement.RELIEF_SHARE * cost,
+                prefix_placement.BEARABLE_SHARE * requirements.objective
+                or math.inf,
+            ),
+        )
+
     def _make_choice(
         self, requirements, backend, waits, running_attempts
     ) -> Choice:
@@ -423,6 +539,14 @@
             or not service.cache_token_bytes
         ):
             return
+        if choice.placement is not None:
+            verdict = prefix_placement.judge_target(
+                choice.placement, choice.backend.instance
+            )
+            self._plan_placed_copy(
+                requirements, service, choice, source, verdict
+            )
+            return
         copied_bytes = copied_tokens * service.cache_token_bytes
         tokens = max(0, requirements.tokens - source.held_tokens)
         seconds = self._prefill_times.estimate(requirements.model, tokens)
@@ -433,6 +557,52 @@
             choice.held_tokens += copied_tokens
             choice.copied_tokens, choice.source = copied_tokens, source.backend
 
+    def _plan_placed_copy(
+        self,
+        requirements: BackendRequirements,
+        service: forwarding.BackendService,
+        choice: Choice,
+        source: Choice,
+        verdict: prefix_placement.CopyVerdict,
+    ) -> None:
+        """Sets the copy of a choice whose prefix is placed, if that pays.
+
+        Args:
+            requirements: What the attempt needs from its server.
+            service: Service of the servers.
+            choice: Choice to update.
+            source: Choice of the same version with the most cached tokens.
+            verdict: Whether the server may get a copy.
+        """
+        placement, backend = choice.placement, choice.backend
+        choice.copy_verdict = verdict
+        if not verdict.pays:
+            return
+        copied_tokens = source.held_tokens - choice.held_tokens
+        links, rate = self._prefix_placer.links, service.copy_bytes_per_second
+        copied_bytes = copied_tokens * service.cache_token_bytes
+        offer = prefix_placement.CopyOffer(
+            self._estimate_read(requirements.model, copied_tokens),
+            prefix_placement.estimate_link_seconds(
+                copied_bytes,
+                rate,
+                backend.failure_domain != source.backend.failure_domain,
+            ),
+            COPY_SETUP_SECONDS
+            + links.estimate_queue(source.backend.instance, backend.instance),
+        )
+        if objection := prefix_placement.judge_gain(placement, offer):
+            choice.copy_verdict = objection
+        elif not links.has_budget(service.name, placement.server_count, rate):
+            choice.copy_verdict = prefix_placement.CopyVerdict.LINK_SHARE
+        else:
+            choice.seconds -= offer.gained_seconds
+            choice.penalty_seconds = offer.penalty_seconds
+            choice.held_tokens += copied_tokens
+            choice.copied_tokens, choice.source = copied_tokens, source.backend
+            choice.copied_bytes = copied_bytes
+            choice.copy_seconds = offer.link_seconds
+
     def _estimate_cost(
         self, requirements: BackendRequirements, choice: Choice
     ) -> float:
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -14,12 +14,16 @@
 import pathlib
 
 from chivejunction import clock
+from chivejunction.coordination import prefix_usage
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
+from chivejunction.scheduling import prefix_placement
 from chivejunction.scheduling import tier_choice
 from chivejunction.state import backends
 from chivejunction.state import backlogs
+from chivejunction.state import copy_links
 from chivejunction.state import prefix_caches
+from chivejunction.state import prefix_rates
 
 TIERS = ('small', 'medium', 'large')
 # Prompt tokens per second of the engines on the users' data sheets, by model.
@@ -72,33 +76,51 @@
     """Model of an engine.
 
     Attributes:
+        cache_tokens: Memory for shared parts.
+        speed: Prompt tokens per second, relative to ``TOKENS_PER_SECOND``.
         free_at: Time at which the prompts in its queue are processed.
         parts: Cached parts by model, the least recently used first.
         responds: Whether it responds at all.
     """
 
     cache_tokens: int
+    speed: float = 1.0
     free_at: float = 0.0
     parts: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
     responds: bool = True
 
-    def read(self, model: str, request: RecordedRequest, now: float):
+    def read(
+        self,
+        model: str,
+        request: RecordedRequest,
+        now: float,
+        copy_seconds: float | None = None,
+    ):
         """Processes a prompt.
 
+        Args:
+            model: Model that processes it.
+            request: The request.
+            now: Current time.
+            copy_seconds: Time after which the shared part is copied from
+                another engine; None if it is not.
+
         Returns:
             The time of the first byte and the shared tokens that were read.
         """
         key = (model, request.part)
         read_tokens = 0 if key in self.parts else request.shared_tokens
+        if copy_seconds is not None:
+            read_tokens, now = 0, now + copy_seconds
         if request.part:
             self.parts[key] = request.shared_tokens
             self.parts.move_to_end(key)
             while sum(self.parts.values()) > self.cache_tokens:
                 self.parts.popitem(last=False)
         tokens = request.input_tokens - request.shared_tokens + read_tokens
-        seconds = tokens / TOKENS_PER_SECOND[model]
+        seconds = tokens / TOKENS_PER_SECOND[model] / self.speed
         self.free_at = max(now, self.free_at) + seconds
         return self.free_at, read_tokens
 
@@ -136,7 +158,20 @@
         self.prefill_times = backlogs.PrefillTimeEstimator()
         self.prefill_times.set_tiers(TIERS)
         self.index = prefix_caches.PrefixCacheIndex()
+        if replay.speed != 1.0:
+            for model in TIERS * backlogs.MAX_SAMPLES:
+                seconds = 10_000 / TOKENS_PER_SECOND[model] / replay.speed
+                self.prefill_times.record(
+                    model, 10_000, seconds + backlogs.BASE_FIRST_BYTE_SECONDS
+                )
         self.confidence_gains = tier_choice.ConfidenceGains()
+        self.placer = self.usage = None
+        if replay.places_prefixes:
+            self.placer = prefix_placement.PrefixPlacer(
+                prefix_rates.PrefixRates(),
+                copy_links.CopyLinks(lambda: replay.gateway_count),
+            )
+            self.usage = prefix_usage.PrefixUsage(self.placer)
         self.selector = backend_selection.BackendSelector(
             replay.table,
             self.region,
@@ -146,6 +181,7 @@
             self.running_attempts,
             self.prefill_times,
             self.index,
+            self.placer,
         )
 
 
@@ -157,6 +193,12 @@
         engine_count: Number of engines, spread over the regions.
         gateway_count: Number of gateways.
         cache_tokens: Memory of an engine for shared parts.
+        speed: Prompt tokens per second, relative to ``TOKENS_PER_SECOND``.
+        cache_token_bytes: Size of a cached token.
+        copy_bytes_per_second: Rate of an engine's link; 0 without copies.
+        places_prefixes: Whether prefixes are placed by their rates of use.
+        hints_reach_all: Whether gateways of all regions learn at once which
+            prompts an engine reads; otherwise those of one region do.
     """
 
     def __init__(
@@ -165,20 +207,33 @@
         engine_count=17,
         gateway_count=17,
         cache_tokens=300_000,
+        speed=1.0,
+        cache_token_bytes=0.0,
+        copy_bytes_per_second=0.0,
+        places_prefixes=False,
+        hints_reach_all=False,
     ):
+        self.speed = speed
+        self.places_prefixes = places_prefixes
+        self.hints_reach_all = hints_reach_all
+        self.copied_bytes = 0.0
         self.now = 1000.0
         self.gateway_count = gateway_count
         monkeypatch.setattr(clock, 'now', lambda: self.now)
         monkeypatch.setattr(clock, 'has_passed', lambda at: self.now >= at)
         monkeypatch.setattr(clock, 'make_deadline', lambda s: self.now + s)
         self.service = forwarding.BackendService(
-            'pool', max_connections=10_000, cache_tokens=cache_tokens
+            'pool',
+            max_connections=10_000,
+            cache_tokens=cache_tokens,
+            cache_token_bytes=cache_token_bytes,
+            copy_bytes_per_second=copy_bytes_per_second,
         )
         self.table = backends.BackendTable()
         self.engines = {}
         for number in range(engine_count):
             instance = f'i-{number}'
-            self.engines[instance] = Engine(cache_tokens)
+            self.engines[instance] = Engine(cache_tokens, speed)
             region = REGIONS[number % len(REGIONS)]
             self.table.update(
                 backends.Backend(
@@ -213,11 +268,14 @@
     def _send_hints(self):
         for gateway in self.gateways:
             report = gateway.server_backlogs.sum_local()
+            rows = gateway.usage.collect_rows('') if gateway.usage else []
             for other in self.gateways:
                 if other is not gateway:
                     other.server_backlogs.set_peer_backlogs(
                         gateway.name, report
                     )
+                    if rows:
+                        other.usage.apply_rows(gateway.name, rows)
 
     def _choose(self, gateway, request, model):
         prompt = (
@@ -233,6 +291,7 @@
             if request.part
             else [],
             tokens=request.input_tokens,
+            objective=request.objective,
         )
         choice = gateway.selector.choose(requirements, self.service)
         return requirements, choice
@@ -241,16 +300,32 @@
         instance = choice.backend.instance
         if requirements.prefixes:
             for peer in self.gateways:
-                if peer.region == gateway.region:
+                if self.hints_reach_all or peer.region == gateway.region:
                     peer.index.add(
                         instance,
                         requirements.prefixes,
                         self.service.cache_tokens,
                     )
+        copy_seconds = None
+        if choice.source is not None:
+            copied_bytes = (
+                choice.copied_tokens * self.service.cache_token_bytes
+            )
+            self.copied_bytes += copied_bytes
+            copy_seconds = (
+                backend_selection.COPY_SETUP_SECONDS
+                + prefix_placement.estimate_link_seconds(
+                    copied_bytes,
+                    self.service.copy_bytes_per_second,
+                    choice.backend.region != choice.source.region,
+                )
+            )
+        if gateway.usage:
+            gateway.usage.record(self.service, choice)
         work = gateway.server_backlogs.start(instance, choice.seconds)
         remote = REMOTE_SECONDS * (choice.backend.region != gateway.region)
         first_byte_at, read_tokens = self.engines[instance].read(
-            requirements.model, request, self.now
+            requirements.model, request, self.now, copy_seconds
         )
         return work, first_byte_at + remote, read_tokens
 
@@ -273,10 +348,12 @@
             gateway, request, requirements, choice
         )
         tokens += read_tokens
-        self.engine_seconds += read_tokens / TOKENS_PER_SECOND[tier.model]
+        own_tokens = request.input_tokens - request.shared_tokens
         self.engine_seconds += (
-            request.input_tokens - request.shared_tokens
-        ) / TOKENS_PER_SECOND[tier.model]
+            (read_tokens + own_tokens)
+            / TOKENS_PER_SECOND[tier.model]
+            / self.speed
+        )
         self.schedule(
             at, self._answer, gateway, request, tier, received_at, work, tokens
         )
