Copy a prefix where its engines have a backlog, for more per link second

Change: a copy also counts as noticed where the target has a backlog; it must gain eight times its link time (was four) and a fiftieth of the objective (was a twentieth). A prefix that is used rarely stays where it is.

--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -470,6 +470,9 @@
         """
         if choice.copied_tokens:
             cost = choice.copy_seconds + choice.penalty_seconds
+        elif choice.copy_verdict is prefix_placement.CopyVerdict.RARE:
+            # Another server has it, and few requests ask for it.
+            return MIN_RENDEZVOUS_BONUS_SECONDS
         else:
             cost = self._estimate_missing(
                 requirements.model,
@@ -590,6 +593,7 @@
             ),
             COPY_SETUP_SECONDS
             + links.estimate_queue(source.backend.instance, backend.instance),
+            choice.wait,
         )
         if objection := prefix_placement.judge_gain(placement, offer):
             choice.copy_verdict = objection
--- a/chivejunction/scheduling/prefix_placement.py
+++ b/chivejunction/scheduling/prefix_placement.py
@@ -27,10 +27,11 @@
 MIN_REPLICA_USES = 2.0
 # Load: servers that read a prompt almost as fast as they copy it. A copy must
 # gain this multiple of the time in which it uses a link.
-MIN_GAIN_PER_LINK_SECOND = 4.0
+MIN_GAIN_PER_LINK_SECOND = 8.0
 # Load: short prefixes and fast models. A copy must gain this part of the
-# route's objective; callers do not notice less.
-NOTICED_SHARE = 0.05
+# route's objective; callers do not notice less. Where a server has a backlog
+# of this part, all requests in it gain by the copy.
+NOTICED_SHARE = 0.02
 # Load: a burst at the servers that have the prefix. Callers bear a wait of
 # this part of the route's objective.
 BEARABLE_SHARE = 0.2
@@ -109,11 +110,13 @@
         read_seconds: Time in which the target would read what it copies.
         link_seconds: Time for which the copy uses the links of both servers.
         delay_seconds: Time until the copy starts: setup and earlier copies.
+        target_wait: Backlog of the target in seconds.
     """
 
     read_seconds: float
     link_seconds: float
     delay_seconds: float
+    target_wait: float = 0.0
 
     @property
     def gained_seconds(self) -> float:
@@ -172,7 +175,10 @@
 
 def judge_gain(placement: Placement, offer: CopyOffer) -> CopyVerdict | None:
     """Returns why a copy gains too little, None if it gains enough."""
-    if offer.gained_seconds < NOTICED_SHARE * placement.objective:
+    if (
+        max(offer.gained_seconds, offer.target_wait)
+        < NOTICED_SHARE * placement.objective
+    ):
         return CopyVerdict.UNNOTICED
     if offer.gained_seconds < offer.penalty_seconds:
         return CopyVerdict.LINK_TIME
