--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -10,6 +10,7 @@
 from chivejunction.coordination import departures
 from chivejunction.coordination import hints
 from chivejunction.coordination import organisation_shares
+from chivejunction.coordination import prefix_usage
 from chivejunction.coordination import request_context
 from chivejunction.coordination import version_moves
 from chivejunction.protocol import features
@@ -52,6 +53,8 @@
         enabled_features: Optional features that are switched on.
         domain_departures: Counts what leaves the failure domain; None if only
             regions matter.
+        prefix_usage: Counts uses and copies of prefixes; None if prefixes
+            are not placed by their rates.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         hint_exchange: hints.HintExchange,
         enabled_features: frozenset[features.Feature] = frozenset(),
         domain_departures: departures.Departures | None = None,
+        prefix_usage: prefix_usage.PrefixUsage | None = None,
     ):
         self._features = enabled_features
         self._departures = domain_departures
@@ -78,6 +82,7 @@
         self._confidence_gains = tier_choice.ConfidenceGains()
         self._prefix_cache_index = prefix_cache_index
         self._hint_exchange = hint_exchange
+        self._prefix_usage = prefix_usage
         self._waiting_line = waiting.WaitingLine()
         self._wake_events: dict[int, anyio.Event] = {}
         self.shares: organisation_shares.OrganisationShares | None = None
@@ -467,6 +472,8 @@
             self._prefix_cache_index.add(
                 instance, requirements.prefixes, context.service.cache_tokens
             )
+        if self._prefix_usage is not None:
+            self._prefix_usage.record(context.service, choice)
         work_id = self._server_backlogs.start(instance, choice.seconds)
         self._running_ids[work_id] = self._running_attempts.start(instance, 1)
         if has_share:
--- a/chivejunction/coordination/direct_attempts.py
+++ b/chivejunction/coordination/direct_attempts.py
@@ -229,6 +229,8 @@
             copy_from=choice.copy_from,
             left=choice.left_reason,
             away_share=round(choice.away_share, 3),
+            copy_verdict=choice.copy_verdict,
+            replicas=choice.replica_count,
             error_share=round(backend.error_share, 3),
             attempt=context.sent_attempts,
             outcome=outcome,
--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -25,6 +25,7 @@
 from chivejunction.coordination import hints
 from chivejunction.coordination import mirrors
 from chivejunction.coordination import pace_hints
+from chivejunction.coordination import prefix_usage
 from chivejunction.coordination import relays
 from chivejunction.coordination import server_notices
 from chivejunction.coordination import state_transfer
@@ -34,12 +35,15 @@
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import domain_shares
 from chivejunction.scheduling import memory_pressure
+from chivejunction.scheduling import prefix_placement
 from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.state import backends
 from chivejunction.state import backlogs
 from chivejunction.state import budgets
+from chivejunction.state import copy_links
 from chivejunction.state import freshness
 from chivejunction.state import prefix_caches
+from chivejunction.state import prefix_rates
 from chivejunction.state import route_tables
 from chivejunction.state import server_paces
 from chivejunction.transport import backend_connections
@@ -215,6 +219,16 @@
         self._server_paces = server_paces.ServerPaces()
         pace_estimator = self._make_pace_estimator()
         self._departures = self._make_departures()
+        placer = self._make_prefix_placer()
+        usage = None
+        if placer is not None:
+            usage = prefix_usage.PrefixUsage(placer)
+            self._hint_exchange.add_section(usage)
+            metrics.make_gauge(
+                'prefixes_replicated',
+                'Prompt prefixes that more than one server is to have.',
+                usage.count_replicated,
+            )
         selector = backend_selection.BackendSelector(
             self.backends,
             options.region,
@@ -226,6 +240,7 @@
             self._prefix_cache_index,
             paces=pace_estimator,
             shares=self._departures.shares if self._departures else None,
+            prefix_placer=placer,
         )
         self._chooser = attempt_choice.AttemptChooser(
             selector,
@@ -237,6 +252,7 @@
             self._hint_exchange,
             enabled_features=options.features,
             domain_departures=self._departures,
+            prefix_usage=usage,
         )
         attempts = direct_attempts.DirectAttempts(
             self.backends,
@@ -312,6 +328,15 @@
         self._hint_exchange.add_section(domain_departures.section)
         return domain_departures
 
+    def _make_prefix_placer(self) -> prefix_placement.PrefixPlacer | None:
+        feature = protocol_features.Feature.PREFIX_PLACEMENT
+        if feature not in self._options.features:
+            return None
+        return prefix_placement.PrefixPlacer(
+            prefix_rates.PrefixRates(),
+            copy_links.CopyLinks(self.members.count),
+        )
+
     def _publish_version_results(self, move: int, row: tuple) -> None:
         """Tells the other gateways of the results of a new version here."""
         self._board.publish(
--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -10,6 +10,7 @@
 from chivejunction import clock
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import domain_shares
+from chivejunction.scheduling import prefix_placement
 from chivejunction.scheduling import server_limits
 from chivejunction.scheduling import server_paces
 from chivejunction.scheduling import stream_pauses
@@ -79,7 +80,8 @@
         event_tokens: Number of tokens in one event.
         tolerated_pause: Longest pause in seconds between two events of the
             streams of the service; 0 if any is tolerated.
-        objective: Target of the time to the first event in seconds.
+        objective: Target of the time to the first event in seconds, 0 for
+            none.
         seconds_left: Time in seconds until the response must be complete.
         tried: Instances that are excluded because they were tried before.
         is_version_allowed: Returns whether a software version may be used.
@@ -94,7 +96,7 @@
     events: float = 0.0
     event_tokens: int = 1
     tolerated_pause: float = 0.0
-    objective: float = 1.0
+    objective: float = 0.0
     seconds_left: float = math.inf
     tried: frozenset[str] = frozenset()
     is_version_allowed: Callable[[str], bool] = lambda version: True
@@ -131,6 +133,10 @@
         away_share: Share of the service that was to leave at that time.
         size: Expected bytes of the request and its response; 0 if domains do
             not matter.
+        placement: Servers that are to have the prompt's prefix, or None.
+        copy_verdict: Why a copy was planned or not; None without an offer.
+        copy_seconds: Time in seconds for which the copy uses the links.
+        copied_bytes: Size of the copy.
     """
 
     backend: backends.Backend
@@ -151,6 +157,10 @@
     left_reason: str = ''
     away_share: float = 0.0
     size: float = 0.0
+    placement: prefix_placement.Placement | None = None
+    copy_verdict: prefix_placement.CopyVerdict | None = None
+    copy_seconds: float = 0.0
+    copied_bytes: float = 0.0
 
     @property
     def copy_from(self) -> str:
@@ -164,6 +174,18 @@
         """Estimated seconds of the server's work, 0 for a plain service."""
         return max(0.0, self.seconds - backlogs.BASE_FIRST_BYTE_SECONDS)
 
+    @property
+    def is_replica(self) -> bool:
+        """Whether the server is to have the prefix of the prompt."""
+        return bool(
+            self.placement and self.backend.instance in self.placement.replicas
+        )
+
+    @property
+    def replica_count(self) -> int:
+        """Number of servers that are to have the prefix, 0 if not placed."""
+        return len(self.placement.replicas) if self.placement else 0
+
     @property
     def total_seconds(self) -> float:
         """Estimated time in seconds until the response is complete."""
@@ -227,6 +249,8 @@
         paces: Estimator of the pace of each server; None if all servers of a
             model count as equal.
         shares: Shares of the failure domains; None if only regions matter.
+        prefix_placer: Places prefixes by their rates of use; None to give
+            each prefix one server and to judge copies by their size.
     """
 
     def __init__(
@@ -239,8 +263,10 @@
         running_attempts: backlogs.Backlogs,
         prefill_times: backlogs.PrefillTimeEstimator,
         prefix_cache_index: prefix_caches.PrefixCacheIndex,
+        *,
         paces: server_paces.PaceEstimator | None = None,
         shares: domain_shares.DomainShares | None = None,
+        prefix_placer: prefix_placement.PrefixPlacer | None = None,
     ):
         self._shares = shares
         self._limiter = server_limits.ServerLimiter(count_sharing_gateways)
@@ -253,6 +279,7 @@
         self._prefill_times = prefill_times
         self._prefix_cache_index = prefix_cache_index
         self._paces = paces
+        self._prefix_placer = prefix_placer
 
     def list_candidates(
         self,
@@ -376,9 +403,14 @@
         location = self._locate(
             requirements, candidates, waits, running_attempts
         )
-        rendezvous_backend, rendezvous_bonus = self._find_rendezvous(
-            requirements,
-            self._list_near_candidates(requirements, candidates, location),
+        near = self._list_near_candidates(requirements, candidates, location)
+        placement = self._place_prefix(
+            requirements, service, near, len(candidates)
+        )
+        rendezvous_backend, rendezvous_bonus = (
+            self._find_rendezvous(requirements, near)
+            if placement is None
+            else (None, 0.0)
         )
         model_pace = self._prefill_times.compute_pace(requirements.model)
         choices = [
@@ -389,9 +421,14 @@
         ]
         copy_sources = find_copy_sources(choices)
         max_held_tokens = max(choice.held_tokens for choice in choices)
+        if placement is not None:
+            placement.wait = min(
+                c.wait for c in choices if c.held_tokens == max_held_tokens
+            )
         best, best_cost = None, math.inf
         for choice in choices:
             backend = choice.backend
+            choice.placement = placement
             self._plan_copy(
                 requirements,
                 service,
@@ -405,8 +442,18 @@
             )
             if backend is rendezvous_backend:
                 cost -= rendezvous_bonus
+            if placement and backend.instance in placement.replicas:
+                cost -= self._compute_relief(requirements, choice)
             if cost < best_cost:
                 best, best_cost = choice, cost
+        if best.copy_verdict in prefix_placement.UNATTRACTIVE:
+            self._plan_placed_copy(
+                requirements,
+                service,
+                best,
+                copy_sources[best.backend.version],
+                prefix_placement.CopyVerdict.READ,
+            )
         self._consume_cold_token(best.backend)
         self._limiter.record_send(best.backend)
         if self._paces is not None and best.model and best.source is None:
@@ -419,7 +466,7 @@
                 best,
                 choices,
                 location,
-                best.backend is rendezvous_backend,
+                best.backend is rendezvous_backend or best.is_replica,
             )
         return best
 
@@ -564,6 +611,94 @@
         )
         return backend, max(MIN_RENDEZVOUS_BONUS_SECONDS, bonus)
 
+    def _place_prefix(
+        self,
+        requirements: BackendRequirements,
+        service: forwarding.BackendService,
+        candidates: list[backends.Backend],
+        server_count: int,
+    ) -> prefix_placement.Placement | None:
+        """Returns the servers that are to have the prefix of a prompt.
+
+        A prefix is placed among all regions where a server that lacks it
+        costs more than another region, else among those of the own region.
+
+        Args:
+            requirements: What the attempt needs from its server.
+            service: Service of the servers.
+            candidates: Servers among which the prefix may be placed.
+            server_count: Number of servers that could take the request.
+
+        Returns:
+            The placement; None for a prompt without a shared part, or if
+            prefixes are not placed by their rates.
+        """
+        if (
+            self._prefix_placer is None
+            or not requirements.prefixes
+            or not requirements.model
+            or not service.cache_tokens
+        ):
+            return None
+        key, shared_tokens = requirements.prefixes[-1]
+        eligible = candidates
+        if (
+            prefix_placement.RELIEF_SHARE
+            * self._estimate_missing(requirements.model, shared_tokens)
+            <= REMOTE_REGION_PENALTY_SECONDS
+        ):
+            local = [b for b in candidates if b.region == self._region]
+            eligible = local or candidates
+        return self._prefix_placer.place(
+            key,
+            [backend.instance for backend in eligible],
+            server_count,
+            self._estimate_read(
+                requirements.model, max(0, requirements.tokens - shared_tokens)
+            ),
+            requirements.objective,
+        )
+
+    def _estimate_read(self, model: str, tokens: int) -> float:
+        """Returns the engine time in seconds to read tokens of a prompt."""
+        return self._prefill_times.estimate(
+            model, tokens
+        ) - self._prefill_times.estimate(model, 0)
+
+    def _estimate_missing(self, model: str, tokens: int) -> float:
+        """Returns the cost in seconds of tokens that a server lacks."""
+        return (
+            self._estimate_read(model, tokens)
+            + CACHE_MISS_PENALTY_SECONDS_PER_TOKEN * tokens
+        )
+
+    def _compute_relief(
+        self, requirements: BackendRequirements, choice: Choice
+    ) -> float:
+        """Returns the advantage in seconds of a server in the placement.
+
+        The server will be asked for the prefix again, so this request bears
+        only a part of what it costs to read or copy it there.
+        """
+        if choice.copied_tokens:
+            cost = choice.copy_seconds + choice.penalty_seconds
+        elif choice.copy_verdict is prefix_placement.CopyVerdict.RARE:
+            # Another server has it, and few requests ask for it.
+            return MIN_RENDEZVOUS_BONUS_SECONDS
+        else:
+            cost = self._estimate_missing(
+                requirements.model,
+                requirements.prefixes[-1][1] - choice.held_tokens,
+            )
+        return max(
+            MIN_RENDEZVOUS_BONUS_SECONDS,
+            min(
+                prefix_placement.RELIEF_SHARE * cost,
+                prefix_placement.BEARABLE_SHARE * requirements.objective
+                or math.inf,
+            ),
+        )
+
     def _make_choice(
         self, requirements, backend, waits, running_attempts, model_pace
     ) -> Choice:
@@ -627,6 +762,14 @@
             or not service.cache_token_bytes
         ):
             return
+        if choice.placement is not None:
+            verdict = prefix_placement.judge_target(
+                choice.placement, choice.backend.instance
+            )
+            self._plan_placed_copy(
+                requirements, service, choice, source, verdict
+            )
+            return
         copied_bytes = copied_tokens * service.cache_token_bytes
         tokens = max(0, requirements.tokens - source.held_tokens)
         seconds = self._prefill_times.estimate(requirements.model, tokens)
@@ -638,6 +781,54 @@
             choice.held_tokens += copied_tokens
             choice.copied_tokens, choice.source = copied_tokens, source.backend
 
+    def _plan_placed_copy(
+        self,
+        requirements: BackendRequirements,
+        service: forwarding.BackendService,
+        choice: Choice,
+        source: Choice,
+        verdict: prefix_placement.CopyVerdict,
+    ) -> None:
+        """Sets the copy of a choice whose prefix is placed, if that pays.
+
+        Args:
+            requirements: What the attempt needs from its server.
+            service: Service of the servers.
+            choice: Choice to update.
+            source: Choice of the same version with the most cached tokens.
+            verdict: Whether the server may get a copy.
+        """
+        placement, backend = choice.placement, choice.backend
+        choice.copy_verdict = verdict
+        if not verdict.pays:
+            return
+        copied_tokens = source.held_tokens - choice.held_tokens
+        links, rate = self._prefix_placer.links, service.copy_bytes_per_second
+        copied_bytes = copied_tokens * service.cache_token_bytes
+        offer = prefix_placement.CopyOffer(
+            choice.pace_ratio
+            * self._estimate_read(requirements.model, copied_tokens),
+            prefix_placement.estimate_link_seconds(
+                copied_bytes,
+                rate,
+                backend.failure_domain != source.backend.failure_domain,
+            ),
+            COPY_SETUP_SECONDS
+            + links.estimate_queue(source.backend.instance, backend.instance),
+            choice.wait,
+        )
+        if objection := prefix_placement.judge_gain(placement, offer):
+            choice.copy_verdict = objection
+        elif not links.has_budget(service.name, placement.server_count, rate):
+            choice.copy_verdict = prefix_placement.CopyVerdict.LINK_SHARE
+        else:
+            choice.seconds -= offer.gained_seconds
+            choice.penalty_seconds = offer.penalty_seconds
+            choice.held_tokens += copied_tokens
+            choice.copied_tokens, choice.source = copied_tokens, source.backend
+            choice.copied_bytes = copied_bytes
+            choice.copy_seconds = offer.link_seconds
+
     def _estimate_cost(
         self,
         requirements: BackendRequirements,
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -18,14 +18,18 @@
 from chivejunction.coordination import departures
 from chivejunction.coordination import direct_attempts
 from chivejunction.coordination import pace_hints
+from chivejunction.coordination import prefix_usage
 from chivejunction.protocol import forwarding
 from chivejunction.scheduling import backend_selection
 from chivejunction.scheduling import domain_shares
+from chivejunction.scheduling import prefix_placement
 from chivejunction.scheduling import server_paces as pace_scheduling
 from chivejunction.scheduling import tier_choice
 from chivejunction.state import backends
 from chivejunction.state import backlogs
+from chivejunction.state import copy_links
 from chivejunction.state import prefix_caches
+from chivejunction.state import prefix_rates
 from chivejunction.state import server_paces
 
 TIERS = ('small', 'medium', 'large')
@@ -83,30 +87,46 @@
     """Model of an engine.
 
     Attributes:
+        cache_tokens: Memory for shared parts.
+        speed: Prompt tokens per second, relative to ``TOKENS_PER_SECOND``.
         free_at: Time at which the prompts in its queue are processed.
         parts: Cached parts by model, the least recently used first.
         responds: Whether it responds at all.
-        speed: Speed compared with the data sheets.
         arrivals: Times at which it got a request.
     """
 
     cache_tokens: int
+    speed: float = 1.0
     free_at: float = 0.0
     parts: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
     responds: bool = True
-    speed: float = 1.0
     arrivals: list[float] = dataclasses.field(default_factory=list)
 
-    def read(self, model: str, request: RecordedRequest, now: float):
+    def read(
+        self,
+        model: str,
+        request: RecordedRequest,
+        now: float,
+        copy_seconds: float | None = None,
+    ):
         """Processes a prompt.
 
+        Args:
+            model: Model that processes it.
+            request: The request.
+            now: Current time.
+            copy_seconds: Time after which the shared part is copied from
+                another engine; None if it is not.
+
         Returns:
             The time of the first byte and the shared tokens that were read.
         """
         key = (model, request.part)
         read_tokens = 0 if key in self.parts else request.shared_tokens
+        if copy_seconds is not None:
+            read_tokens, now = 0, now + copy_seconds
         if request.part:
             self.parts[key] = request.shared_tokens
             self.parts.move_to_end(key)
@@ -152,6 +172,12 @@
         self.prefill_times = backlogs.PrefillTimeEstimator()
         self.prefill_times.set_tiers(TIERS)
         self.index = prefix_caches.PrefixCacheIndex()
+        if replay.speed != 1.0:
+            for model in TIERS * backlogs.MAX_SAMPLES:
+                seconds = 10_000 / TOKENS_PER_SECOND[model] / replay.speed
+                self.prefill_times.record(
+                    model, 10_000, seconds + backlogs.BASE_FIRST_BYTE_SECONDS
+                )
         self.confidence_gains = tier_choice.ConfidenceGains()
         self.paces = self.pace_section = None
         if replay.has_paces:
@@ -169,6 +195,13 @@
                 replay.table,
                 self.server_backlogs,
             )
+        self.placer = self.usage = None
+        if replay.places_prefixes:
+            self.placer = prefix_placement.PrefixPlacer(
+                prefix_rates.PrefixRates(),
+                copy_links.CopyLinks(lambda: replay.gateway_count),
+            )
+            self.usage = prefix_usage.PrefixUsage(self.placer)
         self.selector = backend_selection.BackendSelector(
             replay.table,
             self.region,
@@ -180,6 +213,7 @@
             self.index,
             paces=self.paces,
             shares=self.departures and self.departures.shares,
+            prefix_placer=self.placer,
         )
 
 
@@ -198,6 +232,12 @@
         gateway_domains: The same for the gateways.
         hint_seconds: Interval of the hints between gateways.
         has_shares: Whether the gateways know of failure domains.
+        speed: Prompt tokens per second, relative to ``TOKENS_PER_SECOND``.
+        cache_token_bytes: Size of a cached token.
+        copy_bytes_per_second: Rate of an engine's link; 0 without copies.
+        places_prefixes: Whether prefixes are placed by their rates of use.
+        hints_reach_all: Whether gateways of all regions learn at once which
+            prompts an engine reads; otherwise those of one region do.
     """
 
     def __init__(
@@ -212,6 +252,11 @@
         gateway_domains=None,
         hint_seconds=HINT_SECONDS,
         has_shares=False,
+        speed=1.0,
+        cache_token_bytes=0.0,
+        copy_bytes_per_second=0.0,
+        places_prefixes=False,
+        hints_reach_all=False,
     ):
         self.has_paces = has_paces
         self._is_learning = bool(speeds)
@@ -227,20 +272,28 @@
         self.hint_seconds = hint_seconds
         # Time, home, failure domain and reason of each attempt.
         self.sent = []
+        self.speed = speed
+        self.places_prefixes = places_prefixes
+        self.hints_reach_all = hints_reach_all
+        self.copied_bytes = 0.0
         self.now = 1000.0
         self.gateway_count = len(gateway_domains)
         monkeypatch.setattr(clock, 'now', lambda: self.now)
         monkeypatch.setattr(clock, 'has_passed', lambda at: self.now >= at)
         monkeypatch.setattr(clock, 'make_deadline', lambda s: self.now + s)
         self.service = forwarding.BackendService(
-            'pool', max_connections=10_000, cache_tokens=cache_tokens
+            'pool',
+            max_connections=10_000,
+            cache_tokens=cache_tokens,
+            cache_token_bytes=cache_token_bytes,
+            copy_bytes_per_second=copy_bytes_per_second,
         )
         self.table = backends.BackendTable()
         self.engines = {}
         for number, domain in enumerate(engine_domains):
             instance = f'i-{number}'
             self.engines[instance] = Engine(
-                cache_tokens, speed=speeds[number % len(speeds)]
+                cache_tokens, speed=speed * speeds[number % len(speeds)]
             )
             self.table.update(
                 backends.Backend(
@@ -293,6 +346,11 @@
                 for other in self.gateways if rows else ():
                     if other is not gateway:
                         other.departures.section.apply_rows(gateway.name, rows)
+            if gateway.usage:
+                rows = gateway.usage.collect_rows('')
+                for other in self.gateways if rows else ():
+                    if other is not gateway:
+                        other.usage.apply_rows(gateway.name, rows)
 
     def loses_hint(self) -> bool:
         """Returns whether the paces in a hint are lost."""
@@ -326,6 +384,7 @@
             if request.part
             else [],
             tokens=request.input_tokens,
+            objective=request.objective,
         )
         choice = gateway.selector.choose(requirements, self.service)
         return requirements, choice
@@ -334,7 +393,7 @@
         instance = choice.backend.instance
         if requirements.prefixes:
             for peer in self.gateways:
-                if peer.region == gateway.region:
+                if self.hints_reach_all or peer.region == gateway.region:
                     peer.index.add(
                         instance,
                         requirements.prefixes,
@@ -350,10 +409,26 @@
                 choice.left_reason,
             )
         )
+        copy_seconds = None
+        if choice.source is not None:
+            copied_bytes = (
+                choice.copied_tokens * self.service.cache_token_bytes
+            )
+            self.copied_bytes += copied_bytes
+            copy_seconds = (
+                backend_selection.COPY_SETUP_SECONDS
+                + prefix_placement.estimate_link_seconds(
+                    copied_bytes,
+                    self.service.copy_bytes_per_second,
+                    choice.backend.region != choice.source.region,
+                )
+            )
+        if gateway.usage:
+            gateway.usage.record(self.service, choice)
         work = gateway.server_backlogs.start(instance, choice.seconds)
         remote = REMOTE_SECONDS * (choice.backend.region != gateway.region)
         first_byte_at, read_tokens = self.engines[instance].read(
-            requirements.model, request, self.now
+            requirements.model, request, self.now, copy_seconds
         )
         return work, first_byte_at + remote, read_tokens
 
@@ -376,10 +451,12 @@
             gateway, request, requirements, choice
         )
         tokens += read_tokens
-        self.engine_seconds += read_tokens / TOKENS_PER_SECOND[tier.model]
+        own_tokens = request.input_tokens - request.shared_tokens
         self.engine_seconds += (
-            request.input_tokens - request.shared_tokens
-        ) / TOKENS_PER_SECOND[tier.model]
+            (read_tokens + own_tokens)
+            / TOKENS_PER_SECOND[tier.model]
+            / self.speed
+        )
         if self._is_learning:
             uncached = request.input_tokens - choice.held_tokens
             self.schedule(
