Divide by very unequal weights, and expire promises in time order

A difference of weights such as 1e30 and 1e-30 is 0, and the division failed; a promise behind a later one expired with that one only.

--- a/chivejunction/scheduling/fair_shares.py
+++ b/chivejunction/scheduling/fair_shares.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import itertools
 import math
 
 # Backlog of the less loaded servers, as a share of the service's shortest
@@ -78,12 +79,12 @@
         (demand / weights.get(key, 1.0), weights.get(key, 1.0))
         for key, demand in demands.items()
     )
-    weight_left = sum(weight for _, weight in rows)
-    for demand, weight in rows:
+    # Sums from the end, since differences of very unequal weights may be 0.
+    weights_left = [*itertools.accumulate(w for _, w in reversed(rows))][::-1]
+    for (demand, weight), weight_left in zip(rows, weights_left, strict=True):
         if demand * weight_left >= remaining:
             return max(0.0, remaining) / weight_left
         remaining -= demand * weight
-        weight_left -= weight
     return math.inf
 
 
--- a/chivejunction/state/organisation_demand.py
+++ b/chivejunction/state/organisation_demand.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import heapq
 
 import xxhash
 
@@ -113,18 +114,19 @@
         self.asked = WindowedSum()
         self.used = WindowedSum()
         self.repeated = WindowedSum()
-        self._promises: collections.deque[tuple] = collections.deque()
+        # Heap by the time at which the caller returns.
+        self._promises: list[tuple[float, float]] = []
         self._promised = 0.0
 
     def add_promise(self, seconds: float, expires_at: float) -> None:
         """Adds work that is to return by a monotonic time."""
-        self._promises.append((expires_at, seconds))
+        heapq.heappush(self._promises, (expires_at, seconds))
         self._promised += seconds
 
     def read(self) -> Demand:
         """Returns the demand of the window."""
         while self._promises and clock.has_passed(self._promises[0][0]):
-            self._promised -= self._promises.popleft()[1]
+            self._promised -= heapq.heappop(self._promises)[1]
         if not self._promises:
             self._promised = 0.0
         return Demand(
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -451,6 +451,11 @@
         share = fair_shares.divide_capacity(12, {1: 20, 2: 20}, {1: 2.0})
         assert share == 4
 
+    def test_very_unequal_weights(self):
+        weights = {1: 1e30, 2: 1e-30}
+        share = fair_shares.divide_capacity(1, {1: 0.5, 2: 9}, weights)
+        assert share * weights[2] == pytest.approx(0.5)
+
     def test_sufficient_capacity_has_no_share(self):
         assert fair_shares.divide_capacity(12, {1: 5, 2: 6}, {}) == math.inf
         assert fair_shares.divide_capacity(12, {}, {}) == math.inf
