--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -467,7 +467,7 @@
             else:
                 await relay.handle(raw, reply)
 
-        listener = caller_connections.Listener(handle, guard=self.memory_guard)
+        listener = caller_connections.Listener(handle)
         await listener.serve(*self._options.peer_address)
 
     async def _serve_readiness(self) -> None:
@@ -485,7 +485,7 @@
                 json.dumps(state).encode(),
             )
 
-        listener = caller_connections.Listener(handle, guard=self.memory_guard)
+        listener = caller_connections.Listener(handle)
         await listener.serve(*self._options.readiness_address)
 
     async def _serve_metrics(self) -> None:
@@ -495,7 +495,7 @@
                 200, [(b'content-type', kind.encode())], body
             )
 
-        listener = caller_connections.Listener(handle, guard=self.memory_guard)
+        listener = caller_connections.Listener(handle)
         await listener.serve(*self._options.metrics_address)
 
     async def _run_maintenance(self) -> None:
