--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -442,7 +442,7 @@
             choice = host.choose(regions=frozenset(['cnx']))
             assert choice.backend.region == 'cnx'
 
-    def test_cold_and_paused_servers_are_no_capacity(self, host, monkeypatch):
+    def test_cold_and_paused_servers_are_no_capacity(self, host):
         host.close('bkk-b', cold_until=math.inf)
         host.close('cnx-a', paused_until=math.inf)
         loads = host.departures.shares._loads.list_loads('pool', True)
