--- a/chivejunction/state/prefix_rates.py
+++ b/chivejunction/state/prefix_rates.py
@@ -20,6 +20,8 @@
 # hint. Rarer ones are reported only if other gateways report the prefix too.
 MIN_REPORTED_USES = 1.5
 MIN_KNOWN_USES = 0.3
+# Time after its latest use at which a prefix is reported no more.
+MAX_REPORTED_AGE_SECONDS = 3 * WINDOW_SECONDS
 # Time for which collected rows are used again.
 REPORT_INTERVAL_SECONDS = 0.25
 # A row of another gateway expires after this time; gateways repeat them more
@@ -44,17 +46,15 @@
     load: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _LocalRate:
-    uses: float
-    load: float
-    updated_at: float
+    rate: PrefixRate
+    used_at: float
 
-    def decay(self, now: float) -> None:
-        factor = math.exp((self.updated_at - now) / WINDOW_SECONDS)
-        self.uses *= factor
-        self.load *= factor
-        self.updated_at = now
+    def decay(self, now: float) -> PrefixRate:
+        """Returns the rate that is left of that at the latest use."""
+        factor = math.exp((self.used_at - now) / WINDOW_SECONDS)
+        return PrefixRate(factor * self.rate.uses, factor * self.rate.load)
 
 
 class PrefixRates:
@@ -77,11 +77,12 @@
             seconds: Engine time of the use at a server with the prefix.
         """
         now = clock.now()
-        rate = self._local.setdefault(key, _LocalRate(0.0, 0.0, now))
-        rate.decay(now)
-        rate.uses += 1
-        rate.load += seconds / WINDOW_SECONDS
-        self._local.move_to_end(key)
+        local = self._local.pop(key, None)
+        rate = local.decay(now) if local else PrefixRate()
+        self._local[key] = _LocalRate(
+            PrefixRate(rate.uses + 1, rate.load + seconds / WINDOW_SECONDS),
+            now,
+        )
         if len(self._local) > MAX_PREFIXES:
             self._local.popitem(last=False)
 
@@ -90,8 +91,8 @@
         uses, load = 0.0, 0.0
         local = self._local.get(key)
         if local is not None:
-            local.decay(clock.now())
-            uses, load = local.uses, local.load
+            rate = local.decay(clock.now())
+            uses, load = rate.uses, rate.load
         for expires_at, rates in self._peers.values():
             rate = rates.get(key)
             if rate is not None and not clock.has_passed(expires_at):
@@ -115,14 +116,13 @@
         for expires_at, rates in self._peers.values():
             if not clock.has_passed(expires_at):
                 known |= rates.keys()
-        # Prefixes that were not used since have decayed, too.
         for key, local in reversed(self._local.items()):
-            if now - local.updated_at > 4 * WINDOW_SECONDS:
+            if now - local.used_at > MAX_REPORTED_AGE_SECONDS:
                 break
-            local.decay(now)
+            rate = local.decay(now)
             least = MIN_KNOWN_USES if key in known else MIN_REPORTED_USES
-            if local.uses >= least:
-                parts.append((key, PrefixRate(local.uses, local.load)))
+            if rate.uses >= least:
+                parts.append((key, rate))
         parts.sort(key=lambda part: part[1].load, reverse=True)
         return parts[:MAX_ROWS]
 
