Judge no copy for servers that are no replicas

Cause: each choice that lacked a prefix went through the plan of a copy, which nearly always ends at its first condition.

Change: the condition is asked before the plan.

--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -543,12 +543,14 @@
         ):
             return
         if choice.placement is not None:
-            verdict = prefix_placement.judge_target(
+            verdict = choice.copy_verdict = prefix_placement.judge_target(
                 choice.placement, choice.backend.instance
             )
-            self._plan_placed_copy(
-                requirements, service, choice, source, verdict
-            )
+            # Nearly all servers are no replicas.
+            if verdict is not prefix_placement.CopyVerdict.NO_REPLICA:
+                self._plan_placed_copy(
+                    requirements, service, choice, source, verdict
+                )
             return
         copied_bytes = copied_tokens * service.cache_token_bytes
         tokens = max(0, requirements.tokens - source.held_tokens)
