--- a/chivejunction/coordination/forward_gateway.py
+++ b/chivejunction/coordination/forward_gateway.py
@@ -694,12 +694,14 @@
         self._is_stopping = True
         self.caller_listener.is_closing = True
         self._forwarder.schedule_stop(admit_until, stop_at)
+        cut_at = stop_at + FINAL_RESPONSE_SHARE * reserve
+        self.caller_listener.schedule_cut(cut_at)
         logs.LOG.info(
             'stopping with %d requests in progress',
             self.caller_listener.active_requests,
             extra={'fields': {'event': 'stopping'}},
         )
-        with anyio.move_on_at(stop_at + FINAL_RESPONSE_SHARE * reserve):
+        with anyio.move_on_at(cut_at):
             await anyio.sleep(clock.remaining(drain_until))
             with containment.contain('stop'):
                 self.caller_listener.close_idle()
--- a/chivejunction/transport/accepted_streams.py
+++ b/chivejunction/transport/accepted_streams.py
@@ -17,6 +17,9 @@
 # Data that the kernel holds for a caller that is not read. It counts toward
 # the memory of the host.
 RECEIVE_BUFFER_BYTES = 32_768
+# Unsent data that the kernel takes. With more, the progress of a caller that
+# reads slowly would show only every few hundred KB.
+UNSENT_BYTES = 16_384
 
 
 class AcceptedStream(abc.ByteStream):
@@ -32,6 +35,10 @@
     def __init__(self, sock: socket.socket):
         self._socket = sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES
+            )
 
     @property
     def extra_attributes(self) -> Mapping[typing.Any, Callable]:
--- a/chivejunction/transport/caller_connections.py
+++ b/chivejunction/transport/caller_connections.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import errno
+import math
 import resource
 import socket
 import sys
@@ -40,7 +41,7 @@
 FIRST_REQUEST_TIMEOUT_SECONDS = 1.0
 # Responses are passed on in parts, so that the memory of those which a caller
 # has read is seen to be free.
-WRITE_BYTES = 65536
+WRITE_BYTES = 16384
 # Limit on the data that is read from a caller while its previous request is
 # still being processed.
 MAX_PIPELINED_BYTES = 16384
@@ -190,15 +191,18 @@
 def close_longest_idle() -> None:
     """Closes some connections, those that have been idle longest.
 
-    Those of callers that neither send nor read go with them.
+    Where there are too few, callers that neither send nor read follow.
     """
     idle = [c for c in _open_connections if c.is_idle]
     idle.sort(key=lambda connection: connection.idle_deadline)
     count = max(MIN_CLOSED_IDLE, int(CLOSED_IDLE_SHARE * len(idle)))
     for connection in idle[:count]:
         connection.close_if_idle()
+    missing = count - len(idle)
+    if missing <= 0:
+        return
     for guard in {c.guard for c in _open_connections}:
-        guard.close_stalled(count)
+        guard.close_stalled(missing)
 
 
 def find_address(stream: abc.ByteStream) -> str:
@@ -228,6 +232,8 @@
         max_sockets: Number of them beyond which callers wait in the queue of
             the kernel. The other descriptors are left to outgoing connections.
         accept_scope: Scope of the task that accepts connections, or None.
+        cut_at: Monotonic time at which responses that callers have not read
+            are cut, since the process ends.
     """
 
     handle: Handler
@@ -243,6 +249,7 @@
     accepted_sockets: int = 0
     max_sockets: int = dataclasses.field(default_factory=find_max_sockets)
     accept_scope: anyio.CancelScope | None = None
+    cut_at: float = math.inf
 
     async def serve(self, address: str, port: int) -> None:
         """Accepts connections on an address until cancelled.
@@ -362,6 +369,16 @@
             c.is_reading for c in self.connections
         )
 
+    def schedule_cut(self, cut_at: float) -> None:
+        """Limits the time that callers have to read their responses.
+
+        Args:
+            cut_at: Monotonic time at which unread responses are cut.
+        """
+        self.cut_at = cut_at
+        for connection in self.connections:
+            connection.limit_write(cut_at)
+
     def close_idle(self) -> None:
         """Closes idle connections, and the others after their response."""
         self.is_closing = True
@@ -441,7 +458,6 @@
                 self.close_if_idle()
             case held_memory.Phase.READING:
                 kinds += [held_memory.Kind.HEAD, held_memory.Kind.BODY]
-                self._body.clear()
                 self._hold.phase = held_memory.Phase.CLOSING
                 if self._read_scope is not None:
                     self._read_scope.cancel()
@@ -453,6 +469,25 @@
         self._pipelined_data = b''
         self._hold.release(*kinds)
 
+    def _drop_ahead(self) -> None:
+        """Drops what was read ahead; closes after the response."""
+        self._is_released = True
+        self._pipelined_data = b''
+        self._count_ahead()
+
+    def _count_ahead(self, kernel_bytes: int = 0) -> None:
+        """Counts what was read after the request in progress.
+
+        Args:
+            kernel_bytes: Bytes that the kernel holds beyond it.
+        """
+        self._hold.set(
+            held_memory.Kind.AHEAD,
+            len(self._conn.trailing_data[0])
+            + len(self._pipelined_data)
+            + kernel_bytes,
+        )
+
     def hold_response(self, size: int) -> None:
         """Counts a response that is collected; see ``ResponseWriter``."""
         self._hold.set(held_memory.Kind.RESPONSE, size)
@@ -493,6 +528,13 @@
         else:
             await self._write(b''.join(buffered))
 
+    def limit_write(self, deadline: float) -> None:
+        """Limits the time of a write in progress."""
+        if self._write_scope is not None:
+            self._write_scope.deadline = min(
+                self._write_scope.deadline, deadline
+            )
+
     async def _write(self, *parts: bytes | memoryview) -> None:
         """Sends data, as fast as the caller reads it.
 
@@ -513,9 +555,13 @@
         hold.phase = held_memory.Phase.WRITING
         hold.set(held_memory.Kind.RESPONSE, remaining)
         hold.record_progress()
-        deadline = clock.make_deadline(
-            limits.idle_seconds + remaining / MIN_BYTES_PER_SECOND
+        deadline = min(
+            self._listener.cut_at,
+            clock.make_deadline(
+                limits.idle_seconds + remaining / MIN_BYTES_PER_SECOND
+            ),
         )
+        # A response that is ready is delivered, also late.
         with anyio.CancelScope(shield=True, deadline=deadline) as scope:
             self._write_scope = scope
             for part in parts:
@@ -523,7 +569,9 @@
                 for start in range(0, len(view), WRITE_BYTES):
                     data = view[start : start + WRITE_BYTES]
                     scope.deadline = min(
-                        deadline, clock.make_deadline(limits.idle_seconds)
+                        deadline,
+                        self._listener.cut_at,
+                        clock.make_deadline(limits.idle_seconds),
                     )
                     await self._stream.send(data)
                     remaining -= len(data)
@@ -642,6 +690,8 @@
         Returns:
             Whether more may be read; the kernel holds the rest.
         """
+        if len(self._pipelined_data) >= MAX_PIPELINED_BYTES:
+            return False
         try:
             data = await self._stream.receive(
                 MAX_PIPELINED_BYTES - len(self._pipelined_data)
@@ -657,9 +707,9 @@
         is_full = size >= MAX_PIPELINED_BYTES
         if is_full:
             size += accepted_streams.RECEIVE_BUFFER_BYTES
-        self._hold.set(held_memory.Kind.AHEAD, size)
+        self._count_ahead(size - len(self._pipelined_data))
         if not self.guard.make_room(self._hold):
-            self.release()
+            self._drop_ahead()
             return True
         return not is_full
 
@@ -723,9 +773,11 @@
             )
             body = await self._read_body(limits, scope, is_chunked)
         self._read_scope = None
+        # A release in the turn in which the last part arrives cancels nothing.
+        if self._hold.phase is held_memory.Phase.CLOSING:
+            self._body = []
+            raise self._make_shortage()
         if body is None:
-            if self._is_released:
-                raise self._make_shortage()
             raise errors.RequestRejected(408, 'the body is late')
         return RawRequest(
             head.method.decode('latin-1'),
@@ -768,9 +820,9 @@
                 size = await self._receive()
                 self._count_head(self._hold.get(held_memory.Kind.HEAD) + size)
             self._read_scope = None
+            if self._hold.phase is held_memory.Phase.CLOSING:
+                raise self._make_shortage()
             if scope.cancelled_caught:
-                if self._is_released:
-                    raise self._make_shortage()
                 raise errors.RequestRejected(408, 'the headers are late')
             event = self._conn.next_event()
         return event if isinstance(event, h11.Request) else None
@@ -848,9 +900,7 @@
                     ) from exc
             elif isinstance(event, h11.EndOfMessage):
                 self._count_body(size)
-                self._hold.set(
-                    held_memory.Kind.AHEAD, len(self._conn.trailing_data[0])
-                )
+                self._count_ahead()
                 parts, self._body = [*self._body, *received], []
                 return b''.join(parts)
             else:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -634,3 +634,57 @@
             with anyio.fail_after(2):
                 while account.total:
                     await anyio.sleep(0.01)
+
+    @run_async
+    async def test_release_with_the_last_part_refuses_the_request(self):
+        """Guards against a body whose first part was given back.
+
+        The last part arrives in the turn in which memory runs short.
+        """
+        handled = []
+
+        async def handle(raw, reply):
+            handled.append(raw)
+            await echo(raw, reply)
+
+        async with start(handle) as rig, await rig.connect() as stream:
+            await stream.send(self.HEAD + b'x' * 398_999)
+            account = rig.listener.guard.account
+            while account.amounts[held_memory.Kind.BODY] < 398_999:
+                await anyio.sleep(0.01)
+            (connection,) = rig.listener.connections
+            receive = connection._stream.receive
+
+            async def receive_and_release(size):
+                data = await receive(size)
+                connection.release()
+                return data
+
+            connection._stream.receive = receive_and_release
+            # The wait that is in progress takes the next bytes.
+            await stream.send(b'x')
+            await anyio.sleep(0.05)
+            await stream.send(b'x' * 1000)
+            response = await stream.receive()
+            assert response.startswith(b'HTTP/1.1 503')
+            assert not handled
+
+    @run_async
+    async def test_many_requests_sent_ahead_are_all_served(self):
+        """Guards against a full buffer that looks like a disconnect."""
+        request = b'GET / HTTP/1.1\r\nHost: x\r\nA: ' + b'a' * 3000
+        request += b'\r\n\r\n'
+        served = []
+
+        async def handle(raw, reply):
+            await anyio.sleep(0.01)
+            served.append(raw)
+            await echo(raw, reply)
+
+        async with start(handle) as rig, await rig.connect() as stream:
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream.send, 60 * request)
+                for _ in range(60):
+                    response = await forward_rig.read_response(stream)
+                    assert response.status == 200
+            assert len(served) == 60
