--- a/chivejunction/coordination/attempt_choice.py
+++ b/chivejunction/coordination/attempt_choice.py
@@ -500,6 +500,8 @@
         """
         if work_id:
             self._running_attempts.end(self._running_ids.pop(work_id))
+            # Without a first byte, the server has not done the work.
+            self._share_work.pop(work_id, None)
             self.end_work(work_id)
         elif self._has_share(context):
             self.shares.end_slot(
--- a/chivejunction/coordination/hints.py
+++ b/chivejunction/coordination/hints.py
@@ -46,6 +46,8 @@
 # Backlog changes below this do not justify a datagram of their own.
 MIN_BACKLOG_CHANGE_SECONDS = 0.03
 MAX_DATAGRAM_BYTES = 1200
+# Most bytes by which the header of a mapping grows with its entries.
+MAP_HEADER_BYTES = 2
 # Gateways per region that receive the hints of one gateway. With more of them
 # a process would exceed its limit on control traffic at the target size.
 MAX_PEERS_PER_REGION = 16
@@ -137,6 +139,8 @@
         sent_at: Monotonic time of the latest hint.
         pending_prefixes: Prompt prefixes still to be sent, as tuples of the
             instance id, the prefix key and the tokens of its last part.
+        waiting_rows: Rows of the sections that did not fit into the latest
+            hint.
     """
 
     region: str
@@ -146,6 +150,7 @@
     pending_prefixes: list[tuple[str, int, int]] = dataclasses.field(
         default_factory=list
     )
+    waiting_rows: dict[str, list] = dataclasses.field(default_factory=dict)
 
 
 class HintExchange:
@@ -345,16 +350,40 @@
             except errors.MALFORMED_DOCUMENT_ERRORS as exc:
                 logs.LOG.warning('section %s of a hint ignored: %r', name, exc)
 
-    def _collect_sections(self, region: str) -> dict[str, list]:
-        """Returns the rows of all sections that have any."""
+    def _collect_sections(
+        self, region_state: RegionState, free: int
+    ) -> dict[str, list]:
+        """Returns the rows of the sections that fit into a hint.
+
+        Sections that did not fit into the hint before come first, with newer
+        rows where there are any.
+
+        Args:
+            region_state: State of the region that gets the hint.
+            free: Bytes that are free in the hint.
+        """
+        waiting, region_state.waiting_rows = region_state.waiting_rows, {}
         collected = {}
-        for name, section in self._sections.items():
+        for name in sorted(self._sections, key=lambda n: n not in waiting):
             with containment.contain(PART, section=name):
-                rows = section.collect_rows(region)
-                if rows:
+                rows = self._sections[name].collect_rows(region_state.region)
+                rows = rows or waiting.get(name)
+                size = len(msgpack.packb([name, rows]))
+                if rows and size <= free:
                     collected[name] = rows
+                    free -= size
+                elif rows:
+                    region_state.waiting_rows[name] = rows
         return collected
 
+    def _has_sections(self, region: str) -> bool:
+        """Returns whether any section has rows."""
+        for name, section in self._sections.items():
+            with containment.contain(PART, section=name):
+                if section.collect_rows(region):
+                    return True
+        return False
+
     async def _send_all(self, sender) -> None:
         while True:
             containment.expect_progress()
@@ -391,7 +420,7 @@
                 local_backlogs
                 or region_state.sent_backlogs
                 or self._running_attempts.sum_local()
-                or self._collect_sections(region_state.region)
+                or self._has_sections(region_state.region)
             )
         ):
             return True
@@ -438,16 +467,17 @@
         prefix_rows = [
             (hash_id(i), key, tokens) for i, key, tokens in prefixes
         ]
-        sections = self._collect_sections(region_state.region)
-        # What does not fit is left out, sections first.
-        for items in (
-            [prefix_rows, [], sections],
-            [prefix_rows, [], {}],
-            [[], [], {}],
-        ):
-            data = msgpack.packb([self._name, backlog_rows, *items])
-            if len(data) <= MAX_DATAGRAM_BYTES:
-                break
+        data = msgpack.packb([self._name, backlog_rows, prefix_rows, [], {}])
+        if len(data) > MAX_DATAGRAM_BYTES:
+            # The prefixes do not fit.
+            prefix_rows = []
+            data = msgpack.packb([self._name, backlog_rows, [], [], {}])
+        free = MAX_DATAGRAM_BYTES - len(data) - MAP_HEADER_BYTES
+        sections = self._collect_sections(region_state, free)
+        if sections:
+            data = msgpack.packb(
+                [self._name, backlog_rows, prefix_rows, [], sections]
+            )
         await self._send_datagram(
             sender,
             data,
--- a/chivejunction/scheduling/domain_shares.py
+++ b/chivejunction/scheduling/domain_shares.py
@@ -13,6 +13,7 @@
 import math
 
 from chivejunction import clock
+from chivejunction import containment
 from chivejunction.state import domain_loads
 
 # Interval at which the shares of a service are computed.
@@ -55,6 +56,8 @@
 # Headers of request and response, and a short body.
 MESSAGE_BYTES = 1000
 EVENT_BYTES = 90
+# Name in logs and metrics of unexpected errors.
+PART = 'domain shares'
 
 
 def estimate_bytes(body_bytes: int, events: float) -> float:
@@ -119,7 +122,8 @@
         return math.inf
     work += load.backlog / BACKLOG_SECONDS
     utilisation = work / load.capacity
-    rho = min(utilisation, MAX_UTILISATION)
+    # What is left of a demand may be below 0 by rounding.
+    rho = max(0.0, min(utilisation, MAX_UTILISATION))
     exponent = math.sqrt(2 * (load.servers + 1))
     wait = request_seconds / load.servers * rho**exponent
     marginal = wait * ((exponent + 1) * (1 - rho) + rho) / (1 - rho) ** 2
@@ -378,8 +382,11 @@
             domains: Failure domains with servers that may take it.
         """
         split = self._splits.setdefault(service, Split({self.home: 1.0}))
-        if clock.now() >= split.planned_at + PLAN_INTERVAL_SECONDS:
-            self._plan(service, has_models, split)
+        now = clock.now()
+        if now >= split.planned_at + PLAN_INTERVAL_SECONDS:
+            elapsed, split.planned_at = now - split.planned_at, now
+            with containment.contain(PART):
+                self._plan(service, has_models, split, elapsed)
         near = self._costs.estimate_near(size)
         fixed = self._far_seconds[0 if has_models else 1]
         far = self._costs.estimate_far(size, fixed)
@@ -430,9 +437,18 @@
             owed -= seconds * (name == domain)
             split.owed[name] = max(-limit, min(limit, owed))
 
-    def _plan(self, service: str, has_models: bool, split: Split) -> None:
-        """Computes the shares of a service and moves towards them."""
-        now, regions = clock.now(), self._loads.regions
+    def _plan(
+        self, service: str, has_models: bool, split: Split, elapsed: float
+    ) -> None:
+        """Computes the shares of a service and moves towards them.
+
+        Args:
+            service: The service.
+            has_models: Whether it uses models.
+            split: Its shares; updated.
+            elapsed: Seconds since the computation before.
+        """
+        regions = self._loads.regions
         near = self._costs.estimate_near(split.size)
         fixed = self._far_seconds[0 if has_models else 1]
         far = self._costs.estimate_far(split.size, fixed)
@@ -447,15 +463,16 @@
         split.ignored_gain += VIEW_WEIGHT * (
             estimate_unseen_wait(loads) - split.ignored_gain
         )
-        step = min(1.0, (now - split.planned_at) / DAMPING_SECONDS)
-        split.planned_at = now
+        step = min(1.0, elapsed / DAMPING_SECONDS)
         damped = {}
         for domain in shares.keys() | split.shares.keys():
             share = split.shares.get(domain, 0.0)
             share += step * (shares.get(domain, 0.0) - share)
-            # A domain without servers takes nothing.
+            # A domain without servers takes nothing; one whose servers are all
+            # gone may not be listed any more.
+            load = loads.get(domain)
             if domain != self.home and (
-                share < MIN_SHARE or loads[domain].capacity <= 0
+                share < MIN_SHARE or load is None or load.capacity <= 0
             ):
                 continue
             damped[domain] = share
--- a/chivejunction/scheduling/server_paces.py
+++ b/chivejunction/scheduling/server_paces.py
@@ -291,6 +291,9 @@
             wait: Estimated seconds of the work ahead of it.
             pace: Pace that the estimate assumed.
         """
+        if backend.is_leaving:
+            # Its record may have been removed.
+            return
         base = backlogs.BASE_FIRST_BYTE_SECONDS
         prefill_seconds = expected_seconds - base
         if backend.is_cold() or not is_measurable(
@@ -345,6 +348,8 @@
         self, backend: backends.Backend, seconds: float
     ) -> None:
         """Adds the typical seconds between the events of a stream."""
+        if backend.is_leaving:
+            return
         seconds = bound_interval(seconds)
         record = self._paces.get(backend)
         service_interval = self._service_intervals.get(
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -639,3 +639,43 @@
         monkeypatch.setenv('CHIVEJUNCTION_DOMAIN_LINK_COST', text)
         with pytest.raises(errors.SettingError, match='DOMAIN_LINK_COST'):
             settings.read_link_costs()
+
+
+class TestExtremeDemand:
+    def test_demand_of_many_times_the_capacity_moves_whole(self):
+        """Guards against a rest below 0 that has no real power."""
+        loads = {
+            'bkk-a': domain_loads.DomainLoad(
+                'bkk-a',
+                'bkk',
+                demand=12.390033426182068,
+                capacity=0.5,
+                servers=2,
+                requests=12.390033426182068 / 8,
+                backlog=0.0,
+                age=0.0,
+            ),
+            'bkk-b': domain_loads.DomainLoad(
+                'bkk-b',
+                'bkk',
+                demand=0.0,
+                capacity=200.0,
+                servers=200,
+                requests=0.0,
+                backlog=0.0,
+                age=0.0,
+            ),
+        }
+        shares = domain_shares.compute_shares(
+            loads, 'bkk-a', lambda source, target: 0.01
+        )
+        assert shares['bkk-b'] > 0.9
+
+    def test_domain_that_is_gone_takes_nothing(self):
+        """Guards against shares of a domain that is not listed any more."""
+        host = Host()
+        split = domain_shares.Split({'bkk-a': 0.5, 'gone': 0.5})
+        split.planned_at = clock.now() - domain_shares.PLAN_INTERVAL_SECONDS
+        host.departures.shares._splits['pool'] = split
+        host.choose()
+        assert 'gone' not in split.shares
--- a/tests/test_server_paces.py
+++ b/tests/test_server_paces.py
@@ -9,6 +9,7 @@
 import pytest
 
 from chivejunction import clock
+from chivejunction.coordination import hints
 from chivejunction.coordination import pace_hints
 from chivejunction.protocol import features
 from chivejunction.scheduling import backend_selection
@@ -64,6 +65,12 @@
     )
 
 
+def collect_sections(rig):
+    """Returns the sections of the next hint of a gateway."""
+    state = hints.RegionState('bkk', True)
+    return rig.gateway._hint_exchange._collect_sections(state, 1000)
+
+
 class TestUnequalServers:
     """Servers of one service differ 2.4-fold.
 
@@ -409,7 +416,7 @@
     async def test_learns_and_announces(self):
         async with forward_rig.start(features=self.FEATURES) as rig:
             await self.call(rig)
-            collected = rig.gateway._hint_exchange._collect_sections('bkk')
+            collected = collect_sections(rig)
             (row,) = collected['pace']
             assert row[1] > 1000 and row[2] == 3 and row[4] >= 100
             choice = self.choose(rig)
@@ -419,7 +426,7 @@
     async def test_without_the_feature_nothing_changes(self):
         async with forward_rig.start() as rig:
             await self.call(rig)
-            assert not rig.gateway._hint_exchange._collect_sections('bkk')
+            assert not collect_sections(rig)
             assert self.choose(rig).pace == 1
 
 
