Place prefixes by their rates only where engines fail for lack of memory

Earlier deployments are to be served as before. Copies take memory of engines; the settings say by the policy pressure that engines fail for lack of memory, and there the part stays on if it is named.

--- a/chivejunction/platform/program.py
+++ b/chivejunction/platform/program.py
@@ -58,7 +58,7 @@
         retry_allowance=RETRY_ALLOWANCE_SHARE * bounds.retry_slack,
         retry_window_seconds=bounds.retry_window_s,
         failure_domain=node_settings.zone,
-        features=settings.read_features(),
+        features=settings.read_features(node_settings.policies),
         domain_regions=node_settings.zones,
         link_costs=settings.read_link_costs(),
         capacity=limits.cpu_share * limits.cores,
--- a/chivejunction/platform/settings.py
+++ b/chivejunction/platform/settings.py
@@ -16,6 +16,9 @@
 
 PATH_VARIABLE = 'CHIVEJUNCTION_NODE_FILE'
 FEATURES_VARIABLE = 'CHIVEJUNCTION_FEATURES'
+# Copies of prefixes take memory of engines. They are made sparingly where
+# engines fail for lack of it.
+REQUIRED_POLICIES = {features.Feature.PREFIX_PLACEMENT: 'pressure'}
 DOMAIN_LINK_COST_VARIABLE = 'CHIVEJUNCTION_DOMAIN_LINK_COST'
 REGION_LINK_COST_VARIABLE = 'CHIVEJUNCTION_REGION_LINK_COST'
 MAX_LINK_COST = 10_000.0
@@ -51,6 +54,13 @@
     return number
 
 
+def _list_texts(value) -> tuple[str, ...]:
+    """Returns the texts of a list; none for anything else."""
+    if not isinstance(value, list | tuple):
+        return ()
+    return tuple(item for item in value if isinstance(item, str))
+
+
 HeaderValue = Annotated[str, pydantic.AfterValidator(_check_header_value)]
 Count = Annotated[
     int,
@@ -204,6 +214,9 @@
     ip: Annotated[str, pydantic.AfterValidator(_check_ip_address)]
     listen: Listen
     internal_ports: tuple[Port, Port]
+    policies: Annotated[
+        tuple[str, ...], pydantic.BeforeValidator(_list_texts)
+    ] = ()
     limits: Resources = Resources()
     bounds: Bounds = Bounds()
     platform: StoreSettings
@@ -265,16 +278,27 @@
         raise errors.SettingError(_describe_errors(path, exc)) from exc
 
 
-def read_features() -> frozenset[features.Feature]:
+def read_features(
+    policies: tuple[str, ...] = (),
+) -> frozenset[features.Feature]:
     """Returns the features that ``FEATURES_VARIABLE`` switches on.
 
+    Args:
+        policies: Policies in force on the platform; a feature that answers a
+            policy is off without it.
+
     Raises:
         SettingError: A name is not that of a feature.
     """
     try:
-        return features.parse_features(os.environ.get(FEATURES_VARIABLE, ''))
+        named = features.parse_features(os.environ.get(FEATURES_VARIABLE, ''))
     except ValueError as exc:
         raise errors.SettingError(f'{FEATURES_VARIABLE}: {exc}') from exc
+    return frozenset(
+        feature
+        for feature in named
+        if REQUIRED_POLICIES.get(feature, '') in ('', *policies)
+    )
 
 
 def _read_link_cost(variable: str) -> float | None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -915,3 +915,32 @@
 
     def test_idle_time_without_end_is_ignored(self):
         assert headers.parse_keep_alive_timeout('timeout=' + '9' * 400) is None
+
+
+class TestFeatures:
+    """Guards against features that a deployment did not ask for."""
+
+    NAMES = 'server_paces,prefix_placement'
+
+    @pytest.mark.parametrize(
+        ('names', 'policies', 'expected'),
+        [
+            ('', ('pressure',), set()),
+            (NAMES, (), {'server_paces'}),
+            (
+                NAMES,
+                ('base', 'pressure'),
+                {'server_paces', 'prefix_placement'},
+            ),
+        ],
+    )
+    def test_feature_needs_its_name_and_its_policy(
+        self, monkeypatch, names, policies, expected
+    ):
+        monkeypatch.setenv(settings.FEATURES_VARIABLE, names)
+        assert settings.read_features(policies) == expected
+
+    def test_unknown_name_is_refused(self, monkeypatch):
+        monkeypatch.setenv(settings.FEATURES_VARIABLE, 'server_paces,x')
+        with pytest.raises(errors.SettingError, match='accepted are'):
+            settings.read_features()
