Let the pace of the model count where the servers of a service are alike

Samples of single servers leave out the queues that the estimate of the model contains, so that all servers look faster and choices and escalations change though no server differs. Paces now count unless half of the servers have been compared and are alike.

--- a/chivejunction/scheduling/backend_selection.py
+++ b/chivejunction/scheduling/backend_selection.py
@@ -714,6 +714,8 @@
         event_interval = backend.find_event_interval()
         if self._paces is not None:
             ratio = self._paces.find_ratio(backend, seconds, model_pace)
+            if not self._paces.has_spread(backend.service, model_pace):
+                ratio = 1.0
             pace = model_pace * ratio
             seconds = server_paces.scale_prefill(seconds, ratio)
             event_interval = self._paces.find_interval(backend, event_interval)
--- a/chivejunction/scheduling/server_paces.py
+++ b/chivejunction/scheduling/server_paces.py
@@ -50,6 +50,20 @@
 # Gateways try one after the other, so that the result of the first one
 # reaches the next before it sends.
 TRIAL_SPACING_SECONDS = 0.4
+# Servers of a service differ if the paces of its fast and slow ones do by this
+# factor; queues that gateways do not know of make equal ones differ by less.
+MIN_SPREAD = 1.6
+# Shares of the servers that are faster and slower than the ones compared.
+SPREAD_QUANTILES = (0.1, 0.9)
+# Samples without which a server is not compared, the fewest servers and the
+# least share of them; servers that are not compared may differ.
+MIN_SPREAD_SAMPLES = 4
+MIN_SPREAD_SERVERS = 3
+COMPARED_SHARE = 0.5
+# Times for which a comparison of the servers holds. Samples that show a
+# difference expire later than those that happen not to.
+EQUAL_TTL_SECONDS = 0.1
+SPREAD_TTL_SECONDS = 1.0
 MAX_INTERVAL_SECONDS = 2.0
 MIN_INTERVAL_SECONDS = 0.0005
 # Weight of the interval of the service, in gateways.
@@ -201,6 +215,8 @@
         self._count_gateways = count_gateways
         self._report_change = report_change
         self._service_intervals: dict[str, float] = {}
+        # Monotonic time until which a comparison holds, and its result.
+        self._spreads: dict[str, tuple[float, bool]] = {}
 
     def find_ratio(
         self,
@@ -242,6 +258,35 @@
             pace = usual_pace
         return pace / model_pace
 
+    def has_spread(self, service: str, model_pace: float) -> bool:
+        """Returns whether the servers of a service differ, or may do so.
+
+        Where they do not, the pace of the model counts for all: it contains
+        the queues that the samples of single servers leave out, by which
+        choices and escalations are in proportion to the load.
+
+        Args:
+            service: The service.
+            model_pace: Pace of all servers with the model.
+        """
+        now = clock.now()
+        checked_until, spread = self._spreads.get(service, (0.0, False))
+        if now < checked_until:
+            return spread
+        records = [r for r in self._paces if r.service == service]
+        paces = [r.pace for r in records if r.weight >= MIN_SPREAD_SAMPLES]
+        spread = (
+            len(paces) < max(MIN_SPREAD_SERVERS, COMPARED_SHARE * len(records))
+            or any(record.is_slow for record in records)
+            or any(pace > MIN_SPREAD * model_pace for pace in paces)
+        )
+        if not spread:
+            fast, slow = (find_quantile(paces, q) for q in SPREAD_QUANTILES)
+            spread = slow > MIN_SPREAD * fast
+        ttl = SPREAD_TTL_SECONDS if spread else EQUAL_TTL_SECONDS
+        self._spreads[service] = now + ttl, spread
+        return spread
+
     def start_trial(
         self, backend: backends.Backend, prefill_seconds: float
     ) -> None:
